--- /dev/null
+++ b/cmake/fireflyswitchConfig.cmake
@@ -0,0 +1,8 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(nlohmann_json)
+find_dependency(yaml-cpp)
+find_dependency(CURL)
+find_dependency(fmt)
+find_dependency(restinio)
+include(${CMAKE_CURRENT_LIST_DIR}/fireflyswitchTargets.cmake)
--- /dev/null
+++ b/src/Core/Assert.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+namespace firefly {
+
+/// Thrown when an invariant of the program does not hold.
+///
+/// Tests let it escape.  The daemon catches it at its dispatch loop, logs it and refuses the
+/// message that was being handled.
+class InvariantViolation : public std::logic_error
+{
+public:
+    using std::logic_error::logic_error;
+};
+
+namespace internal {
+
+[[noreturn]] inline void failInvariant(const char *condition, const char *message, const char *file,
+                                       int line)
+{
+    throw InvariantViolation(std::string(file) + ":" + std::to_string(line) + ": " + message + " ("
+                             + condition + ")");
+}
+
+} // namespace internal
+} // namespace firefly
+
+/// Checks a run-time precondition or invariant in every build.
+/// \throws firefly::InvariantViolation when \a condition is false.
+#define FIREFLY_ASSERT(condition, message)                                                         \
+    ((condition) ? static_cast<void>(0)                                                            \
+                 : ::firefly::internal::failInvariant(#condition, message, __FILE__, __LINE__))
--- /dev/null
+++ b/src/Core/Clock.cpp
@@ -0,0 +1,38 @@
+#include "Core/Clock.h"
+
+#include <atomic>
+
+namespace firefly {
+namespace {
+
+constexpr Clock::rep Running = -1;
+std::atomic<Clock::rep> pausedAt{Running};
+
+} // namespace
+
+TimePoint Clock::now() noexcept
+{
+    const rep paused = pausedAt.load();
+    if (paused != Running) {
+        return time_point(duration(paused));
+    }
+    const auto machine = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point(std::chrono::duration_cast<duration>(machine));
+}
+
+void Clock::pause(time_point at) noexcept
+{
+    pausedAt = at.time_since_epoch().count();
+}
+
+void Clock::advance(duration by) noexcept
+{
+    pausedAt += by.count();
+}
+
+void Clock::resume() noexcept
+{
+    pausedAt = Running;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Records.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// \file Typed records of the log, and their encoding.
+
+#include "Records/Codec.h"
+#include "Records/Fold.h"
+#include "Records/Record.h"
