--- a/src/Calls/CallTracker.h
+++ b/src/Calls/CallTracker.h
@@ -12,6 +12,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace firefly {
@@ -37,9 +40,11 @@
 {
 public:
     /// Longest answer that goes into the log, in bytes; a longer one is concluded as Unknown there.
-    static constexpr std::size_t MaxStoredAnswerBytes = 64 * 1024;
+    static constexpr std::size_t MaxStoredAnswerBytes = std::size_t{64} * 1024;
     /// Dispatches of one request at most, first one included.
     static constexpr std::size_t MaxDispatches = 4;
+    /// Intents of one request at most; another one is needed when the key's winner reopened it.
+    static constexpr std::size_t MaxIntents = 3;
 
     CallTracker(CallRequest request, EntryId entry, WriterId writer);
 
@@ -62,7 +67,7 @@
     CallActions onIntended(TimePoint now, const CallIntended &record, Context &context)
     {
         if (record.request == m_request.request) {
-            m_intentInLog = true;
+            m_intentOnItsWay = false;
         }
         return onKeyChanged(now, context);
     }
@@ -99,7 +104,6 @@
             retryOr(now, CallReason::RetriesExhausted, context, actions);
             break;
         case WorkerResult::Uncertain:
-            m_mayHaveRun = true;
             retryOr(now, CallReason::ReplyUncertain, context, actions);
             break;
         }
@@ -251,8 +255,8 @@
     std::vector<WorkerId> m_tried;
     std::uint64_t m_dispatches = 0;
     std::uint64_t m_serviceErrors = 0;
-    bool m_intentAppended = false;
-    bool m_intentInLog = false;
+    std::uint64_t m_intents = 0;   ///< Intents appended.
+    bool m_intentOnItsWay = false; ///< The last intent was not read back yet.
     bool m_mayHaveRun = false;
     bool m_recorded = false; ///< A conclusion of the key was appended.
 };
--- a/src/Calls/IntentLedger.h
+++ b/src/Calls/IntentLedger.h
@@ -7,12 +7,12 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace firefly {
 
@@ -22,7 +22,11 @@
     CustomerId customer;
     std::string key;
 
-    auto operator<=>(const CallKey &) const = default;
+    bool operator==(const CallKey &) const = default;
+    friend bool operator<(const CallKey &a, const CallKey &b)
+    {
+        return std::tie(a.customer, a.key) < std::tie(b.customer, b.key);
+    }
 };
 
 /// What the log says about an idempotency key.
@@ -43,8 +47,9 @@
 struct IntentLedgerLimits
 {
     std::size_t maxKeys = 100'000;
-    std::size_t maxAnswerBytes = 64 * 1048576; ///< Sum over the kept answers, in bytes.
-    Offset minRetention = 50'000; ///< Offsets for which a key is kept whatever the pressure.
+    std::size_t maxAnswerBytes =
+        std::size_t{64} * 1024 * 1024; ///< Sum over the kept answers, in bytes.
+    Offset minRetention = 50'000;      ///< Offsets for which a key is kept whatever the pressure.
 };
 
 /// Fold of the records of non-idempotent calls.
@@ -55,6 +60,9 @@
 class IntentLedger
 {
 public:
+    /// Longest idempotency key, in bytes; a longer one is Invalid.
+    static constexpr std::size_t MaxKeyBytes = 256;
+
     IntentLedger() = default;
     explicit IntentLedger(IntentLedgerLimits limits)
         : m_limits(limits)
@@ -77,7 +85,9 @@
     void load(const nlohmann::json &json);
 
 private:
-    bool makeRoom(Offset offset, std::size_t answerBytes);
+    /// Forgets old keys, never \a kept, until \a moreKeys and \a moreBytes fit; false if they
+    /// cannot.
+    bool makeRoom(Offset offset, const CallKey &kept, std::size_t moreKeys, std::size_t moreBytes);
     bool isOverLimits(std::size_t moreKeys, std::size_t moreBytes) const;
     void add(const CallKey &key, CallIntent intent);
     void erase(const CallKey &key);
--- a/src/Jobs/JobLedger.h
+++ b/src/Jobs/JobLedger.h
@@ -28,10 +28,11 @@
 /// Bounds of a JobLedger.  Every reader of one log must use the same ones.
 struct JobLedgerLimits
 {
-    std::size_t maxLive = 100'000;            ///< Jobs not ended; further submissions are Invalid.
-    std::size_t maxEnded = 20'000;            ///< Ended jobs kept for their status and result.
-    std::size_t maxEndedBytes = 64 * 1048576; ///< Payloads and results of ended jobs, in bytes.
-    Offset endedRetention = 2'000'000;        ///< Offsets after which an ended job is forgotten.
+    std::size_t maxLive = 100'000; ///< Jobs not ended; further submissions are Invalid.
+    std::size_t maxEnded = 20'000; ///< Ended jobs kept for their status and result.
+    std::size_t maxEndedBytes =
+        std::size_t{64} * 1024 * 1024; ///< Payloads and results of ended jobs, in bytes.
+    Offset endedRetention = 2'000'000; ///< Offsets after which an ended job is forgotten.
 };
 
 /// Fold of the batch records: which job is where, and what became of it.
@@ -97,8 +98,11 @@
 private:
     FoldVerdict place(Offset offset, const JobPlaced &record, Term currentTerm);
     FoldVerdict evict(Offset offset, const JobEvicted &record, Term currentTerm);
-    void update(Job &job, const Job &next);
+    template <typename Change>
+    void update(Job &job, Change change);
+    void end(Job &job, Offset offset, JobState state);
     void forgetOldest(Offset offset);
+    void check(const Job &job) const;
     bool isOverEndedLimits(Offset offset) const;
 
     JobLedgerLimits m_limits;
--- a/src/Recovery/AppendQueue.h
+++ b/src/Recovery/AppendQueue.h
@@ -30,11 +30,12 @@
 /// Bounds and pace of an AppendQueue.
 struct AppendQueueLimits
 {
-    std::size_t maxPending = 20'000;              ///< Records not yet in the log.
-    std::size_t maxPendingBytes = 64 * 1'048'576; ///< Encoded size of those records, in bytes.
-    double newWorkShare = 0.75;                   ///< Part of the bounds that new work may fill.
-    std::size_t maxBatch = 1000;                  ///< Records in one append.
-    std::size_t maxBatchBytes = 512 * 1024;       ///< Encoded size of one append, in bytes.
+    std::size_t maxPending = 20'000; ///< Records not yet in the log.
+    std::size_t maxPendingBytes =
+        std::size_t{64} * 1024 * 1024; ///< Encoded size of those records, in bytes.
+    double newWorkShare = 0.75;        ///< Part of the bounds that new work may fill.
+    std::size_t maxBatch = 1000;       ///< Records in one append.
+    std::size_t maxBatchBytes = std::size_t{512} * 1024; ///< Encoded size of one append, in bytes.
     Duration flushInterval = std::chrono::milliseconds(20);
     Duration retryDelay = std::chrono::milliseconds(500); ///< After an append that failed.
 };
@@ -57,6 +58,8 @@
     void onReply(TimePoint now, AppendResult result);
     /// Notes a record that was read back; true when it is one of this writer's for the first time.
     bool onRead(const LoggedEnvelope &logged);
+    /// Notes that a snapshot was restored which contains records up to \a sequence of this writer.
+    void onRestored(std::uint64_t sequence);
 
     const WriterId &writer() const { return m_writer; }
     /// Sequence number up to which every record was read back from the log.
@@ -85,8 +88,7 @@
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_inFlight = 0; ///< Last sequence number of the append in flight; 0 when none.
     std::uint64_t m_readBack = 0;
-    std::uint64_t m_resent = 0;  ///< Appends repeated after a failure.
-    std::size_t m_lastBatch = 0; ///< Size of an append to be repeated; 0 when none.
+    std::uint64_t m_repeats = 0; ///< Appends that failed and were or will be sent again.
     TimePoint m_notBefore{};
 };
 
--- a/src/Recovery/CatchUp.h
+++ b/src/Recovery/CatchUp.h
@@ -5,6 +5,7 @@
 #include "Platform/LogMessages.h"
 #include "Records/Fold.h"
 #include "Recovery/SnapshotAssembly.h"
+#include "Recovery/SnapshotCodec.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -41,9 +42,11 @@
     template <typename Fold, typename Visitor>
     void absorb(const LogRead &read, Fold &fold, Visitor &&visit)
     {
-        if (detectGap(read, fold.applied())) {
+        if (isBehindReader(read)) {
+            m_state = CatchUpState::Reading;
             return;
         }
+        noteHead(read.head);
         if (m_state == CatchUpState::NeedsSnapshot) {
             scan(read, fold);
             return;
@@ -63,9 +66,10 @@
     nlohmann::json dump() const;
 
 private:
-    /// Starts a search for a snapshot when records were trimmed; true when the reading is of no
-    /// use.
-    bool detectGap(const LogRead &read, Offset applied);
+    /// True when the log answered with a state older than what was read before.
+    bool isBehindReader(const LogRead &read) const;
+    /// Starts a search for a snapshot when \a head is past the next record.
+    void noteHead(Offset head);
     /// Collects snapshot parts; true once the scan reached the tail with a usable snapshot.
     bool collect(const LogRead &read);
 
@@ -77,11 +81,18 @@
         }
         const CompleteSnapshot &snapshot = *m_assembly.newest();
         FIREFLY_ASSERT(snapshot.covers > fold.applied(), "a restore never goes back");
-        fold.restore(snapshot.text);
+        try {
+            fold.restore(snapshot.text);
+        } catch (const SnapshotError &) {
+            rejectSnapshot(read.head);
+            return;
+        }
         FIREFLY_ASSERT(snapshot.covers == fold.applied(), "a snapshot covers what it says");
         finishRestore();
     }
 
+    /// Goes on searching from \a head without the snapshot that could not be read.
+    void rejectSnapshot(Offset head);
     void finishRestore();
 
     CatchUpState m_state = CatchUpState::Reading;
--- a/src/Recovery/SnapshotAssembly.h
+++ b/src/Recovery/SnapshotAssembly.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,11 +29,15 @@
 public:
     /// Incomplete snapshots held; the one with the oldest coverage is dropped first.
     static constexpr std::size_t MaxIncomplete = 8;
+    /// Parts of one snapshot at most.
+    static constexpr std::uint32_t MaxParts = 10'000;
 
     /// Notes \a part; true when it completed a snapshot that is newer than newest().
     bool add(const SnapshotPart &part);
     /// The complete snapshot with the largest coverage so far.
     const std::optional<CompleteSnapshot> &newest() const { return m_newest; }
+    /// Drops newest(), and ignores its parts from now on.
+    void rejectNewest();
     void clear();
 
 private:
@@ -43,9 +48,12 @@
         std::size_t missing = 0;
     };
 
-    void complete(const std::string &name, const Incomplete &snapshot);
+    bool isUsable(const SnapshotPart &part) const;
+    Incomplete &incomplete(const SnapshotPart &part);
+    void complete(const std::string &name);
     void dropOldest();
 
+    std::set<std::string> m_rejected;
     std::map<std::string, Incomplete> m_incomplete;
     std::optional<CompleteSnapshot> m_newest;
 };
--- a/src/Recovery/SnapshotPlanner.h
+++ b/src/Recovery/SnapshotPlanner.h
@@ -18,10 +18,10 @@
 /// When snapshots are written, and how they are cut.
 struct SnapshotPlannerLimits
 {
-    Offset everyRecords = 20'000;                   ///< Records between snapshots.
-    Duration retention = std::chrono::hours(1);     ///< How long the log keeps a record.
-    Duration retryAfter = std::chrono::seconds(10); ///< Until a lost snapshot is rewritten.
-    std::size_t partBytes = 128 * 1024;             ///< Largest data of one part, in bytes.
+    Offset everyRecords = 20'000;                    ///< Records between snapshots.
+    Duration retention = std::chrono::hours(1);      ///< How long the log keeps a record.
+    Duration retryAfter = std::chrono::seconds(10);  ///< Until a lost snapshot is rewritten.
+    std::size_t partBytes = std::size_t{128} * 1024; ///< Largest data of one part, in bytes.
 };
 
 /// Decides when an entry writes a snapshot, and cuts it into records.
@@ -37,6 +37,8 @@
 
     /// Notes a part that was read from the log, from any writer.
     void onRead(TimePoint now, const SnapshotPart &part);
+    /// Notes that this entry restored a snapshot; its age is unknown.
+    void onRestored(TimePoint now, Offset covers);
     /// True when this entry should write a snapshot of its state at \a applied now.
     ///
     /// Ask only a reader that is current; \a head is the log's oldest offset at its last reading.
--- /dev/null
+++ b/test/fakes/FakeShardTerms.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Records.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+
+namespace firefly::fakes {
+
+/// Smallest fold that knows terms: a claim of the term it saw wins.
+class FakeShardTerms
+{
+public:
+    FoldVerdict apply(Offset offset, const ShardClaimed &record)
+    {
+        if (record.previousTerm != currentTerm(record.shard)) {
+            return FoldVerdict::Stale;
+        }
+        m_owners[record.shard.value()] = {record.entry.value(), offset};
+        return FoldVerdict::Accepted;
+    }
+
+    Term currentTerm(const ShardId &shard) const
+    {
+        const auto it = m_owners.find(shard.value());
+        return it == m_owners.end() ? 0 : it->second.second;
+    }
+
+    bool isOwner(const EntryId &entry, const ShardId &shard) const
+    {
+        const auto it = m_owners.find(shard.value());
+        return it != m_owners.end() && it->second.first == entry.value();
+    }
+
+    nlohmann::json save() const { return m_owners; }
+    void load(const nlohmann::json &json) { json.get_to(m_owners); }
+
+private:
+    std::map<std::string, std::pair<std::string, Term>> m_owners;
+};
+
+} // namespace firefly::fakes
