--- /dev/null
+++ b/src/Http/HttpServer.cpp
@@ -0,0 +1,152 @@
+#include "Http/HttpServer.h"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace firefly {
+namespace {
+
+struct ServerTraits : restinio::default_single_thread_traits_t
+{
+    static constexpr bool use_connection_count_limiter = true; // NOLINT
+};
+
+using Server = restinio::http_server_t<ServerTraits>;
+
+bool equalNoCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
+HttpRequest toRequest(const restinio::request_t &source)
+{
+    HttpRequest request;
+    request.method = source.header().method().c_str();
+    request.path = std::string(source.header().path());
+    request.query = std::string(source.header().query());
+    request.body = source.body();
+    source.header().for_each_field([&request](const auto &field) {
+        request.headers.emplace_back(field.name(), field.value());
+    });
+    return request;
+}
+
+void send(const restinio::request_handle_t &request, HttpResponse response)
+{
+    const auto code = static_cast<std::uint16_t>(response.status);
+    auto builder = request->create_response(
+        restinio::http_status_line_t(restinio::http_status_code_t(code), ""));
+    builder.append_header(restinio::http_field::content_type, response.contentType);
+    for (auto &[name, value] : response.headers) {
+        builder.append_header(std::move(name), std::move(value));
+    }
+    builder.set_body(std::move(response.body));
+    builder.done();
+}
+
+HttpResponse overloaded()
+{
+    HttpResponse response;
+    response.status = 503;
+    response.body = R"({"error":"too many bytes are waiting for an answer"})";
+    response.headers.emplace_back("Retry-After", "1");
+    response.headers.emplace_back("Firefly-Outcome", "not-run");
+    return response;
+}
+
+} // namespace
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (equalNoCase(key, name)) {
+            return value;
+        }
+    }
+    return {};
+}
+
+std::vector<std::string> HttpRequest::segments() const
+{
+    std::vector<std::string> result;
+    std::string segment;
+    for (const char c : path) {
+        if (c != '/') {
+            segment += c;
+            continue;
+        }
+        if (!segment.empty()) {
+            result.push_back(std::move(segment));
+        }
+        segment.clear();
+    }
+    if (!segment.empty()) {
+        result.push_back(std::move(segment));
+    }
+    return result;
+}
+
+struct HttpServer::Private
+{
+    auto settings(const Endpoint &endpoint, const HttpLimits &limits)
+    {
+        return [this, &endpoint, &limits](auto &settings) {
+            settings.address(endpoint.address)
+                .port(endpoint.port)
+                .max_parallel_connections(limits.maxConnections)
+                .read_next_http_message_timelimit(limits.readTimeout)
+                .handle_request_timeout(limits.handleTimeout)
+                .incoming_http_msg_limits(
+                    restinio::incoming_http_msg_limits_t().max_body_size(limits.maxBodyBytes))
+                .request_handler([this](auto request) { return handle(std::move(request)); });
+        };
+    }
+
+    Private(asio::io_context &context, const Endpoint &endpoint, const HttpLimits &limits,
+            Handler handlerIn)
+        : handler(std::move(handlerIn))
+        , bufferedLimit(limits.maxBufferedBytes)
+        , server(restinio::external_io_context(context), settings(endpoint, limits))
+    {}
+
+    restinio::request_handling_status_t handle(restinio::request_handle_t source)
+    {
+        const std::size_t size = source->body().size();
+        if (buffered + size > bufferedLimit) {
+            send(source, overloaded());
+            return restinio::request_accepted();
+        }
+        buffered += size;
+        HttpRequest request = toRequest(*source);
+        handler(std::move(request), [this, source, size](HttpResponse response) {
+            buffered -= size;
+            send(source, std::move(response));
+        });
+        return restinio::request_accepted();
+    }
+
+    Handler handler;
+    std::size_t bufferedLimit;
+    std::size_t buffered = 0;
+    Server server;
+};
+
+HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint,
+                       const HttpLimits &limits, Handler handler)
+    : m_private(std::make_unique<Private>(context, endpoint, limits, std::move(handler)))
+{
+    m_private->server.open_async([] {}, [](std::exception_ptr e) { std::rethrow_exception(e); });
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::stop()
+{
+    m_private->server.close_async([] {}, [](std::exception_ptr e) { std::rethrow_exception(e); });
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Ops/EventLog.cpp
@@ -0,0 +1,133 @@
+#include "Ops/EventLog.h"
+
+#include <log4cplus/config.hxx>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/helpers/timehelper.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace firefly {
+namespace {
+
+constexpr const char *LoggerName = "firefly";
+
+log4cplus::LogLevel toLibraryLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        break;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+std::string_view toString(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        break;
+    }
+    return "error";
+}
+
+log4cplus::Initializer &initializer()
+{
+    static log4cplus::Initializer instance;
+    return instance;
+}
+
+} // namespace
+
+EventLog::EventLog(std::string process, LogLevel level)
+    : m_process(std::move(process))
+    , m_level(level)
+{
+    initializer();
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    auto logger = log4cplus::Logger::getInstance(LoggerName);
+    logger.removeAllAppenders();
+    logger.addAppender(appender);
+    logger.setLogLevel(toLibraryLevel(level));
+}
+
+EventLog::~EventLog() = default;
+
+int EventLog::admit(std::string_view component, std::string_view message)
+{
+    std::string key(component);
+    key += '/';
+    key += message;
+    Rate &rate = m_rates[key];
+    const TimePoint now = Clock::now();
+    int suppressed = 0;
+    if (now - rate.intervalBegin >= Interval) {
+        suppressed = rate.suppressed;
+        rate = Rate{now, 0, 0};
+    }
+    if (rate.written >= LinesPerInterval) {
+        ++rate.suppressed;
+        return -1;
+    }
+    ++rate.written;
+    return suppressed;
+}
+
+void EventLog::write(LogLevel level, std::string_view component, std::string_view message,
+                     const nlohmann::json &fields)
+{
+    if (level < m_level) {
+        return;
+    }
+    const int suppressed = admit(component, message);
+    if (suppressed < 0) {
+        return;
+    }
+    nlohmann::json line = fields.is_object() ? fields : nlohmann::json::object();
+    line["time"] = log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ",
+                                                        log4cplus::helpers::now(), true);
+    line["level"] = toString(level);
+    line["process"] = m_process;
+    line["component"] = component;
+    line["message"] = message;
+    if (suppressed > 0) {
+        line["suppressed"] = suppressed;
+    }
+    const auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    auto logger = log4cplus::Logger::getInstance(LoggerName);
+    logger.log(toLibraryLevel(level), text);
+}
+
+void EventLog::write(LogLevel level, std::string_view component, std::string_view message)
+{
+    write(level, component, message, nlohmann::json::object());
+}
+
+LogLevel parseLogLevel(std::string_view text)
+{
+    for (const LogLevel level :
+         {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
+        if (toString(level) == text) {
+            return level;
+        }
+    }
+    throw std::invalid_argument("unknown log level '" + std::string(text) + "'");
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Ops/Metrics.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Ops/LatencyHistogram.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace firefly {
+
+/// Named counters, gauges and latency histograms of one process.
+///
+/// Names follow Prometheus: "firefly_calls_total{outcome=\"answer\"}".
+class Metrics
+{
+public:
+    void add(std::string_view counter, std::uint64_t n = 1);
+    void set(std::string_view gauge, double value);
+    void record(std::string_view histogram, Duration latency);
+
+    /// Text in the Prometheus exposition format.
+    std::string exposition() const;
+    /// The same as a JSON object.
+    nlohmann::json dump() const;
+
+private:
+    std::map<std::string, std::uint64_t, std::less<>> m_counters;
+    std::map<std::string, double, std::less<>> m_gauges;
+    std::map<std::string, LatencyHistogram, std::less<>> m_histograms;
+};
+
+} // namespace firefly
