Add the HTTP clients of log, VM list and workers on libcurl's multi-socket interface

Adapters run every exchange on the io_context with its own deadline and tell NotSent, Uncertain and Whole apart. libcurl repeats a request silently on a reused connection that was reset; the pre-request callback refuses the second send, as a repeat could run a non-idempotent call twice. LogRead gets 'next' so that records which do not decode are stepped over, and WorkerCall gets 'key' for the idempotency key.

--- /dev/null
+++ b/src/Adapters.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file HTTP clients of the platform's services, driven by one asio::io_context.
+
+#include "Adapters/CurlLoop.h"
+#include "Adapters/HttpLogClient.h"
+#include "Adapters/HttpVmListClient.h"
+#include "Adapters/HttpWorkerClient.h"
--- /dev/null
+++ b/src/Adapters/HttpLogClient.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Adapters/CurlLoop.h"
+#include "Platform/LogMessages.h"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace firefly {
+
+/// What became of one LogAppend.
+enum class AppendState {
+    Appended,  ///< The batch is in the log.
+    NotSent,   ///< Surely not in the log.
+    Uncertain, ///< May be in the log: read it back, or append it again with the same sequence.
+    Rejected,  ///< The log refused the batch; it is not in the log.
+};
+
+/// Answer to one LogAppend.
+struct AppendResult
+{
+    AppendState state = AppendState::Uncertain;
+    Offset first = 0; ///< Offset of the first record when Appended.
+    std::string error;
+};
+
+/// Client of the platform's log service.
+class HttpLogClient
+{
+public:
+    /// \a client names this process towards the log service.
+    HttpLogClient(CurlLoop &loop, const Endpoint &endpoint, std::string_view client,
+                  Duration timeout = std::chrono::seconds(2));
+
+    /// Appends \a append as one atomic batch.
+    void append(const LogAppend &append, std::function<void(AppendResult)> callback);
+
+    /// Reads up to \a maxRecords records from offset \a from on; nothing when the log did not
+    /// answer.
+    ///
+    /// With a positive \a wait the service holds its answer up to that long while it has no record
+    /// at \a from.  Records that this version cannot decode are left out; LogRead::next steps over
+    /// them.
+    void read(Offset from, std::size_t maxRecords,
+              std::function<void(std::optional<LogRead>)> callback,
+              Duration wait = Duration::zero());
+
+private:
+    CurlLoop &m_loop;
+    std::string m_base;
+    std::string m_client;
+    Duration m_timeout;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Adapters/HttpVmListClient.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Adapters/CurlLoop.h"
+#include "Core/VmInfo.h"
+
+#include <functional>
+#include <optional>
+
+namespace firefly {
+
+/// Client of the platform's VM list.
+class HttpVmListClient
+{
+public:
+    HttpVmListClient(CurlLoop &loop, const Endpoint &endpoint,
+                     Duration timeout = std::chrono::seconds(2));
+
+    /// Reads the list; nothing when the service gave no whole, valid answer.
+    void read(std::function<void(std::optional<VmList>)> callback);
+
+private:
+    CurlLoop &m_loop;
+    std::string m_url;
+    Duration m_timeout;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Adapters/HttpWorkerClient.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Adapters/CurlLoop.h"
+#include "Core/VmInfo.h"
+#include "Platform/WorkerMessages.h"
+
+#include <functional>
+
+namespace firefly {
+
+/// Client of the platform's workers.
+///
+/// The answer to a call is passed on only when it is whole and echoes the call's own request
+/// identifier; otherwise the result is WorkerResult::Uncertain with an empty body.
+class HttpWorkerClient
+{
+public:
+    using ResultCallback = std::function<void(WorkerResult)>;
+
+    /// \a timeout bounds every exchange but calls, which bring their own.
+    explicit HttpWorkerClient(CurlLoop &loop, Duration timeout = std::chrono::seconds(1));
+
+    /// Renews the lease; a whole answer gives WorkerResult::Done, also when it refuses the sync.
+    void sync(const WorkerInfo &worker, const WorkerSync &message,
+              std::function<void(WorkerResult, WorkerSyncReply)> callback);
+    void start(const WorkerInfo &worker, const StartTask &message, ResultCallback callback);
+    void stop(const WorkerInfo &worker, const StopTask &message, ResultCallback callback);
+    void throttle(const WorkerInfo &worker, const ThrottleTask &message, ResultCallback callback);
+    void call(const WorkerInfo &worker, WorkerCall message,
+              std::function<void(WorkerCallReply)> callback);
+
+private:
+    template <typename Message>
+    void post(const WorkerInfo &worker, std::string_view verb, const Message &message,
+              ResultCallback callback);
+
+    CurlLoop &m_loop;
+    Duration m_timeout;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Adapters/WorkerJson.cpp
@@ -0,0 +1,41 @@
+#include "Adapters/WorkerJson.h"
+
+#include "Records/Codec.h"
+#include "Records/IdJson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace firefly {
+
+NLOHMANN_JSON_SERIALIZE_ENUM(VmState, {{VmState::Live, "live"}, {VmState::Leaving, "leaving"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(TaskState, {{TaskState::Running, "running"},
+                                         {TaskState::Finished, "finished"},
+                                         {TaskState::Failed, "failed"},
+                                         {TaskState::Stopped, "stopped"}})
+
+// NOLINTBEGIN(readability-identifier-naming)
+#define FIREFLY_JSON(Type, ...)                                                                    \
+    void to_json(nlohmann::json &nlohmann_json_j, const Type &nlohmann_json_t)                     \
+    {                                                                                              \
+        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, __VA_ARGS__))                   \
+    }                                                                                              \
+    void from_json(const nlohmann::json &nlohmann_json_j, Type &nlohmann_json_t)                   \
+    {                                                                                              \
+        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                 \
+    }
+
+FIREFLY_JSON(Endpoint, address, port)
+FIREFLY_JSON(WorkerInfo, id, zone, rack, endpoint, capacity, state)
+FIREFLY_JSON(EntryInfo, id, zone, peerEndpoint, state)
+FIREFLY_JSON(VmList, workers, entries)
+FIREFLY_JSON(TaskReport, job, attempt, state, progressMs, resources, usedMilliProcessors,
+             usedMemoryMiB, speed, result)
+FIREFLY_JSON(WorkerSync, worker, term, number, leaseMs, acknowledged)
+FIREFLY_JSON(WorkerSyncReply, accepted, highestTerm, boot, capacity, urgentRunning, urgentSlowdown,
+             tasks)
+FIREFLY_JSON(StartTask, worker, term, job, attempt, kind, resources, runtimeMs, progressMs, payload)
+FIREFLY_JSON(StopTask, worker, term, job, attempt, checkpoint)
+FIREFLY_JSON(ThrottleTask, worker, term, job, attempt, share)
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace firefly
--- a/src/Platform/WorkerMessages.h
+++ b/src/Platform/WorkerMessages.h
@@ -105,6 +105,7 @@
     Term term = 0;
     RequestId request;
     ServiceId service;
+    std::string key; ///< The caller's idempotency key; empty for idempotent calls.
     std::string body;
     Duration timeout{};
 };
