--- /dev/null
+++ b/src/Ops/OperatorApi.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "Ops/OperatorBackend.h"
+#include "Ops/OperatorMessages.h"
+#include "Ops/OperatorReplies.h"
+#include "Ops/OperatorRequests.h"
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace firefly {
+
+/// Request handling of the operator address.
+///
+/// Every path asks for the token and nothing but the paths below is reachable:
+///
+///     GET    /ops/lists/plans           GET    /ops/inforce
+///     PUT    /ops/lists/plans           POST   /ops/drain
+///     GET    /ops/lists/limits          GET    /ops/dump
+///     PUT    /ops/lists/limits          GET    /ops/metrics
+///     POST   /ops/jobs                  POST   /ops/planned
+///     GET    /ops/jobs/{id}             GET    /ops/explain/job/{id}
+///     DELETE /ops/jobs/{id}             GET    /ops/explain/worker/{id}
+///
+/// Status: 200 done, 400 malformed body, 401 no or wrong token, 404 unknown path or id, 405 unknown
+/// method, 409 conflict with both versions, 422 findings, 403 refused, 503 try again later.
+template <OperatorBackend Backend>
+class OperatorApi
+{
+public:
+    /// \a backend must outlive this object and every reply it still owes.
+    OperatorApi(Backend &backend, std::string token)
+        : m_backend(backend)
+        , m_token(std::move(token))
+    {}
+
+    /// Handles \a request; \a reply is called exactly once, now or later.
+    void handle(const OperatorRequest &request, const OperatorReply &reply);
+
+private:
+    void dispatch(const internal::OperatorRoute &route, const std::string &body,
+                  const OperatorReply &reply);
+    void proposePlans(const std::string &body, const OperatorReply &reply);
+    void proposeLimits(const std::string &body, const OperatorReply &reply);
+    void submitJob(const std::string &body, const OperatorReply &reply);
+    void switchPlannedWork(const std::string &body, const OperatorReply &reply);
+
+    Backend &m_backend;
+    std::string m_token;
+};
+
+template <OperatorBackend Backend>
+void OperatorApi<Backend>::handle(const OperatorRequest &request, const OperatorReply &reply)
+{
+    if (!internal::isAuthorised(request.token, m_token)) {
+        reply(internal::errorResponse(401, "token missing or wrong"));
+        return;
+    }
+    const internal::OperatorRoute route = internal::findRoute(request.method, request.path);
+    try {
+        dispatch(route, request.body, reply);
+    } catch (const ListError &e) {
+        reply(internal::findingsResponse(e.findings()));
+    } catch (const internal::BadRequest &e) {
+        reply(internal::errorResponse(400, e.what()));
+    }
+}
+
+template <OperatorBackend Backend>
+void OperatorApi<Backend>::dispatch(const internal::OperatorRoute &route, const std::string &body,
+                                    const OperatorReply &reply)
+{
+    using internal::OperatorAction;
+    switch (route.action) {
+    case OperatorAction::ShowPlans:
+        return reply(internal::listResponse(m_backend.lists().plans));
+    case OperatorAction::ShowLimits:
+        return reply(internal::listResponse(m_backend.lists().limits));
+    case OperatorAction::EditPlans:
+        return proposePlans(body, reply);
+    case OperatorAction::EditLimits:
+        return proposeLimits(body, reply);
+    case OperatorAction::ShowInForce:
+        return reply(internal::inForceResponse(m_backend.inForce()));
+    case OperatorAction::Drain:
+        m_backend.drain();
+        return reply(internal::doneResponse());
+    case OperatorAction::Dump:
+        return reply(internal::jsonResponse(m_backend.dump()));
+    case OperatorAction::Metrics:
+        return reply(internal::textResponse(m_backend.metrics()));
+    case OperatorAction::SubmitJob:
+        return submitJob(body, reply);
+    case OperatorAction::ShowJob:
+        return reply(internal::jsonResponse(m_backend.jobStatus(JobId(route.id))));
+    case OperatorAction::CancelJob:
+        return m_backend.cancelJob(JobId(route.id), internal::commandReply(reply));
+    case OperatorAction::SwitchPlannedWork:
+        return switchPlannedWork(body, reply);
+    case OperatorAction::ExplainJob:
+        return reply(internal::jsonResponse(m_backend.explainJob(JobId(route.id))));
+    case OperatorAction::ExplainWorker:
+        return reply(internal::jsonResponse(m_backend.explainWorker(WorkerId(route.id))));
+    case OperatorAction::WrongMethod:
+        return reply(internal::errorResponse(405, "method not allowed here"));
+    case OperatorAction::NotFound:
+        return reply(internal::errorResponse(404, "no such path"));
+    }
+}
+
+template <OperatorBackend Backend>
+void OperatorApi<Backend>::proposePlans(const std::string &body, const OperatorReply &reply)
+{
+    const ListsVersion &lists = m_backend.lists();
+    PlansEdited edit = internal::readPlansEdit(body, lists);
+    m_backend.proposePlans(std::move(edit), internal::editReply<PlansList>(reply));
+}
+
+template <OperatorBackend Backend>
+void OperatorApi<Backend>::proposeLimits(const std::string &body, const OperatorReply &reply)
+{
+    const ListsVersion &lists = m_backend.lists();
+    LimitsEdited edit = internal::readLimitsEdit(body, lists);
+    m_backend.proposeLimits(std::move(edit), internal::editReply<LimitsList>(reply));
+}
+
+template <OperatorBackend Backend>
+void OperatorApi<Backend>::submitJob(const std::string &body, const OperatorReply &reply)
+{
+    m_backend.submitJob(internal::readJobSubmission(body), internal::commandReply(reply));
+}
+
+template <OperatorBackend Backend>
+void OperatorApi<Backend>::switchPlannedWork(const std::string &body, const OperatorReply &reply)
+{
+    m_backend.switchPlannedWork(internal::readPlannedWork(body), internal::commandReply(reply));
+}
+
+} // namespace firefly
