--- /dev/null
+++ b/src/Placement.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// \file Placement of batch jobs on workers, and relief of workers under pressure.
+
+#include "Placement/BatchPlacer.h"
+#include "Placement/EvictionPlanner.h"
+#include "Placement/PlacementMessages.h"
+#include "Placement/PlacementPolicies.h"
+#include "Placement/PlacementSettings.h"
+#include "Placement/SizeEstimator.h"
+#include "Placement/WorkerMixes.h"
--- /dev/null
+++ b/src/Placement/BatchPlacer.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Placement/CapacityShapes.h"
+#include "Placement/PlacementPolicies.h"
+
+#include <random>
+#include <utility>
+
+namespace firefly {
+
+/// Chooses the worker for a batch job, or says why there is none now or ever.
+template <typename Policy>
+class BatchPlacer
+{
+    static_assert(PlacementPolicy<Policy>, "Policy needs choose(context, request, random, now)");
+
+public:
+    explicit BatchPlacer(Policy policy = {})
+        : m_policy(std::move(policy))
+    {}
+
+    Placement place(const PlacementContext &context, const CapacityShapes &shapes,
+                    const PlacementRequest &request, std::mt19937_64 &random, TimePoint now)
+    {
+        if (auto reason = shapes.whyNever(request.resources, request.zones)) {
+            return NeverRuns{std::move(*reason)};
+        }
+        return m_policy.choose(context, request, random, now);
+    }
+
+private:
+    Policy m_policy;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Placement/EvictionPlanner.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/Id.h"
+#include "Placement/PlacementSettings.h"
+#include "Routing/WorkerIndex.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace firefly {
+
+/// A batch task as the eviction planner sees it.
+struct EvictionCandidate
+{
+    JobId job;
+    std::uint64_t attempt = 0;
+    TimePoint started{};
+    Duration unsavedWork{};    ///< Lost if the task stops without a checkpoint.
+    bool canCheckpoint = true; ///< The task's kind saves its progress when stopped.
+    double urgentSlowdown = 0; ///< Part of the urgent slowdown put down to this task.
+    double share = 1;          ///< Throttled share now.
+    std::int64_t milliProcessors = 0;
+};
+
+/// Lower a task's share of its processors, or restore it.
+struct ThrottleAction
+{
+    JobId job;
+    std::uint64_t attempt = 0;
+    double share = 1;
+};
+
+/// Stop a task, keeping its progress if \a checkpoint.
+struct EvictAction
+{
+    JobId job;
+    std::uint64_t attempt = 0;
+    bool checkpoint = true;
+};
+
+using EvictionAction = std::variant<ThrottleAction, EvictAction>;
+
+/// Relieves workers whose urgent calls are slowed: throttles first, then evicts with a checkpoint,
+/// the task that loses the least work for the relief it gives.
+///
+/// Damped: acts above one threshold and restores below a lower one, each after a dwell time; a
+/// task that just started is left alone; evictions per worker and window are bounded.
+class EvictionPlanner
+{
+public:
+    explicit EvictionPlanner(const EvictionSettings &settings = {})
+        : m_settings(settings)
+    {}
+
+    /// Takes one reading of a worker's urgent slowdown and returns what to do there, at most one
+    /// action a call.
+    std::vector<EvictionAction> plan(WorkerIndex worker, double urgentSlowdown,
+                                     std::span<const EvictionCandidate> tasks, TimePoint now);
+    /// Forgets a worker.
+    void remove(WorkerIndex worker);
+    nlohmann::json dump(WorkerIndex worker) const;
+
+private:
+    struct Row
+    {
+        bool underPressure = false;
+        TimePoint since{}; ///< Start of the pressure or of the calm.
+        TimePoint lastAction{};
+        std::deque<TimePoint> evictions;
+    };
+
+    Row &at(WorkerIndex worker);
+    void updatePressure(Row &row, double urgentSlowdown, TimePoint now) const;
+    bool mayEvict(Row &row, TimePoint now) const;
+
+    EvictionSettings m_settings;
+    std::vector<Row> m_rows;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Routing/RoutingRequest.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Core/Id.h"
+#include "Routing/WorkerIndex.h"
+#include "Routing/ZoneLinks.h"
+
+#include <cstdint>
+#include <span>
+
+namespace firefly {
+
+/// What a routing decision is made for.
+struct RoutingRequest
+{
+    ZoneIndex callerZone = 0;
+    bool idempotent = false;                ///< May be used as a probe.
+    std::span<const WorkerIndex> exclude{}; ///< Workers that this request already tried.
+};
+
+/// Why a worker was chosen.
+enum class RoutingReason : std::uint8_t { Policy, Probe };
+
+/// A routing decision, small enough to be kept for `explain`.
+struct RoutingDecision
+{
+    WorkerIndex worker{};
+    RoutingReason reason = RoutingReason::Policy;
+    float costUs = 0;         ///< Cost of the chosen worker, in microseconds.
+    float runnerUpCostUs = 0; ///< Cost of the next best candidate, 0 when there was none.
+    std::uint8_t candidates = 0;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Routing/UrgentRouter.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Core/Assert.h"
+#include "Routing/RoutingPolicies.h"
+
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace firefly {
+
+/// Chooses and reserves a worker for each urgent call.
+template <typename Policy>
+class UrgentRouter
+{
+    static_assert(RoutingPolicy<Policy>,
+                  "Policy needs choose(pool, request, random, now) and UsesProbes");
+
+public:
+    explicit UrgentRouter(WorkerPool &pool, Policy policy = {})
+        : m_pool(pool)
+        , m_policy(std::move(policy))
+    {}
+
+    /// Reserves a worker; nothing when no worker has room for another call.
+    /// The caller ends the call by WorkerPool::releaseUrgent().
+    std::optional<RoutingDecision> route(const RoutingRequest &request, std::mt19937_64 &random,
+                                         TimePoint now)
+    {
+        std::optional<RoutingDecision> decision = probe(request, now);
+        if (!decision) {
+            decision = m_policy.choose(m_pool, request, random, now);
+        }
+        if (!decision) {
+            return std::nullopt;
+        }
+        const bool reserved = m_pool.reserveUrgent(decision->worker);
+        FIREFLY_ASSERT(reserved, "a policy chose a worker without room");
+        return decision;
+    }
+
+private:
+    std::optional<RoutingDecision> probe(const RoutingRequest &request, TimePoint now)
+    {
+        if (!Policy::UsesProbes || !request.idempotent || !request.exclude.empty()) {
+            return std::nullopt;
+        }
+        const auto worker = m_pool.takeProbe(now);
+        if (!worker) {
+            return std::nullopt;
+        }
+        return RoutingDecision{.worker = *worker, .reason = RoutingReason::Probe, .candidates = 1};
+    }
+
+    WorkerPool &m_pool;
+    Policy m_policy;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Routing/WorkerPool.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/VmInfo.h"
+#include "Routing/CallObservation.h"
+#include "Routing/CapacityLedger.h"
+#include "Routing/OutlierDetector.h"
+#include "Routing/RoutingSettings.h"
+#include "Routing/WorkerIndex.h"
+#include "Routing/ZoneLinks.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace firefly {
+
+/// What the router knows of one worker.
+struct WorkerView
+{
+    WorkerInfo info;
+    ZoneIndex zone = 0;
+    std::int64_t outstanding = 0;  ///< Urgent calls now running.
+    double latencyUs = 0;          ///< Learned latency of a call, network excluded.
+    double expectedSlowdown = 1.0; ///< Predicted from the batch tasks placed there.
+    TimePoint rampStart{};         ///< When the worker joined or returned.
+};
+
+/// The workers of one owner: what each was given, and what each was learned to do with it.
+///
+/// The only writer of the capacity ledger.  Keeps, per zone, the workers that can take one more
+/// urgent call, so that a routing decision costs the same for any number of workers.
+class WorkerPool
+{
+public:
+    explicit WorkerPool(const RoutingSettings &settings = {});
+
+    /// Adds a worker, or takes over its new capacity and state.
+    WorkerIndex update(const WorkerInfo &info, TimePoint now);
+    /// Stops giving work to a worker; it is forgotten once its work has ended.
+    void remove(const WorkerId &worker);
+    std::optional<WorkerIndex> find(const WorkerId &worker) const;
+    const WorkerView &view(WorkerIndex worker) const { return m_rows[toPosition(worker)].view; }
+    /// Indices of all workers, in index order; removed ones that still have work included.
+    std::vector<WorkerIndex> workers() const;
+    std::size_t size() const { return m_indexOfWorker.size(); }
+
+    const CapacityLedger &ledger() const { return m_ledger; }
+    const RoutingSettings &settings() const { return m_settings; }
+    const OutlierDetector &outliers() const { return m_outliers; }
+    ZoneLinks &links() { return m_links; }
+    const ZoneLinks &links() const { return m_links; }
+
+    /// Takes one urgent call's resources; false when they do not fit or the worker is leaving.
+    bool reserveUrgent(WorkerIndex worker);
+    /// Ends one urgent call and learns from it.
+    void releaseUrgent(WorkerIndex worker, const CallObservation &observation, TimePoint now);
+    /// Takes a batch task's resources; false when they do not fit or the worker is leaving.
+    bool reserveBatch(WorkerIndex worker, const Resources &amount);
+    void releaseBatch(WorkerIndex worker, const Resources &amount);
+    /// Records a task that already runs there, as the worker's own list says.
+    void adoptBatch(WorkerIndex worker, const Resources &amount);
+    /// True for a worker that is present, not leaving and not ejected.
+    bool acceptsWork(WorkerIndex worker) const;
+
+    void setExpectedSlowdown(WorkerIndex worker, double slowdown);
+    /// Lets ended ejections go on to probing.
+    void tick(TimePoint now);
+    /// A probing worker whose probe is due and that has room.
+    std::optional<WorkerIndex> takeProbe(TimePoint now);
+
+    /// Workers of \a zone that can take one more urgent call, in no meaningful order.
+    std::span<const WorkerIndex> openWorkers(ZoneIndex zone) const;
+    /// Urgent calls that still fit, summed over all workers that accept work.
+    std::int64_t urgentInUse() const { return m_urgentInUse; }
+    std::int64_t urgentSlots() const { return m_urgentSlots; }
+
+    nlohmann::json dump(WorkerIndex worker) const;
+
+private:
+    static constexpr std::uint32_t NotOpen = ~std::uint32_t(0);
+
+    struct Row
+    {
+        WorkerView view;
+        std::uint32_t openPosition = NotOpen; ///< Position in its zone's list of open workers.
+        bool present = false;
+        bool removed = false;
+    };
+
+    Row &at(WorkerIndex worker) { return m_rows[toPosition(worker)]; }
+    WorkerIndex insert(const WorkerInfo &info, TimePoint now);
+    void refreshOpen(WorkerIndex worker);
+    void open(WorkerIndex worker);
+    void close(WorkerIndex worker);
+    void learn(Row &row, const CallObservation &observation);
+    void forgetIfIdle(WorkerIndex worker);
+
+    RoutingSettings m_settings;
+    CapacityLedger m_ledger;
+    OutlierDetector m_outliers;
+    ZoneLinks m_links;
+    std::vector<Row> m_rows;
+    std::map<WorkerId, WorkerIndex> m_indexOfWorker;
+    std::vector<std::vector<WorkerIndex>> m_openOfZone;
+    std::int64_t m_urgentInUse = 0;
+    std::int64_t m_urgentSlots = 0;
+};
+
+} // namespace firefly
