Route urgent calls by two choices over a capacity ledger

The pool keeps per zone the workers that can take one more call, so a decision samples a few of them and never scans the fleet; the ledger is the only place that reserves.

--- a/src/Routing/OutlierDetector.h
+++ b/src/Routing/OutlierDetector.h
@@ -63,6 +63,7 @@
     std::vector<Row> m_rows;
     std::vector<WorkerIndex> m_outliers;
     std::size_t m_count = 0;
+    std::size_t m_probeCursor = 0;
 };
 
 } // namespace firefly
--- /dev/null
+++ b/src/Routing/UniformBelow.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+namespace firefly::internal {
+
+/// A uniform number in [0, n), the same on every standard library.  \pre 0 < n < 2^32.
+inline std::size_t uniformBelow(std::mt19937_64 &random, std::size_t n)
+{
+    constexpr unsigned HalfBits = 32;
+    const std::uint64_t high = random() >> HalfBits;
+    return std::size_t((high * n) >> HalfBits);
+}
+
+} // namespace firefly::internal
--- a/src/Routing/WorkerPool.h
+++ b/src/Routing/WorkerPool.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -25,8 +26,10 @@
     WorkerInfo info;
     ZoneIndex zone = 0;
     std::int64_t outstanding = 0;  ///< Urgent calls now running.
+    double failureShare = 0;       ///< Of recent calls.
     double latencyUs = 0;          ///< Learned latency of a call, network excluded.
     double expectedSlowdown = 1.0; ///< Predicted from the batch tasks placed there.
+    TimePoint learned{};           ///< When latencyUs and failureShare last changed.
     TimePoint rampStart{};         ///< When the worker joined or returned.
 };
 
@@ -39,7 +42,7 @@
 public:
     explicit WorkerPool(const RoutingSettings &settings = {});
 
-    /// Adds a worker, or takes over its new capacity and state.
+    /// Adds a worker, or takes over its new capacity and state.  A worker's zone does not change.
     WorkerIndex update(const WorkerInfo &info, TimePoint now);
     /// Stops giving work to a worker; it is forgotten once its work has ended.
     void remove(const WorkerId &worker);
@@ -68,6 +71,13 @@
     bool acceptsWork(WorkerIndex worker) const;
 
     void setExpectedSlowdown(WorkerIndex worker, double slowdown);
+    /// Learned latency of a call on \a worker, in microseconds; drifts to the pool's mean without
+    /// news.
+    double latencyUs(WorkerIndex worker, TimePoint now) const;
+    /// Share of the worker's recent calls that failed; fades without news.
+    double failureShare(WorkerIndex worker, TimePoint now) const;
+    /// Latency of an undisturbed call, in microseconds, learned over all workers.
+    double undisturbedUs() const { return m_undisturbedUs; }
     /// Lets ended ejections go on to probing.
     void tick(TimePoint now);
     /// A probing worker whose probe is due and that has room.
@@ -75,8 +85,11 @@
 
     /// Workers of \a zone that can take one more urgent call, in no meaningful order.
     std::span<const WorkerIndex> openWorkers(ZoneIndex zone) const;
-    /// Urgent calls that still fit, summed over all workers that accept work.
+    /// Workers, of any zone, that can take one more urgent call.
+    std::size_t openCount() const { return m_openCount; }
+    /// Urgent calls now running.
     std::int64_t urgentInUse() const { return m_urgentInUse; }
+    /// Urgent slots of all present workers.
     std::int64_t urgentSlots() const { return m_urgentSlots; }
 
     nlohmann::json dump(WorkerIndex worker) const;
@@ -89,7 +102,7 @@
         WorkerView view;
         std::uint32_t openPosition = NotOpen; ///< Position in its zone's list of open workers.
         bool present = false;
-        bool removed = false;
+        bool removed = false; ///< Gone from the VM list, but still has work.
     };
 
     Row &at(WorkerIndex worker) { return m_rows[toPosition(worker)]; }
@@ -97,7 +110,9 @@
     void refreshOpen(WorkerIndex worker);
     void open(WorkerIndex worker);
     void close(WorkerIndex worker);
-    void learn(Row &row, const CallObservation &observation);
+    void learn(WorkerIndex worker, const CallObservation &observation, TimePoint now);
+    void learnLatency(WorkerView &view, double us, TimePoint now);
+    bool fitsCall(WorkerIndex worker) const;
     void forgetIfIdle(WorkerIndex worker);
 
     RoutingSettings m_settings;
@@ -107,6 +122,9 @@
     std::vector<Row> m_rows;
     std::map<WorkerId, WorkerIndex> m_indexOfWorker;
     std::vector<std::vector<WorkerIndex>> m_openOfZone;
+    std::size_t m_openCount = 0;
+    double m_meanLatencyUs;
+    double m_undisturbedUs;
     std::int64_t m_urgentInUse = 0;
     std::int64_t m_urgentSlots = 0;
 };
