Carry heartbeats and forwarded calls over Cap'n Proto RPC

Cause: entries must exchange proofs, lists and urgent calls. kj's event loop runs on one thread of its own and posts to the Asio loop; carrying framed messages on Asio by hand was ruled out as a transport of our own.

--- /dev/null
+++ b/src/Peers/WireCodec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Calls/ForwardMessages.h"
+#include "Membership/Heartbeat.h"
+#include "Peers/generated/peers.capnp.h"
+#include "Peers/PeerReply.h"
+
+/// \file Typed messages to and from their Cap'n Proto form.
+
+namespace firefly::internal {
+
+void writeHeartbeat(const Heartbeat &heartbeat, wire::Heartbeat::Builder builder);
+Heartbeat readHeartbeat(wire::Heartbeat::Reader reader);
+
+void writeReply(const PeerReply &reply, wire::Peer::HeartbeatResults::Builder builder);
+PeerReply readReply(wire::Peer::HeartbeatResults::Reader reader);
+
+void writeCall(const ForwardedCall &call, wire::ForwardedCall::Builder builder);
+ForwardedCall readCall(wire::ForwardedCall::Reader reader);
+
+void writeResult(const ForwardedResult &result, wire::ForwardedResult::Builder builder);
+ForwardedResult readResult(wire::ForwardedResult::Reader reader);
+
+} // namespace firefly::internal
