--- /dev/null
+++ b/src/Entry/EntryCore.cpp
@@ -0,0 +1,624 @@
+#include "Entry/EntryCore.h"
+
+#include "Entry/EntryTimes.h"
+#include "Records/Codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace firefly {
+namespace {
+
+constexpr Duration ClaimInterval = std::chrono::milliseconds(200);
+constexpr Duration VmListInterval = std::chrono::milliseconds(500);
+constexpr Duration ListsInterval = std::chrono::milliseconds(500);
+constexpr std::chrono::seconds ComeBackAfter{2};
+
+RoutingSettings toRouting(const Settings &settings)
+{
+    RoutingSettings routing;
+    if (!settings.services.empty()) {
+        routing.call = settings.services.begin()->second.perCall;
+    }
+    return routing;
+}
+
+std::string_view stateName(const Job &job)
+{
+    switch (job.state) {
+    case JobState::Pending:
+        return "pending";
+    case JobState::Placed:
+    case JobState::Cancelling:
+        return "placed";
+    case JobState::Finished:
+        return job.succeeded ? "finished" : "failed";
+    case JobState::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+} // namespace
+
+EntryCore::EntryCore(const Settings &settings, WriterId writer, std::uint64_t seed,
+                     TimePoint start)
+    : m_settings(settings)
+    , m_random(seed)
+    , m_now(start)
+    , m_log(std::move(writer), settings.snapshot, start)
+    , m_peers(settings.entry.id, internal::toMembershipTimes(settings.ownership),
+              settings.ownership.heartbeat)
+    , m_workers(settings.entry.id, internal::toOwnershipTimes(settings.ownership),
+                toRouting(settings))
+    , m_batch(settings.entry.id, settings, {m_log, m_workers, m_peers, m_random})
+    , m_calls(settings.entry.id, settings.entry.zone, settings,
+              {m_log, m_workers, m_peers, m_random}, m_metrics)
+    , m_nextVmListAt(start)
+    , m_nextClaimsAt(start)
+    , m_nextListsAt(start)
+{
+}
+
+EntryActions EntryCore::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void EntryCore::tick(TimePoint now)
+{
+    m_now = now;
+    m_log.tick(now, m_actions);
+    readVmList(now);
+    sendHeartbeats(now);
+    m_workers.authority().onWitnesses(m_peers.table(), now);
+    if (now >= m_nextClaimsAt) {
+        m_nextClaimsAt = now + ClaimInterval;
+        planClaims(now);
+        m_batch.evictLost(now);
+        m_log.writeSnapshotIfDue(now, isDesignatedForSnapshots());
+    }
+    releaseShards();
+    m_workers.sendSyncs(now, m_actions);
+    m_workers.refreshPool(now);
+    m_batch.tick(now, m_actions);
+    m_calls.tick(now, m_actions);
+    m_proposals.expire(now);
+    refreshLists(now);
+    m_log.tick(now, m_actions);
+}
+
+void EntryCore::readVmList(TimePoint now)
+{
+    if (m_vmListInFlight || now < m_nextVmListAt) {
+        return;
+    }
+    m_vmListInFlight = true;
+    m_nextVmListAt = now + VmListInterval;
+    m_actions.emplace_back(SendVmListRead{});
+}
+
+void EntryCore::onVmList(TimePoint now, const VmList &list)
+{
+    m_now = now;
+    m_vmListInFlight = false;
+    m_peers.table().onVmList(list, now);
+    m_workers.onVmList(list, now);
+    m_batch.onVmList(list);
+    m_workers.refreshPool(now);
+}
+
+void EntryCore::onVmListFailed(TimePoint now)
+{
+    m_now = now;
+    m_vmListInFlight = false;
+}
+
+void EntryCore::onLogRead(TimePoint now, const LogRead &read)
+{
+    m_now = now;
+    const bool restored =
+            m_log.onRead(now, read, [&](const LoggedEnvelope &logged, FoldVerdict verdict) {
+                onRecord(now, logged, verdict);
+            });
+    if (restored) {
+        onRestored(now);
+    }
+    m_peers.table().onLogReachable(true, now);
+    const auto sentAt = m_log.lastReadSentAt();
+    if (m_log.isCurrent() && sentAt) {
+        m_workers.authority().onTailRead(*sentAt, m_log.tail(), m_log.state().applied());
+    }
+    noteHealth();
+    m_batch.tick(now, m_actions);
+    m_log.tick(now, m_actions);
+}
+
+void EntryCore::onLogReadFailed(TimePoint now)
+{
+    m_now = now;
+    m_log.onReadFailed(now);
+    m_peers.table().onLogReachable(false, now);
+    noteHealth();
+}
+
+void EntryCore::noteHealth()
+{
+    if (m_log.isReachable() == m_wasReachable) {
+        return;
+    }
+    m_wasReachable = m_log.isReachable();
+    notice(!m_wasReachable, "log", m_wasReachable ? "log reached" : "log not reached", "");
+}
+
+void EntryCore::onAppendReply(TimePoint now, AppendResult result)
+{
+    m_now = now;
+    m_log.onAppendReply(now, result);
+    m_metrics.add("firefly_appends_total");
+    m_log.tick(now, m_actions);
+}
+
+void EntryCore::onRecord(TimePoint now, const LoggedEnvelope &logged, FoldVerdict verdict)
+{
+    m_metrics.add("firefly_records_total");
+    onOwnershipRecord(now, logged, verdict);
+    m_batch.onRecord(now, logged, verdict);
+    m_calls.onRecord(now, logged, m_actions);
+    if (logged.envelope.writer == m_log.writer()) {
+        m_proposals.onRead(logged.envelope.sequence, {logged.offset, verdict});
+    }
+    const bool isLists = std::holds_alternative<PlansEdited>(logged.envelope.record)
+            || std::holds_alternative<LimitsEdited>(logged.envelope.record);
+    if (isLists) {
+        m_calls.setLists(now);
+    }
+}
+
+void EntryCore::onOwnershipRecord(TimePoint now, const LoggedEnvelope &logged, FoldVerdict verdict)
+{
+    if (const auto *claim = std::get_if<ShardClaimed>(&logged.envelope.record)) {
+        m_workers.planner().onClaimRead(claim->shard);
+        if (verdict != FoldVerdict::Accepted) {
+            return;
+        }
+        AcceptedClaim accepted;
+        accepted.offset = logged.offset;
+        accepted.record = *claim;
+        accepted.byThisIncarnation = logged.envelope.writer == m_log.writer();
+        accepted.settled = m_peers.table().isSettled(now);
+        m_workers.authority().onClaim(accepted, now);
+        m_releasing.erase(claim->shard);
+        if (accepted.byThisIncarnation) {
+            notice(false, "ownership", "shard claimed", claim->shard.value());
+        }
+        return;
+    }
+    const auto *release = std::get_if<ShardReleased>(&logged.envelope.record);
+    if (release != nullptr && verdict == FoldVerdict::Accepted) {
+        m_workers.authority().onRelease(logged.offset, *release);
+        m_releasing.erase(release->shard);
+    }
+}
+
+void EntryCore::onRestored(TimePoint now)
+{
+    notice(true, "recovery", "state restored from a snapshot",
+           std::to_string(m_log.state().applied()));
+    const auto &ownership = m_log.state().get<OwnershipFold>();
+    for (const ShardTerm &held : m_workers.authority().shards()) {
+        if (ownership.isCurrent(held.shard, held.term)) {
+            continue;
+        }
+        AcceptedClaim later;
+        later.offset = ownership.termOf(held.shard);
+        later.record.shard = held.shard;
+        later.record.previousTerm = held.term;
+        m_workers.authority().onClaim(later, now);
+    }
+    m_batch.onRestored();
+    m_calls.onRestored(now, m_actions);
+    m_calls.setLists(now);
+}
+
+Heartbeat EntryCore::makeHeartbeat(TimePoint now) const
+{
+    Heartbeat heartbeat;
+    heartbeat.from = m_settings.entry.id;
+    heartbeat.writer = m_log.writer();
+    heartbeat.zone = m_settings.entry.zone;
+    heartbeat.draining = m_draining;
+    heartbeat.logReachable = m_log.isReachable();
+    heartbeat.acceptsShards = !m_draining && m_peers.table().isSettled(now);
+    heartbeat.lastReadOffset = m_log.state().applied();
+    if (m_log.lastReadSentAt() && m_log.isCurrent()) {
+        heartbeat.logProofAge = now - *m_log.lastReadSentAt();
+    }
+    for (const ShardTerm &owned : m_workers.authority().shards()) {
+        const std::int64_t free = m_draining ? 0 : m_workers.freeSlots(owned.shard);
+        heartbeat.shards.push_back({owned.shard, owned.term, free});
+    }
+    heartbeat.plansVersion = lists().plans.version;
+    heartbeat.limitsVersion = lists().limits.version;
+    heartbeat.reaches = m_peers.table().reached(now);
+    return heartbeat;
+}
+
+void EntryCore::sendHeartbeats(TimePoint now)
+{
+    const auto due = m_peers.takeDue(now);
+    if (due.empty()) {
+        return;
+    }
+    const Heartbeat heartbeat = makeHeartbeat(now);
+    for (const EntryInfo &peer : due) {
+        m_actions.emplace_back(SendHeartbeat{peer, heartbeat});
+    }
+}
+
+HeartbeatAnswer EntryCore::onHeartbeat(TimePoint now, const Heartbeat &request)
+{
+    m_now = now;
+    m_peers.table().onRequest(now, request);
+    HeartbeatAnswer answer;
+    answer.reply.heartbeat = makeHeartbeat(now);
+    const auto &ownership = m_log.state().get<OwnershipFold>();
+    for (const OwnedShard &owned : request.shards) {
+        const Term term = ownership.termOf(owned.shard);
+        const bool isSuperseded = term > owned.term
+                || (term == owned.term && !ownership.isCurrent(owned.shard, term));
+        if (isSuperseded) {
+            answer.reply.superseded.push_back({owned.shard, term});
+        }
+    }
+    const ListsVersion &own = lists();
+    if (own.plans.version > request.plansVersion || own.limits.version > request.limitsVersion) {
+        answer.lists = own;
+    }
+    return answer;
+}
+
+void EntryCore::onHeartbeatReply(TimePoint now, const EntryId &peer, const HeartbeatAnswer &answer)
+{
+    m_now = now;
+    m_peers.onReply(peer, now, answer.reply);
+    const auto sentAt = m_peers.lastSentAt(peer);
+    m_workers.authority().onPeerReply(sentAt, answer.reply);
+    if (answer.lists && m_log.adoptLists(*answer.lists)) {
+        notice(false, "config", "lists taken from a peer", peer.value());
+        m_calls.setLists(now);
+    }
+}
+
+void EntryCore::onHeartbeatFailed(TimePoint now, const EntryId &peer)
+{
+    m_now = now;
+    m_peers.onFailed(peer, now);
+}
+
+void EntryCore::planClaims(TimePoint now)
+{
+    if (!m_log.isCurrent()) {
+        return;
+    }
+    const auto shards = m_workers.table().shards();
+    const ClaimInputs inputs{shards,
+                             m_log.state().get<OwnershipFold>(),
+                             m_peers.table(),
+                             m_workers.authority(),
+                             m_log.isReachable(),
+                             m_draining || m_peers.table().isSelfLeaving()};
+    const ClaimPlan plan = m_workers.planner().plan(inputs, now);
+    for (const ShardClaimed &claim : plan.claims) {
+        m_log.push(claim, AppendPriority::Fact);
+    }
+    for (const ShardId &shard : plan.releases) {
+        m_workers.authority().beginRelease(shard);
+    }
+}
+
+void EntryCore::releaseShards()
+{
+    for (const ShardTerm &it : m_workers.authority().releasable()) {
+        const bool isBusy = m_releasing.contains(it.shard)
+                || m_calls.hasMessagesInFlight(it.shard) || m_batch.hasMessagesInFlight(it.shard);
+        if (isBusy) {
+            continue;
+        }
+        const ShardReleased release{m_settings.entry.id, it.shard, it.term};
+        if (m_log.push(release, AppendPriority::Fact)) {
+            m_releasing.insert(it.shard);
+        }
+    }
+}
+
+bool EntryCore::isDesignatedForSnapshots() const
+{
+    const auto shards = m_workers.table().shards();
+    if (shards.empty()) {
+        return false;
+    }
+    const auto owner = m_log.state().get<OwnershipFold>().ownerOf(shards.front());
+    return owner && owner->entry == m_settings.entry.id;
+}
+
+void EntryCore::refreshLists(TimePoint now)
+{
+    if (now < m_nextListsAt) {
+        return;
+    }
+    m_nextListsAt = now + ListsInterval;
+    m_calls.setLists(now);
+}
+
+void EntryCore::onSyncReply(TimePoint now, const WorkerSync &sync, WorkerResult result,
+                            const WorkerSyncReply &reply)
+{
+    m_now = now;
+    if (result != WorkerResult::Done) {
+        m_workers.onSyncFailed(sync);
+        return;
+    }
+    if (!m_workers.onSyncReply(sync, reply, now)) {
+        return;
+    }
+    m_workers.refreshPool(now);
+    m_batch.onSyncReply(now, sync, reply, m_actions);
+}
+
+void EntryCore::onStartReply(TimePoint now, const StartTask &task, WorkerResult result)
+{
+    m_now = now;
+    m_batch.onStartReply(task, result);
+}
+
+void EntryCore::onCallReply(TimePoint now, std::uint64_t dispatch, const WorkerCallReply &reply)
+{
+    m_now = now;
+    m_calls.onCallReply(now, dispatch, reply, m_actions);
+}
+
+void EntryCore::onForwardReply(TimePoint now, std::uint64_t dispatch,
+                               const ForwardedResult &result)
+{
+    m_now = now;
+    m_calls.onForwardReply(now, dispatch, result, m_actions);
+}
+
+void EntryCore::onCallerRequest(TimePoint now, CallerRequest request, CallDone done)
+{
+    m_now = now;
+    m_calls.onRequest(now, std::move(request), std::move(done), m_actions);
+    m_log.tick(now, m_actions);
+}
+
+void EntryCore::onForwarded(TimePoint now, ForwardedCall call, ForwardDone done)
+{
+    m_now = now;
+    m_calls.onForwarded(now, std::move(call), std::move(done), m_actions);
+}
+
+const ListsVersion &EntryCore::lists() const
+{
+    return m_log.state().get<ListsFold>().inForce();
+}
+
+std::vector<EntryInForce> EntryCore::inForce() const
+{
+    std::vector<EntryInForce> entries;
+    entries.push_back(
+            {m_settings.entry.id, lists().plans.version, lists().limits.version, 0});
+    for (const EntryInfo &peer : m_peers.table().peers()) {
+        const Heartbeat *heartbeat = m_peers.table().lastHeartbeat(peer.id);
+        if (heartbeat == nullptr) {
+            entries.push_back({peer.id, 0, 0, -1});
+            continue;
+        }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_now - m_peers.lastSentAt(peer.id));
+        entries.push_back({peer.id, heartbeat->plansVersion, heartbeat->limitsVersion,
+                           age.count()});
+    }
+    return entries;
+}
+
+template <typename Record>
+void EntryCore::propose(Record record, Proposals::Done done)
+{
+    if (!m_log.isReachable()) {
+        done(std::nullopt);
+        return;
+    }
+    const auto sequence = m_log.push(std::move(record), AppendPriority::NewWork);
+    if (!sequence) {
+        done(std::nullopt);
+        return;
+    }
+    m_proposals.add(*sequence, m_now + ProposalTimeout, std::move(done));
+    m_log.tick(m_now, m_actions);
+}
+
+template <typename Edit, typename List>
+void EntryCore::proposeEdit(Edit edit, EditDone<List> done)
+{
+    const bool wasReachable = m_log.isReachable();
+    propose(edit, [this, edit, done, wasReachable](std::optional<ProposalResult> result) {
+        if (!result) {
+            done(LogNotReached{ComeBackAfter, wasReachable});
+        } else if (result->verdict == FoldVerdict::Accepted) {
+            done(EditAccepted{result->offset});
+        } else if (result->verdict == FoldVerdict::Conflict) {
+            done(m_log.state().template get<ListsFold>().conflict(edit));
+        } else {
+            done(EditInvalid{});
+        }
+    });
+}
+
+void EntryCore::proposePlans(PlansEdited edit, EditDone<PlansList> done)
+{
+    proposeEdit<PlansEdited, PlansList>(std::move(edit), std::move(done));
+}
+
+void EntryCore::proposeLimits(LimitsEdited edit, EditDone<LimitsList> done)
+{
+    proposeEdit<LimitsEdited, LimitsList>(std::move(edit), std::move(done));
+}
+
+void EntryCore::drain()
+{
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    notice(false, "entry", "draining", "");
+}
+
+void EntryCore::submitJob(JobSubmission submission, const CommandDoneCallback &done)
+{
+    if (auto reason = m_batch.whyNever(submission.spec)) {
+        done(CommandRefused{std::move(*reason)});
+        return;
+    }
+    if (submission.job.isEmpty()) {
+        submission.job =
+                JobId(m_log.writer().value() + ".job-" + std::to_string(++m_lastJob));
+    }
+    const bool wasReachable = m_log.isReachable();
+    const JobId job = submission.job;
+    propose(JobSubmitted{job, std::move(submission.spec)},
+            [done, job, wasReachable](std::optional<ProposalResult> result) {
+                if (!result) {
+                    done(LogNotReached{ComeBackAfter, wasReachable});
+                } else if (result->verdict == FoldVerdict::Invalid) {
+                    done(CommandRefused{"too many jobs are waiting"});
+                } else if (result->verdict == FoldVerdict::Conflict) {
+                    done(CommandRefused{"the key belongs to another job"});
+                } else {
+                    done(CommandDone{job});
+                }
+            });
+}
+
+void EntryCore::cancelJob(const JobId &job, const CommandDoneCallback &done)
+{
+    if (m_log.state().get<JobLedger>().find(job) == nullptr) {
+        done(CommandNotFound{});
+        return;
+    }
+    const bool wasReachable = m_log.isReachable();
+    propose(JobCancelled{job}, [done, job, wasReachable](std::optional<ProposalResult> result) {
+        if (!result) {
+            done(LogNotReached{ComeBackAfter, wasReachable});
+        } else {
+            done(CommandDone{job});
+        }
+    });
+}
+
+void EntryCore::switchPlannedWork(PlannedWorkSwitched planned, const CommandDoneCallback &done)
+{
+    const bool wasReachable = m_log.isReachable();
+    propose(std::move(planned), [done, wasReachable](std::optional<ProposalResult> result) {
+        if (!result) {
+            done(LogNotReached{ComeBackAfter, wasReachable});
+        } else {
+            done(CommandDone{});
+        }
+    });
+}
+
+nlohmann::json EntryCore::jobStatus(const JobId &id) const
+{
+    const Job *job = m_log.state().get<JobLedger>().find(id);
+    if (job == nullptr) {
+        return nullptr;
+    }
+    nlohmann::json json = {{"job", id.value()},
+                           {"state", stateName(*job)},
+                           {"attempt", job->attempt},
+                           {"evictions", job->evictions},
+                           {"progressMs", job->progressMs},
+                           {"result", job->result}};
+    if (job->placement) {
+        json["worker"] = job->placement->worker.value();
+    }
+    return json;
+}
+
+nlohmann::json EntryCore::explainJob(const JobId &id) const
+{
+    auto json = jobStatus(id);
+    if (json.is_null()) {
+        return json;
+    }
+    json["ledger"] = m_log.state().get<JobLedger>().explain(id);
+    json["lastDecision"] = m_batch.explain(id);
+    return json;
+}
+
+nlohmann::json EntryCore::explainWorker(const WorkerId &id) const
+{
+    const WorkerInfo *info = m_workers.table().find(id);
+    if (info == nullptr) {
+        return nullptr;
+    }
+    nlohmann::json json = {{"worker", id.value()},
+                           {"shard", info->shard().value()},
+                           {"leaving", info->state == VmState::Leaving},
+                           {"open", m_workers.open().contains(id)}};
+    const auto owner = m_log.state().get<OwnershipFold>().ownerOf(info->shard());
+    if (owner) {
+        json["owner"] = owner->entry.value();
+        json["term"] = owner->term;
+    }
+    if (const auto index = m_workers.pool().find(id)) {
+        json["pool"] = m_workers.pool().dump(*index);
+    }
+    for (const JobId &job : m_log.state().get<JobLedger>().placedOn(id)) {
+        json["jobs"].push_back(job.value());
+    }
+    return json;
+}
+
+nlohmann::json EntryCore::dump() const
+{
+    const ClusterState &state = m_log.state();
+    return {{"entry", m_settings.entry.id.value()},
+            {"writer", m_log.writer().value()},
+            {"healthy", isHealthy()},
+            {"draining", m_draining},
+            {"log", m_log.dump()},
+            {"peers", m_peers.table().dump(m_now)},
+            {"ownership", state.get<OwnershipFold>().dump()},
+            {"workers", m_workers.dump(m_now)},
+            {"lists", state.get<ListsFold>().dump()},
+            {"plannedWork", state.get<PlannedWorkFold>().dump()},
+            {"jobs", state.get<JobLedger>().dump()},
+            {"intents", state.get<IntentLedger>().dump()},
+            {"batch", m_batch.dump(m_now)},
+            {"calls", m_calls.dump()},
+            {"proposals", m_proposals.size()},
+            {"metrics", m_metrics.dump()}};
+}
+
+bool EntryCore::isHealthy() const
+{
+    return !m_draining && !m_log.needsSnapshot() && m_log.lastReadSentAt().has_value();
+}
+
+bool EntryCore::isDrained() const
+{
+    return m_draining && m_calls.active() == 0 && m_workers.authority().shards().empty()
+            && !m_log.hasPendingAppends();
+}
+
+void EntryCore::notice(bool isWarning, std::string component, std::string message,
+                       std::string detail)
+{
+    m_actions.emplace_back(
+            WriteNotice{isWarning, std::move(component), std::move(message), std::move(detail)});
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Entry/EntryCore.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "Config/Settings.h"
+#include "Core/Clock.h"
+#include "Entry/BatchRunner.h"
+#include "Entry/EntryActions.h"
+#include "Entry/LogSession.h"
+#include "Entry/PeerSession.h"
+#include "Entry/Proposals.h"
+#include "Entry/UrgentCalls.h"
+#include "Entry/WorkerSession.h"
+#include "Ops/Metrics.h"
+#include "Ops/OperatorMessages.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace firefly {
+
+/// A heartbeat's reply, with the lists in force when the asker's are older.
+struct HeartbeatAnswer
+{
+    HeartbeatReply reply;
+    std::optional<ListsVersion> lists;
+};
+
+/// One entry, whole, as a deterministic state machine without I/O.
+///
+/// Each on...() takes a message and the time; tick() acts on time alone and is called every
+/// TickInterval.  What has to be sent comes from takeActions() after each of them.  The same object
+/// runs in the daemon, under a paused clock, and in randomised runs.
+class EntryCore
+{
+public:
+    static constexpr Duration TickInterval = std::chrono::milliseconds(10);
+    /// Wait for a proposed record to be read back before its proposer is told to come back.
+    static constexpr Duration ProposalTimeout = std::chrono::seconds(5);
+
+    /// \a writer must never have been used before; \a seed feeds every random choice.
+    EntryCore(const Settings &settings, WriterId writer, std::uint64_t seed, TimePoint start);
+
+    void tick(TimePoint now);
+    EntryActions takeActions();
+
+    void onLogRead(TimePoint now, const LogRead &read);
+    void onLogReadFailed(TimePoint now);
+    void onAppendReply(TimePoint now, AppendResult result);
+    void onVmList(TimePoint now, const VmList &list);
+    void onVmListFailed(TimePoint now);
+
+    HeartbeatAnswer onHeartbeat(TimePoint now, const Heartbeat &request);
+    void onHeartbeatReply(TimePoint now, const EntryId &peer, const HeartbeatAnswer &answer);
+    void onHeartbeatFailed(TimePoint now, const EntryId &peer);
+
+    /// \a reply is meaningful when \a result is Done.
+    void onSyncReply(TimePoint now, const WorkerSync &sync, WorkerResult result,
+                     const WorkerSyncReply &reply);
+    void onStartReply(TimePoint now, const StartTask &task, WorkerResult result);
+    void onCallReply(TimePoint now, std::uint64_t dispatch, const WorkerCallReply &reply);
+    void onForwardReply(TimePoint now, std::uint64_t dispatch, const ForwardedResult &result);
+
+    /// Takes a caller's request.  \pre hasService(request.service).
+    void onCallerRequest(TimePoint now, CallerRequest request, CallDone done);
+    void onForwarded(TimePoint now, ForwardedCall call, ForwardDone done);
+    bool hasService(const ServiceId &service) const { return m_settings.services.contains(service); }
+    /// The settings of \a service.  \pre hasService(service).
+    const ServiceSettings &service(const ServiceId &service) const
+    {
+        return m_settings.services.at(service);
+    }
+
+    /// \name What the operator API and the callers' job interface ask for; see OperatorBackend.
+    /// Proposals take the time of the last message.
+    ///@{
+    const ListsVersion &lists() const;
+    std::vector<EntryInForce> inForce() const;
+    std::string metrics() const { return m_metrics.exposition(); }
+    nlohmann::json dump() const;
+    nlohmann::json jobStatus(const JobId &job) const;
+    nlohmann::json explainJob(const JobId &job) const;
+    nlohmann::json explainWorker(const WorkerId &worker) const;
+    void proposePlans(PlansEdited edit, EditDone<PlansList> done);
+    void proposeLimits(LimitsEdited edit, EditDone<LimitsList> done);
+    void drain();
+    void submitJob(JobSubmission submission, const CommandDoneCallback &done);
+    void cancelJob(const JobId &job, const CommandDoneCallback &done);
+    void switchPlannedWork(PlannedWorkSwitched planned, const CommandDoneCallback &done);
+    ///@}
+
+    /// True when the balancer may send callers here.
+    bool isHealthy() const;
+    bool isDraining() const { return m_draining; }
+    /// True when a draining entry owes nobody anything any more.
+    bool isDrained() const;
+
+    const LogSession &log() const { return m_log; }
+    const WorkerSession &workers() const { return m_workers; }
+    const UrgentCalls &calls() const { return m_calls; }
+
+private:
+    void onRecord(TimePoint now, const LoggedEnvelope &logged, FoldVerdict verdict);
+    void onOwnershipRecord(TimePoint now, const LoggedEnvelope &logged, FoldVerdict verdict);
+    void onRestored(TimePoint now);
+    void sendHeartbeats(TimePoint now);
+    void readVmList(TimePoint now);
+    void planClaims(TimePoint now);
+    void releaseShards();
+    void refreshLists(TimePoint now);
+    Heartbeat makeHeartbeat(TimePoint now) const;
+    bool isDesignatedForSnapshots() const;
+    void notice(bool isWarning, std::string component, std::string message, std::string detail);
+    void noteHealth();
+    template <typename Record>
+    void propose(Record record, Proposals::Done done);
+    template <typename Edit, typename List>
+    void proposeEdit(Edit edit, EditDone<List> done);
+
+    Settings m_settings;
+    std::mt19937_64 m_random;
+    TimePoint m_now;
+    EntryActions m_actions;
+    Metrics m_metrics;
+    LogSession m_log;
+    PeerSession m_peers;
+    WorkerSession m_workers;
+    BatchRunner m_batch;
+    UrgentCalls m_calls;
+    Proposals m_proposals;
+    bool m_draining = false;
+    bool m_wasReachable = false;
+    bool m_vmListInFlight = false;
+    TimePoint m_nextVmListAt;
+    TimePoint m_nextClaimsAt;
+    TimePoint m_nextListsAt;
+    std::set<ShardId> m_releasing; ///< Shards whose release record is on its way.
+    std::uint64_t m_lastJob = 0;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Entry/EntryTimes.cpp
@@ -0,0 +1,33 @@
+#include "Entry/EntryTimes.h"
+
+namespace firefly::internal {
+namespace {
+
+constexpr int MissedUntilSuspect = 4;
+constexpr int MissedUntilDead = 8;
+
+} // namespace
+
+OwnershipTimes toOwnershipTimes(const OwnershipSettings &settings)
+{
+    OwnershipTimes times;
+    times.proofDuration = settings.proof;
+    times.holdOff = settings.holdOff;
+    times.lease = settings.lease;
+    times.drift = settings.drift;
+    times.renewEvery = settings.heartbeat;
+    times.syncTimeout = 2 * settings.heartbeat;
+    return times;
+}
+
+MembershipTimes toMembershipTimes(const OwnershipSettings &settings)
+{
+    MembershipTimes times;
+    times.suspectAfter = MissedUntilSuspect * settings.heartbeat;
+    times.deadAfter = MissedUntilDead * settings.heartbeat;
+    times.listLag = settings.listLag;
+    times.listMaxAge = settings.listLag;
+    return times;
+}
+
+} // namespace firefly::internal
--- /dev/null
+++ b/src/Entry/PeerSession.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Core/Clock.h"
+#include "Core/VmInfo.h"
+#include "Entry/EntryActions.h"
+#include "Membership/PeerTable.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace firefly {
+
+/// Heartbeats with the other entries, and the room that they advertise.
+class PeerSession
+{
+public:
+    PeerSession(EntryId self, const MembershipTimes &times, Duration interval);
+
+    PeerTable &table() { return m_table; }
+    const PeerTable &table() const { return m_table; }
+
+    /// Peers to send a heartbeat to now; each is counted as sent.
+    std::vector<EntryInfo> takeDue(TimePoint now);
+    void onReply(const EntryId &peer, TimePoint now, const HeartbeatReply &reply);
+    void onFailed(const EntryId &peer, TimePoint now);
+
+    /// When the last heartbeat to \a peer was sent; the epoch when none was.
+    TimePoint lastSentAt(const EntryId &peer) const;
+
+    /// The peer to hand a call to: the one with more room of two spread by \a salt, if any has
+    /// room.
+    std::optional<EntryInfo> chooseForCall(TimePoint now, std::uint64_t salt,
+                                           std::span<const EntryId> tried) const;
+    /// Urgent calls that peers say they can take, less those on their way.
+    std::int64_t freeSlots(TimePoint now) const;
+    void noteForwarded(const EntryId &peer) { ++m_forwarded[peer]; }
+    void noteReturned(const EntryId &peer) { --m_forwarded[peer]; }
+
+    const EntryInfo *find(const EntryId &peer) const;
+
+private:
+    struct Exchange
+    {
+        bool inFlight = false;
+        TimePoint sentAt;
+        TimePoint nextAt;
+    };
+
+    std::map<EntryId, std::int64_t> roomOfPeers(TimePoint now) const;
+
+    PeerTable m_table;
+    Duration m_interval;
+    std::map<EntryId, EntryInfo> m_infos;
+    std::map<EntryId, Exchange> m_exchanges;
+    std::map<EntryId, std::int64_t> m_forwarded; ///< Calls on their way, by peer.
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/Entry/UrgentCalls.cpp
@@ -0,0 +1,568 @@
+#include "Entry/UrgentCalls.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace firefly {
+namespace {
+
+constexpr Duration RetryAfterOutage = std::chrono::seconds(2);
+constexpr Duration RetryAfterNoWorker = std::chrono::milliseconds(500);
+/// Time kept for the way back of a forwarded call's answer.
+constexpr Duration ForwardMargin = std::chrono::milliseconds(20);
+/// Share of the own workers' slots below which a call goes to a peer with more room.
+constexpr double KeepLocalShare = 0.2;
+constexpr std::string_view PeerPrefix = "entry:";
+
+/// Name under which a call tracker knows a peer as the target of a dispatch.
+WorkerId asTarget(const EntryId &peer)
+{
+    return WorkerId(std::string(PeerPrefix) + peer.value());
+}
+
+std::optional<EntryId> asPeer(const WorkerId &target)
+{
+    if (!target.value().starts_with(PeerPrefix)) {
+        return std::nullopt;
+    }
+    return EntryId(target.value().substr(PeerPrefix.size()));
+}
+
+CallResult toCallResult(WorkerResult result)
+{
+    switch (result) {
+    case WorkerResult::Done:
+        return CallResult::Succeeded;
+    case WorkerResult::Uncertain:
+        return CallResult::NoAnswer;
+    case WorkerResult::Refused:
+    case WorkerResult::NotSent:
+    case WorkerResult::ServiceError:
+        break;
+    }
+    return CallResult::ServiceFailed;
+}
+
+std::int64_t fairShare(std::int64_t amount, std::int64_t entries)
+{
+    return amount == 0 ? 0 : std::max<std::int64_t>(1, amount / entries);
+}
+
+/// This entry's share of a list of limits that \a entries entries enforce together.
+LimitsList shareOf(LimitsList limits, std::int64_t entries)
+{
+    for (auto &[plan, limit] : limits.limitsOfPlan) {
+        limit.urgentPerSecond = fairShare(limit.urgentPerSecond, entries);
+        limit.resources.milliProcessors = fairShare(limit.resources.milliProcessors, entries);
+        limit.resources.memoryMiB = fairShare(limit.resources.memoryMiB, entries);
+        limit.resources.accelerators = fairShare(limit.resources.accelerators, entries);
+        limit.resources.slots = fairShare(limit.resources.slots, entries);
+    }
+    return limits;
+}
+
+} // namespace
+
+/// What a CallTracker sees of the entry.
+class UrgentCalls::Context
+{
+public:
+    Context(UrgentCalls &calls, TimePoint now, const ServiceId &service)
+        : m_calls(calls)
+        , m_now(now)
+        , m_service(service)
+    {
+    }
+
+    bool canAppend() const
+    {
+        const LogSession &log = m_calls.m_sessions.log;
+        return log.isReachable() && log.isCurrent() && log.hasRoom();
+    }
+    const IntentLedger &intents() const
+    {
+        return m_calls.m_sessions.log.state().get<IntentLedger>();
+    }
+    std::optional<WorkerId> chooseWorker(const CallRequest &request,
+                                         std::span<const WorkerId> tried)
+    {
+        return m_calls.chooseTarget(m_now, request, tried);
+    }
+    bool spendRetry()
+    {
+        ServiceState *service = m_calls.findService(m_service);
+        return service != nullptr && service->retries.tryTake();
+    }
+    Duration retryAfter() const { return m_calls.retryAfter(); }
+
+private:
+    UrgentCalls &m_calls;
+    TimePoint m_now;
+    ServiceId m_service;
+};
+
+UrgentCalls::UrgentCalls(EntryId self, ZoneId zone, const Settings &settings,
+                         EntrySessions sessions, Metrics &metrics)
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+    , m_settings(settings)
+    , m_sessions(sessions)
+    , m_metrics(metrics)
+    , m_router(sessions.workers.pool())
+{
+    for (const auto &[id, service] : settings.services) {
+        RetryBudgetSettings budget;
+        budget.ratio = static_cast<double>(service.retryBudgetPercent) / 100.0;
+        m_services.emplace(id, ServiceState{service, RetryBudget(budget), HedgeTimer()});
+    }
+}
+
+UrgentCalls::ServiceState *UrgentCalls::findService(const ServiceId &service)
+{
+    const auto it = m_services.find(service);
+    return it != m_services.end() ? &it->second : nullptr;
+}
+
+Duration UrgentCalls::retryAfter() const
+{
+    return m_sessions.log.isReachable() ? RetryAfterNoWorker : RetryAfterOutage;
+}
+
+RequestId UrgentCalls::nextRequestId()
+{
+    return RequestId(m_sessions.log.writer().value() + "." + std::to_string(++m_lastRequest));
+}
+
+void UrgentCalls::setLists(TimePoint now)
+{
+    const auto &lists = m_sessions.log.state().get<ListsFold>();
+    const auto entries =
+            static_cast<std::int64_t>(m_sessions.peers.table().reached(now).size()) + 1;
+    m_admission.setLists(lists.plans(), shareOf(lists.limits(), entries), now);
+}
+
+UrgentRoom UrgentCalls::room(TimePoint now) const
+{
+    const WorkerPool &pool = m_sessions.workers.pool();
+    const std::int64_t own = std::max<std::int64_t>(0, pool.urgentSlots() - pool.urgentInUse());
+    const std::int64_t peers = m_sessions.peers.freeSlots(now);
+    return {own + peers, pool.urgentSlots() + peers};
+}
+
+void UrgentCalls::onRequest(TimePoint now, CallerRequest request, CallDone done,
+                            EntryActions &actions)
+{
+    const ServiceState *service = findService(request.service);
+    FIREFLY_ASSERT(service != nullptr, "the front refuses unknown services");
+    CallRequest call;
+    call.request = nextRequestId();
+    call.customer = request.customer;
+    call.service = request.service;
+    call.isIdempotent = service->settings.idempotent;
+    call.key = std::move(request.key);
+    call.bodyHash = XXH3_64bits(request.body.data(), request.body.size());
+    call.body = std::move(request.body);
+    const Duration timeout =
+            request.timeout > Duration::zero() ? request.timeout : service->settings.timeout;
+    call.deadline = now + timeout;
+    call.attemptTimeout = timeout / 2;
+    const RequestId id = call.request;
+    AdmissionRequest admission{id, call.customer, call.service, service->settings.perCall,
+                               call.deadline};
+    auto tracker = CallTracker(std::move(call), m_self, m_sessions.log.writer());
+    const auto it = m_calls
+                            .emplace(id, ActiveCall{std::move(tracker), std::move(done), admission,
+                                                    now, false})
+                            .first;
+    std::vector<Refused> displaced;
+    const Admission admitted = m_admission.admit(admission, room(now), now, displaced);
+    if (std::holds_alternative<Admitted>(admitted)) {
+        begin(now, it->second, actions);
+    } else if (const auto *refused = std::get_if<Refused>(&admitted)) {
+        refuse(id, *refused);
+    }
+    for (const Refused &it2 : displaced) {
+        refuse(it2.request, it2);
+    }
+}
+
+void UrgentCalls::begin(TimePoint now, ActiveCall &call, EntryActions &actions)
+{
+    const CallRequest &request = call.tracker.request();
+    const RequestId id = request.request;
+    call.admitted = true;
+    ServiceState &service = *findService(request.service);
+    service.retries.recordRequest();
+    m_deadlines.emplace(request.deadline, id);
+    if (request.isIdempotent && service.settings.hedge) {
+        m_hedges.emplace(now + service.hedge.delay(), id);
+    }
+    if (!request.isIdempotent) {
+        m_waiters[call.tracker.key()].insert(id);
+    }
+    Context context(*this, now, request.service);
+    perform(now, id, call.tracker.start(now, context), actions);
+}
+
+void UrgentCalls::refuse(const RequestId &request, const Refused &refused)
+{
+    const auto it = m_calls.find(request);
+    if (it == m_calls.end()) {
+        return;
+    }
+    CallReply reply;
+    reply.request = request;
+    reply.outcome = Outcome::NotRun;
+    reply.body = std::string(toString(refused.reason));
+    reply.retryAfter = refused.retryAfter;
+    const CallDone done = std::move(it->second.done);
+    m_calls.erase(it);
+    m_metrics.add("firefly_calls_refused_total");
+    done(reply);
+}
+
+void UrgentCalls::perform(TimePoint now, const RequestId &request, const CallActions &calls,
+                          EntryActions &actions)
+{
+    for (const CallAction &action : calls) {
+        ActiveCall &call = m_calls.at(request);
+        if (const auto *intent = std::get_if<AppendIntent>(&action)) {
+            m_sessions.log.push(intent->record, AppendPriority::NewWork);
+        } else if (const auto *conclusion = std::get_if<AppendConclusion>(&action)) {
+            m_sessions.log.push(conclusion->record, AppendPriority::Fact);
+        } else if (const auto *send = std::get_if<DispatchCall>(&action)) {
+            dispatch(now, call, *send, actions);
+        } else {
+            answer(now, call, std::get<ReplyToCaller>(action).reply);
+        }
+    }
+    forgetIfOver(request);
+}
+
+void UrgentCalls::dispatch(TimePoint now, ActiveCall &call, const DispatchCall &dispatch,
+                           EntryActions &actions)
+{
+    if (const auto peer = asPeer(dispatch.call.worker)) {
+        forward(now, call, dispatch, *peer, actions);
+        return;
+    }
+    const WorkerInfo &info = *m_sessions.workers.table().find(dispatch.call.worker);
+    const auto index = m_sessions.workers.pool().find(info.id);
+    FIREFLY_ASSERT(index.has_value(), "a call goes to a worker of the pool");
+    const std::uint64_t number = ++m_lastDispatch;
+    m_targets[number] = {call.tracker.request().request, dispatch.number, false, index,
+                         info.shard(), {}, now};
+    SendCall send{info, number, dispatch.call};
+    send.call.term = m_sessions.workers.mayGiveWork(info.id, now).value_or(0);
+    send.call.key = call.tracker.request().key;
+    actions.emplace_back(std::move(send));
+}
+
+void UrgentCalls::forward(TimePoint now, ActiveCall &call, const DispatchCall &dispatch,
+                          const EntryId &peer, EntryActions &actions)
+{
+    const CallRequest &request = call.tracker.request();
+    const std::uint64_t number = ++m_lastDispatch;
+    m_targets[number] = {request.request, dispatch.number, false, std::nullopt, {}, peer, now};
+    m_sessions.peers.noteForwarded(peer);
+    ForwardedCall forwarded;
+    forwarded.request = request.request;
+    forwarded.customer = request.customer;
+    forwarded.service = request.service;
+    forwarded.key = request.key;
+    forwarded.remaining = dispatch.call.timeout;
+    forwarded.body = dispatch.call.body;
+    actions.emplace_back(
+            SendForward{*m_sessions.peers.find(peer), number, std::move(forwarded)});
+}
+
+void UrgentCalls::answer(TimePoint now, ActiveCall &call, const CallReply &reply)
+{
+    const Duration latency = now - call.arrivedAt;
+    const bool didRun = reply.outcome == Outcome::Answer;
+    m_admission.finish(call.admission, didRun ? std::optional(latency) : std::nullopt, now);
+    m_metrics.add("firefly_calls_total{outcome=\"" + std::string(toString(reply.outcome)) + "\"}");
+    if (didRun) {
+        m_metrics.record("firefly_call_seconds", latency);
+        findService(call.admission.service)->hedge.record(latency);
+    }
+    call.done(reply);
+}
+
+void UrgentCalls::forgetIfOver(const RequestId &request)
+{
+    const auto it = m_calls.find(request);
+    if (it == m_calls.end() || !it->second.tracker.isOver()) {
+        return;
+    }
+    const auto waiters = m_waiters.find(it->second.tracker.key());
+    if (waiters != m_waiters.end()) {
+        waiters->second.erase(request);
+        if (waiters->second.empty()) {
+            m_waiters.erase(waiters);
+        }
+    }
+    m_calls.erase(it);
+}
+
+std::optional<WorkerId> UrgentCalls::chooseTarget(TimePoint now, const CallRequest &request,
+                                                  std::span<const WorkerId> tried)
+{
+    const WorkerPool &pool = m_sessions.workers.pool();
+    const auto free = static_cast<double>(pool.urgentSlots() - pool.urgentInUse());
+    const bool hasOwnRoom = free > KeepLocalShare * static_cast<double>(pool.urgentSlots());
+    if (hasOwnRoom) {
+        if (auto worker = routeLocally(now, request.isIdempotent, tried)) {
+            return worker;
+        }
+    }
+    std::vector<EntryId> triedPeers;
+    for (const WorkerId &it : tried) {
+        if (auto peer = asPeer(it)) {
+            triedPeers.push_back(std::move(*peer));
+        }
+    }
+    const auto peer =
+            m_sessions.peers.chooseForCall(now, m_sessions.random(), triedPeers);
+    if (peer) {
+        return asTarget(peer->id);
+    }
+    return routeLocally(now, request.isIdempotent, tried);
+}
+
+std::optional<WorkerId> UrgentCalls::routeLocally(TimePoint now, bool isIdempotent,
+                                                  std::span<const WorkerId> tried)
+{
+    WorkerPool &pool = m_sessions.workers.pool();
+    std::vector<WorkerIndex> exclude;
+    for (const WorkerId &it : tried) {
+        if (const auto index = pool.find(it)) {
+            exclude.push_back(*index);
+        }
+    }
+    RoutingRequest request;
+    request.callerZone = pool.links().index(m_zone);
+    request.idempotent = isIdempotent;
+    request.exclude = exclude;
+    const auto decision = m_router.route(request, m_sessions.random, now);
+    if (!decision) {
+        return std::nullopt;
+    }
+    const WorkerId &worker = pool.view(decision->worker).info.id;
+    if (m_sessions.workers.mayGiveWork(worker, now)) {
+        return worker;
+    }
+    pool.releaseUrgent(decision->worker, {CallResult::Abandoned, {}, m_zone}, now);
+    return std::nullopt;
+}
+
+void UrgentCalls::onForwarded(TimePoint now, ForwardedCall call, ForwardDone done,
+                              EntryActions &actions)
+{
+    const auto worker = routeLocally(now, call.key.empty(), {});
+    if (!worker || m_forwarded.contains(call.request)) {
+        done({call.request, WorkerResult::Refused, {}, RetryAfterNoWorker});
+        return;
+    }
+    const WorkerInfo &info = *m_sessions.workers.table().find(*worker);
+    const std::uint64_t number = ++m_lastDispatch;
+    m_targets[number] = {call.request, 0, true, m_sessions.workers.pool().find(*worker),
+                         info.shard(), {}, now};
+    m_forwarded.emplace(call.request, std::move(done));
+    WorkerCall message;
+    message.worker = *worker;
+    message.term = m_sessions.workers.mayGiveWork(*worker, now).value_or(0);
+    message.request = call.request;
+    message.service = call.service;
+    message.key = call.key;
+    message.body = std::move(call.body);
+    message.timeout = std::max(call.remaining - ForwardMargin, call.remaining / 2);
+    actions.emplace_back(SendCall{info, number, std::move(message)});
+}
+
+std::optional<UrgentCalls::Target> UrgentCalls::takeTarget(std::uint64_t number)
+{
+    const auto it = m_targets.find(number);
+    if (it == m_targets.end()) {
+        return std::nullopt;
+    }
+    Target target = std::move(it->second);
+    m_targets.erase(it);
+    return target;
+}
+
+void UrgentCalls::settleWorker(TimePoint now, const Target &target, WorkerResult result)
+{
+    const CallObservation observation{toCallResult(result), now - target.sentAt, m_zone};
+    m_sessions.workers.pool().releaseUrgent(*target.worker, observation, now);
+}
+
+void UrgentCalls::onCallReply(TimePoint now, std::uint64_t number, const WorkerCallReply &reply,
+                              EntryActions &actions)
+{
+    const auto target = takeTarget(number);
+    if (!target) {
+        return;
+    }
+    settleWorker(now, *target, reply.result);
+    if (target->isForwardedHere) {
+        settleForwardedHere(now, *target, reply);
+        return;
+    }
+    const auto it = m_calls.find(target->request);
+    if (it == m_calls.end()) {
+        return;
+    }
+    Context context(*this, now, it->second.tracker.request().service);
+    perform(now, target->request,
+            it->second.tracker.onReply(now, target->trackerNumber, reply, context), actions);
+    pumpQueue(now, actions);
+}
+
+void UrgentCalls::settleForwardedHere(TimePoint now, const Target &target,
+                                      const WorkerCallReply &reply)
+{
+    const auto it = m_forwarded.find(target.request);
+    FIREFLY_ASSERT(it != m_forwarded.end(), "a forwarded call is answered once");
+    const ForwardDone done = std::move(it->second);
+    m_forwarded.erase(it);
+    const bool isForeign = reply.request != target.request && reply.result == WorkerResult::Done;
+    const WorkerResult result = isForeign ? WorkerResult::Uncertain : reply.result;
+    m_metrics.record("firefly_forwarded_call_seconds", now - target.sentAt);
+    done({target.request, result, isForeign ? std::string() : reply.body, RetryAfterNoWorker});
+}
+
+void UrgentCalls::onForwardReply(TimePoint now, std::uint64_t number,
+                                 const ForwardedResult &result, EntryActions &actions)
+{
+    const auto target = takeTarget(number);
+    if (!target) {
+        return;
+    }
+    m_sessions.peers.noteReturned(target->peer);
+    const auto it = m_calls.find(target->request);
+    if (it == m_calls.end()) {
+        return;
+    }
+    const WorkerCallReply reply{result.request, result.result, result.body};
+    Context context(*this, now, it->second.tracker.request().service);
+    perform(now, target->request,
+            it->second.tracker.onReply(now, target->trackerNumber, reply, context), actions);
+    pumpQueue(now, actions);
+}
+
+void UrgentCalls::onRecord(TimePoint now, const LoggedEnvelope &logged, EntryActions &actions)
+{
+    const auto *intended = std::get_if<CallIntended>(&logged.envelope.record);
+    const auto *concluded = std::get_if<CallConcluded>(&logged.envelope.record);
+    if (intended == nullptr && concluded == nullptr) {
+        return;
+    }
+    const CallKey key = intended != nullptr ? CallKey{intended->customer, intended->key}
+                                            : CallKey{concluded->customer, concluded->key};
+    const auto waiters = m_waiters.find(key);
+    if (waiters == m_waiters.end()) {
+        return;
+    }
+    const std::set<RequestId> requests = waiters->second;
+    for (const RequestId &request : requests) {
+        const auto it = m_calls.find(request);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        CallTracker &tracker = it->second.tracker;
+        Context context(*this, now, tracker.request().service);
+        perform(now, request,
+                intended != nullptr ? tracker.onIntended(now, *intended, context)
+                                    : tracker.onConcluded(now, context),
+                actions);
+    }
+}
+
+void UrgentCalls::onRestored(TimePoint now, EntryActions &actions)
+{
+    std::vector<RequestId> requests;
+    for (const auto &[key, waiting] : m_waiters) {
+        requests.insert(requests.end(), waiting.begin(), waiting.end());
+    }
+    for (const RequestId &request : requests) {
+        const auto it = m_calls.find(request);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        Context context(*this, now, it->second.tracker.request().service);
+        perform(now, request, it->second.tracker.onConcluded(now, context), actions);
+    }
+}
+
+void UrgentCalls::tick(TimePoint now, EntryActions &actions)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const RequestId request = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        const auto it = m_calls.find(request);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        Context context(*this, now, it->second.tracker.request().service);
+        perform(now, request, it->second.tracker.onTime(now, context), actions);
+    }
+    while (!m_hedges.empty() && m_hedges.begin()->first <= now) {
+        const RequestId request = m_hedges.begin()->second;
+        m_hedges.erase(m_hedges.begin());
+        const auto it = m_calls.find(request);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        Context context(*this, now, it->second.tracker.request().service);
+        perform(now, request, it->second.tracker.hedge(now, context), actions);
+    }
+    pumpQueue(now, actions);
+}
+
+void UrgentCalls::pumpQueue(TimePoint now, EntryActions &actions)
+{
+    std::int64_t free = room(now).free;
+    while (free-- > 0) {
+        const auto next = m_admission.next(now);
+        if (!next) {
+            break;
+        }
+        const auto it = m_calls.find(next->request);
+        if (it != m_calls.end()) {
+            begin(now, it->second, actions);
+        }
+    }
+    for (const Refused &refused : m_admission.expire(now)) {
+        refuse(refused.request, refused);
+    }
+}
+
+bool UrgentCalls::hasMessagesInFlight(const ShardId &shard) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&shard](const auto &it) { return it.second.shard == shard; });
+}
+
+nlohmann::json UrgentCalls::dump() const
+{
+    auto calls = nlohmann::json::object();
+    for (const auto &[id, call] : m_calls) {
+        calls[id.value()] = call.tracker.dump();
+    }
+    auto services = nlohmann::json::object();
+    for (const auto &[id, service] : m_services) {
+        services[id.value()] = {{"requests", service.retries.requests()},
+                                {"extraRequests", service.retries.extraRequests()},
+                                {"hedgeDelayUs", service.hedge.delay().count()}};
+    }
+    return {{"active", std::move(calls)},
+            {"forwardedHere", m_forwarded.size()},
+            {"services", std::move(services)},
+            {"admission", m_admission.dump()}};
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Entry/WorkerSession.cpp
@@ -0,0 +1,190 @@
+#include "Entry/WorkerSession.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace firefly {
+namespace {
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+WorkerSession::WorkerSession(EntryId self, const OwnershipTimes &times,
+                             const RoutingSettings &routing)
+    : m_authority(self, times)
+    , m_planner(self, ClaimSettings{})
+    , m_pool(routing)
+    , m_lease(times.lease)
+{
+}
+
+void WorkerSession::onVmList(const VmList &list, TimePoint now)
+{
+    m_table.onVmList(list, now);
+    for (const ShardId &shard : m_table.shards()) {
+        m_authority.setWorkers(shard, m_table.workers(shard));
+    }
+}
+
+void WorkerSession::sendSyncs(TimePoint now, EntryActions &actions)
+{
+    for (const SyncDue &due : m_authority.takeDueSyncs(now)) {
+        const WorkerInfo *info = m_table.find(due.worker);
+        if (info == nullptr) {
+            m_authority.onSyncFailed(due.worker, due.term, due.number);
+            continue;
+        }
+        WorkerSync sync;
+        sync.worker = due.worker;
+        sync.term = due.term;
+        sync.number = due.number;
+        sync.leaseMs = toMilliseconds(m_lease);
+        sync.acknowledged = takeAcknowledged(due.worker);
+        actions.emplace_back(SendSync{*info, std::move(sync)});
+    }
+}
+
+std::vector<std::string> WorkerSession::takeAcknowledged(const WorkerId &worker)
+{
+    const auto it = m_acknowledged.find(worker);
+    if (it == m_acknowledged.end()) {
+        return {};
+    }
+    return {it->second.begin(), it->second.end()};
+}
+
+void WorkerSession::refreshPool(TimePoint now)
+{
+    std::map<WorkerId, Term> held;
+    m_open.clear();
+    for (const ShardTerm &owned : m_authority.shards()) {
+        for (const WorkerId &worker : m_table.workers(owned.shard)) {
+            if (!m_foreignCalls.contains(worker)) {
+                continue;
+            }
+            held.emplace(worker, owned.term);
+            const bool isOpen = m_table.acceptsWork(worker)
+                    && m_authority.mayGiveWork(owned.shard, worker, now).has_value();
+            if (isOpen) {
+                m_open.insert(worker);
+            }
+            updatePool(worker, isOpen, now);
+        }
+    }
+    removeLost(held);
+    m_pool.tick(now);
+}
+
+void WorkerSession::updatePool(const WorkerId &worker, bool isOpen, TimePoint now)
+{
+    WorkerInfo info = *m_table.find(worker);
+    info.state = isOpen ? VmState::Live : VmState::Leaving;
+    info.capacity.slots -= m_foreignCalls.at(worker);
+    const auto index = m_pool.find(worker);
+    if (index) {
+        const WorkerInfo &known = m_pool.view(*index).info;
+        if (known.state == info.state && known.capacity == info.capacity) {
+            return;
+        }
+    }
+    m_pool.update(info, now);
+}
+
+void WorkerSession::removeLost(const std::map<WorkerId, Term> &held)
+{
+    for (const WorkerId &worker : m_inPool) {
+        if (!held.contains(worker)) {
+            m_pool.remove(worker);
+            m_foreignCalls.erase(worker);
+        }
+    }
+    m_inPool.clear();
+    for (const auto &[worker, term] : held) {
+        m_inPool.insert(worker);
+    }
+}
+
+bool WorkerSession::onSyncReply(const WorkerSync &sync, const WorkerSyncReply &reply, TimePoint now)
+{
+    const bool isCurrent = m_authority.onSyncReply(sync.worker, sync.term, sync.number,
+                                                   reply.accepted, reply.highestTerm, now);
+    if (!isCurrent) {
+        return false;
+    }
+    noteForeignCalls(sync.worker, reply);
+    const auto it = m_acknowledged.find(sync.worker);
+    if (it == m_acknowledged.end()) {
+        return true;
+    }
+    for (const std::string &forgotten : sync.acknowledged) {
+        it->second.erase(forgotten);
+    }
+    if (it->second.empty()) {
+        m_acknowledged.erase(it);
+    }
+    return true;
+}
+
+void WorkerSession::noteForeignCalls(const WorkerId &worker, const WorkerSyncReply &reply)
+{
+    const auto it = m_foreignCalls.find(worker);
+    if (it == m_foreignCalls.end()) {
+        m_foreignCalls.emplace(worker, reply.urgentRunning);
+        return;
+    }
+    it->second = std::min(it->second, reply.urgentRunning);
+}
+
+void WorkerSession::onSyncFailed(const WorkerSync &sync)
+{
+    m_authority.onSyncFailed(sync.worker, sync.term, sync.number);
+}
+
+void WorkerSession::acknowledge(const WorkerId &worker, const JobId &job, std::uint64_t attempt)
+{
+    m_acknowledged[worker].insert(job.value() + "#" + std::to_string(attempt));
+}
+
+std::optional<Term> WorkerSession::mayGiveWork(const WorkerId &worker, TimePoint now) const
+{
+    const WorkerInfo *info = m_table.find(worker);
+    if (info == nullptr || !m_table.acceptsWork(worker)) {
+        return std::nullopt;
+    }
+    return m_authority.mayGiveWork(info->shard(), worker, now);
+}
+
+std::int64_t WorkerSession::freeSlots(const ShardId &shard) const
+{
+    std::int64_t sum = 0;
+    for (const WorkerId &worker : m_table.workers(shard)) {
+        const auto index = m_pool.find(worker);
+        if (!index || !m_open.contains(worker) || !m_pool.acceptsWork(*index)) {
+            continue;
+        }
+        sum += std::max<std::int64_t>(0, m_pool.ledger().room(*index).slots);
+    }
+    return sum;
+}
+
+nlohmann::json WorkerSession::dump(TimePoint now) const
+{
+    auto workers = nlohmann::json::object();
+    for (const WorkerId &worker : m_inPool) {
+        const auto index = m_pool.find(worker);
+        if (index) {
+            workers[worker.value()] = m_pool.dump(*index);
+        }
+    }
+    return {{"authority", m_authority.dump(now)},
+            {"claims", m_planner.dump()},
+            {"listed", m_table.dump()},
+            {"workers", std::move(workers)}};
+}
+
+} // namespace firefly
