--- a/src/Membership/Heartbeat.h
+++ b/src/Membership/Heartbeat.h
@@ -49,7 +49,7 @@
 struct HeartbeatReply
 {
     Heartbeat heartbeat;
-    /// Shards in the request for which the replier has applied a later claim or a release.
+    /// Shards in the request for which the replier has applied a later claim.
     std::vector<ShardTerm> superseded;
 };
 
--- /dev/null
+++ b/src/Membership/PeerTable.cpp
@@ -0,0 +1,351 @@
+#include "Membership/PeerTable.h"
+
+#include "Records/IdJson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace firefly {
+namespace {
+
+const char *toString(EntryState state)
+{
+    switch (state) {
+    case EntryState::Live:
+        return "live";
+    case EntryState::Leaving:
+        return "leaving";
+    case EntryState::Suspected:
+        return "suspected";
+    case EntryState::Dead:
+        break;
+    }
+    return "dead";
+}
+
+} // namespace
+
+PeerTable::PeerTable(EntryId self, MembershipTimes times)
+    : m_self(std::move(self))
+    , m_times(times)
+{}
+
+void PeerTable::onVmList(const VmList &list, TimePoint now)
+{
+    m_listReadAt = now;
+    bool listsSelf = false;
+    std::map<EntryId, EntryInfo> listed;
+    for (const EntryInfo &it : list.entries) {
+        if (it.id == m_self) {
+            listsSelf = true;
+            m_selfLeaving = it.state == VmState::Leaving;
+            continue;
+        }
+        listed[it.id] = it;
+    }
+
+    if (!listsSelf) {
+        m_selfListedAt.reset();
+    } else if (!m_selfListedAt) {
+        m_selfListedAt = now;
+    }
+    for (auto &[id, peer] : m_peers) {
+        if (peer.info && !listed.contains(id)) {
+            peer.info.reset();
+            peer.droppedAt = now;
+        }
+    }
+    for (const auto &[id, info] : listed) {
+        Peer &peer = m_peers[id];
+        if (!peer.info) {
+            peer.listedAt = now;
+        }
+        peer.info = info;
+    }
+    std::erase_if(m_peers, [&](const auto &it) {
+        return !it.second.info && !mayClaim(it.second, now)
+               && isSilent(it.second, now, m_times.deadAfter);
+    });
+}
+
+void PeerTable::onExchange(TimePoint sentAt, const HeartbeatReply &reply)
+{
+    const auto it = m_peers.find(reply.heartbeat.from);
+    if (it == m_peers.end()) {
+        return;
+    }
+    Peer &peer = it->second;
+    if (peer.answeredAt && *peer.answeredAt >= sentAt) {
+        return;
+    }
+    peer.answeredAt = sentAt;
+    peer.failures = 0;
+    peer.failuresWithLog = 0;
+    peer.heartbeat = reply.heartbeat;
+    peer.supersedes = !reply.superseded.empty();
+    peer.caughtUp = reply.heartbeat.logProofAge.has_value();
+}
+
+void PeerTable::onRequest(const Heartbeat &request)
+{
+    const auto it = m_peers.find(request.from);
+    if (it == m_peers.end()) {
+        return;
+    }
+    it->second.heartbeat = request;
+}
+
+void PeerTable::onExchangeFailed(const EntryId &peer)
+{
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end()) {
+        return;
+    }
+    ++it->second.failures;
+    if (m_logReachableSince) {
+        ++it->second.failuresWithLog;
+    }
+}
+
+void PeerTable::onLogReachable(bool reachable, TimePoint now)
+{
+    if (!reachable) {
+        m_logReachableSince.reset();
+        for (auto &[id, peer] : m_peers) {
+            peer.failuresWithLog = 0;
+        }
+        return;
+    }
+    if (!m_logReachableSince) {
+        m_logReachableSince = now;
+    }
+}
+
+EntryState PeerTable::state(const EntryId &entry, TimePoint now) const
+{
+    if (entry == m_self) {
+        return m_selfLeaving ? EntryState::Leaving : EntryState::Live;
+    }
+    const auto it = m_peers.find(entry);
+    if (it == m_peers.end()) {
+        return EntryState::Dead;
+    }
+
+    const Peer &peer = it->second;
+    const bool quiet = isSilent(peer, now, m_times.suspectAfter);
+    if (!peer.info) {
+        return quiet ? EntryState::Dead : EntryState::Leaving;
+    }
+    if (isDead(entry, peer, now)) {
+        return EntryState::Dead;
+    }
+    if (quiet && peer.failures > 0) {
+        return EntryState::Suspected;
+    }
+    const bool draining = peer.heartbeat && peer.heartbeat->draining;
+    const bool leaves = draining || peer.info->state == VmState::Leaving;
+    return leaves ? EntryState::Leaving : EntryState::Live;
+}
+
+std::vector<EntryInfo> PeerTable::peers() const
+{
+    std::vector<EntryInfo> infos;
+    for (const auto &[id, peer] : m_peers) {
+        if (peer.info) {
+            infos.push_back(*peer.info);
+        }
+    }
+    return infos;
+}
+
+std::vector<EntryId> PeerTable::claimants(TimePoint now) const
+{
+    std::vector<EntryId> ids;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.heartbeat || isSilent(peer, now, m_times.suspectAfter)) {
+            continue;
+        }
+        const Heartbeat &heartbeat = *peer.heartbeat;
+        if (!heartbeat.acceptsShards || !heartbeat.logReachable) {
+            continue;
+        }
+        if (state(id, now) == EntryState::Live) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<EntryId> PeerTable::reached(TimePoint now) const
+{
+    std::vector<EntryId> ids;
+    for (const auto &[id, peer] : m_peers) {
+        if (!isSilent(peer, now, m_times.suspectAfter)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+bool PeerTable::isSettled(TimePoint now) const
+{
+    if (!m_selfListedAt || !isListFresh(now)) {
+        return false;
+    }
+    return now - *m_selfListedAt >= m_times.listLag + m_times.listMaxAge;
+}
+
+std::optional<TimePoint> PeerTable::witnessedByAll(TimePoint now, bool caughtUpOnly) const
+{
+    if (!isListFresh(now)) {
+        return std::nullopt;
+    }
+    TimePoint oldest = now;
+    for (const auto &[id, peer] : m_peers) {
+        if (!mayClaim(peer, now)) {
+            continue;
+        }
+        const auto at = testimony(peer, caughtUpOnly);
+        if (!at) {
+            return std::nullopt;
+        }
+        oldest = std::min(oldest, *at);
+    }
+    return oldest;
+}
+
+std::optional<TimePoint> PeerTable::witnessedByMajority(TimePoint now) const
+{
+    if (!m_listReadAt) {
+        return std::nullopt;
+    }
+    std::size_t listed = 1;
+    std::vector<TimePoint> times;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.info) {
+            continue;
+        }
+        ++listed;
+        const auto at = testimony(peer, false);
+        if (at) {
+            times.push_back(*at);
+        }
+    }
+
+    const std::size_t needed = listed / 2;
+    if (needed == 0) {
+        return now;
+    }
+    if (times.size() < needed) {
+        return std::nullopt;
+    }
+    std::ranges::sort(times, std::greater<>());
+    return times[needed - 1];
+}
+
+std::optional<PeerRoom> PeerTable::room(const ShardId &shard, TimePoint now) const
+{
+    std::optional<PeerRoom> best;
+    for (const PeerRoom &it : rooms(now)) {
+        if (it.shard == shard && (!best || it.term > best->term)) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+std::vector<PeerRoom> PeerTable::rooms(TimePoint now) const
+{
+    std::vector<PeerRoom> rooms;
+    for (const auto &[id, peer] : m_peers) {
+        if (!peer.heartbeat || state(id, now) != EntryState::Live) {
+            continue;
+        }
+        for (const OwnedShard &it : peer.heartbeat->shards) {
+            rooms.push_back({id, it.shard, it.term, it.freeSlots});
+        }
+    }
+    return rooms;
+}
+
+const Heartbeat *PeerTable::lastHeartbeat(const EntryId &entry) const
+{
+    const auto it = m_peers.find(entry);
+    if (it == m_peers.end() || !it->second.heartbeat) {
+        return nullptr;
+    }
+    return &*it->second.heartbeat;
+}
+
+nlohmann::json PeerTable::dump(TimePoint now) const
+{
+    nlohmann::json json;
+    json["settled"] = isSettled(now);
+    json["peers"] = nlohmann::json::object();
+    for (const auto &[id, peer] : m_peers) {
+        nlohmann::json &entry = json["peers"][id.value()];
+        entry["state"] = toString(state(id, now));
+        entry["listed"] = peer.info.has_value();
+        entry["failures"] = peer.failures;
+        if (peer.answeredAt) {
+            entry["answeredAgoMs"] =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - *peer.answeredAt)
+                    .count();
+        }
+        if (peer.heartbeat) {
+            entry["logReachable"] = peer.heartbeat->logReachable;
+            entry["shards"] = peer.heartbeat->shards.size();
+        }
+    }
+    return json;
+}
+
+/// A listed entry may claim, and so may one that was dropped while it can still see itself listed.
+bool PeerTable::mayClaim(const Peer &peer, TimePoint now) const
+{
+    return peer.info || now - peer.droppedAt < m_times.listLag + m_times.listMaxAge;
+}
+
+bool PeerTable::isDead(const EntryId &entry, const Peer &peer, TimePoint now) const
+{
+    if (!m_logReachableSince || now - *m_logReachableSince < m_times.deadAfter) {
+        return false;
+    }
+    return isSilent(peer, now, m_times.deadAfter)
+           && peer.failuresWithLog >= m_times.deadAfterFailures && !isReachedByOther(entry, now);
+}
+
+/// Another entry's word counts only while it is itself heard.
+bool PeerTable::isReachedByOther(const EntryId &entry, TimePoint now) const
+{
+    return std::ranges::any_of(m_peers, [&](const auto &it) {
+        const auto &[id, peer] = it;
+        if (id == entry || !peer.heartbeat || isSilent(peer, now, m_times.suspectAfter)) {
+            return false;
+        }
+        return std::ranges::find(peer.heartbeat->reaches, entry) != peer.heartbeat->reaches.end();
+    });
+}
+
+bool PeerTable::isSilent(const Peer &peer, TimePoint now, Duration limit)
+{
+    const TimePoint heardAt = peer.answeredAt.value_or(peer.listedAt);
+    return now - heardAt >= limit;
+}
+
+bool PeerTable::isListFresh(TimePoint now) const
+{
+    return m_listReadAt && now - *m_listReadAt <= m_times.listMaxAge;
+}
+
+std::optional<TimePoint> PeerTable::testimony(const Peer &peer, bool caughtUpOnly)
+{
+    if (peer.supersedes || (caughtUpOnly && !peer.caughtUp)) {
+        return std::nullopt;
+    }
+    return peer.answeredAt;
+}
+
+} // namespace firefly
--- a/src/Membership/PeerTable.h
+++ b/src/Membership/PeerTable.h
@@ -43,10 +43,10 @@
 
     void onVmList(const VmList &list, TimePoint now);
     /// The peer answered a request that was sent at \a sentAt.
-    void onExchange(TimePoint sentAt, TimePoint now, const HeartbeatReply &reply);
+    void onExchange(TimePoint sentAt, const HeartbeatReply &reply);
     /// A peer asked this entry; its word is used, but is no answer to a question of this entry.
-    void onRequest(TimePoint now, const Heartbeat &request);
-    void onExchangeFailed(const EntryId &peer, TimePoint now);
+    void onRequest(const Heartbeat &request);
+    void onExchangeFailed(const EntryId &peer);
     void onLogReachable(bool reachable, TimePoint now);
 
     EntryState state(const EntryId &entry, TimePoint now) const;
@@ -85,14 +85,17 @@
         TimePoint listedAt;                  ///< First reading that showed it.
         TimePoint droppedAt;                 ///< First reading without it.
         std::optional<TimePoint> answeredAt; ///< When the last answered question was sent.
-        std::int64_t failures = 0; ///< Since the last answer, while the log was reachable.
+        std::int64_t failures = 0;           ///< Since the last answer.
+        std::int64_t failuresWithLog = 0;    ///< Those while the log was reachable.
         std::optional<Heartbeat> heartbeat;
         bool supersedes = false; ///< Its last answer named a later claim.
+        bool caughtUp = false;   ///< Its last answer came after it had read the log to its tail.
     };
 
     bool mayClaim(const Peer &peer, TimePoint now) const;
+    bool isDead(const EntryId &entry, const Peer &peer, TimePoint now) const;
     bool isReachedByOther(const EntryId &entry, TimePoint now) const;
-    bool isSilent(const Peer &peer, TimePoint now, Duration limit) const;
+    static bool isSilent(const Peer &peer, TimePoint now, Duration limit);
     bool isListFresh(TimePoint now) const;
     static std::optional<TimePoint> testimony(const Peer &peer, bool caughtUpOnly);
 
--- a/src/Membership/WorkerTable.h
+++ b/src/Membership/WorkerTable.h
@@ -25,7 +25,7 @@
     std::vector<ShardId> shards() const;
     /// Listed workers of \a shard, leaving ones included, in order of id.
     std::span<const WorkerId> workers(const ShardId &shard) const;
-    /// None when the list does not show \a worker.
+    /// A listed worker, or a vanished one that is not forgotten yet; none otherwise.
     const WorkerInfo *find(const WorkerId &worker) const;
     /// True when \a worker is listed and not leaving.
     bool acceptsWork(const WorkerId &worker) const;
@@ -39,7 +39,7 @@
 private:
     std::map<WorkerId, WorkerInfo> m_workers;
     std::map<ShardId, std::vector<WorkerId>> m_shards;
-    std::map<WorkerId, TimePoint> m_vanished;
+    std::map<WorkerId, TimePoint> m_vanishedAt;
 };
 
 } // namespace firefly
--- a/src/Ownership/ClaimPlanner.h
+++ b/src/Ownership/ClaimPlanner.h
@@ -62,6 +62,12 @@
     nlohmann::json dump() const;
 
 private:
+    void planDrain(const ClaimInputs &inputs, TimePoint now, ClaimPlan &plan);
+    void planClaims(const ClaimInputs &inputs, std::span<const EntryId> candidates, TimePoint now,
+                    ClaimPlan &plan);
+    void planHandovers(const ClaimInputs &inputs, std::span<const EntryId> candidates,
+                       TimePoint now, ClaimPlan &plan) const;
+    bool isPending(const ShardId &shard, TimePoint now) const;
     bool isOrphan(const ShardId &shard, const ClaimInputs &inputs, TimePoint now) const;
 
     EntryId m_self;
--- a/src/Ownership/OwnershipFold.h
+++ b/src/Ownership/OwnershipFold.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Id.h"
+#include "Membership/Heartbeat.h"
 #include "Records/Fold.h"
 #include "Records/Record.h"
 
@@ -54,4 +55,7 @@
     std::map<ShardId, Entry> m_shards;
 };
 
+/// What an entry replies to \a request about later claims.
+std::vector<ShardTerm> supersededShards(const OwnershipFold &fold, const Heartbeat &request);
+
 } // namespace firefly
--- a/src/Ownership/OwnershipTimes.h
+++ b/src/Ownership/OwnershipTimes.h
@@ -34,10 +34,20 @@
     Duration silenceWait() const { return 2 * lease + drift; }
 };
 
-/// Marks a construction in a test that skips OwnershipTimes::check().
+/// Mechanisms that a test may switch off to show that an invariant fails without them.
+struct SafetySwitches
+{
+    bool needsProof = true;    ///< Authority expires without proof.
+    bool needsFence = true;    ///< A worker gets work only after it answered a sync of the term.
+    bool secondLease = true;   ///< Lost workers are awaited for two leases, not one.
+    bool singleRenewal = true; ///< A sync that timed out is repeated with the same number.
+};
+
+/// Times and switches that a test builds without OwnershipTimes::check().
 struct UncheckedTimes
 {
     OwnershipTimes times;
+    SafetySwitches switches;
 };
 
 } // namespace firefly
--- a/src/Ownership/ShardAuthority.h
+++ b/src/Ownership/ShardAuthority.h
@@ -34,6 +34,7 @@
     ShardClaimed record;
     bool byThisIncarnation = false; ///< Its writer is this process.
     bool hadOwner = true;           ///< The shard had an owner when it was claimed.
+    bool settled = true;            ///< PeerTable::isSettled() when the claim was read.
 };
 
 /// A sync that should be sent now.
@@ -61,7 +62,7 @@
     /// A claim that the fold accepted, in log order.
     void onClaim(const AcceptedClaim &claim, TimePoint now);
     /// A release that the fold accepted, in log order.
-    void onRelease(Offset offset, const ShardReleased &record);
+    void onRelease(const ShardReleased &record);
     /// The listed workers of \a shard; workers that vanished are still awaited for their leases.
     void setWorkers(const ShardId &shard, std::span<const WorkerId> workers);
 
@@ -77,12 +78,14 @@
     std::vector<SyncDue> takeDueSyncs(TimePoint now);
     /// A worker answered a sync.
     /// \returns false when the answer is late, repeated or of another term: ignore its contents.
-    bool onSyncReply(const WorkerId &worker, Term term, std::uint64_t number, bool accepted,
-                     Term highestTerm, TimePoint now);
+    bool onSyncReply(const SyncDue &sync, bool accepted, Term highestTerm, TimePoint now);
     /// A sync got no answer.
-    void onSyncFailed(const WorkerId &worker, Term term, std::uint64_t number);
+    void onSyncFailed(const SyncDue &sync);
     /// A worker refused a message because it knows \a highestTerm.
-    void onRefusedTerm(const WorkerId &worker, Term highestTerm);
+    ///
+    /// The worker gets nothing until it accepts a sync again; whether a later claim exists is for
+    /// the log to say, so a worker that reports wrong terms affects only itself.
+    void onRefusedTerm(const ShardId &shard, const WorkerId &worker, Term highestTerm);
 
     /// Term to give \a worker work with; none when this entry must not.
     std::optional<Term> mayGiveWork(const ShardId &shard, const WorkerId &worker,
@@ -90,23 +93,29 @@
     /// Term to sync the shard's workers with; none when this entry must not.
     std::optional<Term> maySync(const ShardId &shard, TimePoint now) const;
     /// Number of the sync whose lease a start must name; 0 when the worker granted none.
-    std::uint64_t leaseNumber(const WorkerId &worker) const;
+    std::uint64_t leaseNumber(const ShardId &shard, const WorkerId &worker) const;
     /// True when every task that \a worker ran has surely stopped, because its lease lapsed.
     ///
-    /// Holds only for workers of shards that this entry owns, past their hold-off.
-    bool lostWorkerStopped(const WorkerId &worker, TimePoint now) const;
+    /// False for shards that this entry does not own.  A worker that never answered in this term is
+    /// awaited for OwnershipTimes::strangerWait(), also when the VM list does not show it.
+    bool lostWorkerStopped(const ShardId &shard, const WorkerId &worker, TimePoint now) const;
     /// When lostWorkerStopped() becomes true if the worker stays silent.
-    std::optional<TimePoint> lostWorkerStopsAt(const WorkerId &worker) const;
+    std::optional<TimePoint> lostWorkerStopsAt(const ShardId &shard, const WorkerId &worker) const;
+    /// Sends no more syncs to a worker that the VM list dropped and whose tasks stopped.
+    void forgetWorker(const ShardId &shard, const WorkerId &worker);
 
     /// Starts giving \a shard up: no new work from now on.
     void beginRelease(const ShardId &shard);
-    /// Shards in release with no sync in flight; the caller checks its own messages, too, and then
-    /// appends the release.  No sync is sent any more.
-    std::vector<ShardTerm> releasable() const;
+    /// Shards in release with no sync in flight, in order of id.
+    std::vector<ShardId> releasable() const;
+    /// Ends the authority over a releasable shard; the caller has no message in flight to its
+    /// workers either, and appends the record until it is read back.
+    ShardReleased finishRelease(const ShardId &shard);
 
     std::optional<AuthorityState> state(const ShardId &shard, TimePoint now) const;
-    /// Shards that this incarnation owns, with their terms, in order of id.
+    /// Shards that this incarnation owns and is not known to have lost, in order of id.
     std::vector<ShardTerm> shards() const;
+    /// True when this incarnation claimed \a shard with \a term and the log shows no end of it.
     bool holds(const ShardId &shard, Term term) const;
     /// As of when the newest proof from the log or a peer holds; none before the first.
     std::optional<TimePoint> proofAt() const { return m_logProofAt; }
@@ -120,6 +129,7 @@
     {
         LeaseRenewal renewal;
         bool listed = true;
+        bool refuses = false; ///< It knows a later term, or says so.
     };
 
     struct Shard
@@ -128,6 +138,7 @@
         TimePoint readBackAt;
         TimePoint holdOffEnds;
         bool releasing = false;
+        bool finished = false; ///< finishRelease() was called.
         bool lost = false;
         std::map<WorkerId, Worker> workers;
     };
@@ -135,15 +146,17 @@
     bool hasStrictProof(TimePoint now) const;
     bool hasWorkProof(TimePoint now) const;
     bool isCurrentProof(const std::optional<TimePoint> &at, TimePoint now) const;
-    AuthorityState stateOf(const Shard &shard, TimePoint now) const;
-    const Worker *findWorker(const WorkerId &worker) const;
-    void markLost(const ShardId &shard, Term laterTerm);
+    static AuthorityState stateOf(const Shard &shard, TimePoint now);
+    static bool isUsable(const Shard &shard, TimePoint now);
+    TimePoint stopsAt(const Shard &shard, const WorkerId &worker) const;
+    bool mayReceive(const Worker &worker) const;
+    Worker *findWorker(const ShardId &shard, const WorkerId &worker, Term term);
 
     EntryId m_self;
     OwnershipTimes m_times;
+    SafetySwitches m_switches;
     std::map<ShardId, Shard> m_shards;
     std::map<ShardId, std::vector<WorkerId>> m_listed;
-    std::map<WorkerId, ShardId> m_shardOfWorker;
     std::optional<TimePoint> m_logProofAt;      ///< From the log, read here or by a peer.
     std::optional<TimePoint> m_allWitnessedAt;  ///< From every entry that could claim.
     std::optional<TimePoint> m_mostWitnessedAt; ///< From a majority of the entries.
--- a/src/Platform/WorkerMessages.h
+++ b/src/Platform/WorkerMessages.h
@@ -46,7 +46,9 @@
 /// The worker's answer to a WorkerSync.
 struct WorkerSyncReply
 {
-    bool accepted = false; ///< False when the term or number was stale.
+    /// False when the term or number was stale.  A refusal with the sender's own term means that an
+    /// earlier copy of the same number was accepted.
+    bool accepted = false;
     Term highestTerm = 0;
     std::string boot; ///< Changes when the VM was replaced or restarted.
     Resources capacity;
@@ -67,6 +69,9 @@
     std::int64_t runtimeMs = 0;
     std::int64_t progressMs = 0; ///< Where to resume.
     std::string payload;
+    /// Number of the answered sync whose lease this start runs under.  The worker refuses the start
+    /// when the lease lapsed or a later sync was accepted, so a late copy starts nothing.
+    std::uint64_t leaseNumber = 0;
 };
 
 /// Stops an attempt; with \a checkpoint its progress is kept in the report.
