--- a/src/Admission/AdmissionMessages.h
+++ b/src/Admission/AdmissionMessages.h
@@ -33,10 +33,13 @@
 /// Short name of \a reason for dumps and replies.
 std::string_view toString(RefusalReason reason);
 
-/// The request may be dispatched now; the caller reports its end by AdmissionControl::finish().
+/// The request may be dispatched now; the caller hands this back to AdmissionControl::finish().
 struct Admitted
 {
     RequestId request;
+    PlanId plan; ///< The plan it counts against, also when the customer's plan changes meanwhile.
+    ServiceId service;
+    Resources resources;
 };
 
 /// The request waits for room; an outcome follows from next() or expire(), at the latest \a until.
