Place batch jobs by learned slowdown and relieve pressed workers

Placement weighs the urgent slowdown a job would add, scaled by the urgent load of the worker, against the job's own slowdown; eviction throttles first and is damped. An index of workers by free processors keeps placement independent of the fleet's size.

--- a/src/Placement.h
+++ b/src/Placement.h
@@ -3,7 +3,10 @@
 /// \file Placement of batch jobs on workers, and relief of workers under pressure.
 
 #include "Placement/BatchPlacer.h"
+#include "Placement/CapacityShapes.h"
 #include "Placement/EvictionPlanner.h"
+#include "Placement/EvictionSettings.h"
+#include "Placement/PlacementContext.h"
 #include "Placement/PlacementMessages.h"
 #include "Placement/PlacementPolicies.h"
 #include "Placement/PlacementSettings.h"
--- a/src/Placement/EvictionPlanner.h
+++ b/src/Placement/EvictionPlanner.h
@@ -2,13 +2,14 @@
 
 #include "Core/Clock.h"
 #include "Core/Id.h"
-#include "Placement/PlacementSettings.h"
+#include "Placement/EvictionSettings.h"
 #include "Routing/WorkerIndex.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <variant>
 #include <vector>
@@ -46,11 +47,12 @@
 
 using EvictionAction = std::variant<ThrottleAction, EvictAction>;
 
-/// Relieves workers whose urgent calls are slowed: throttles first, then evicts with a checkpoint,
-/// the task that loses the least work for the relief it gives.
+/// Relieves workers whose urgent calls are slowed: throttles first, then evicts, with a checkpoint
+/// where the task can make one, the task that loses the least work for the relief it gives.
 ///
-/// Damped: acts above one threshold and restores below a lower one, each after a dwell time; a
-/// task that just started is left alone; evictions per worker and window are bounded.
+/// Damped: acts above one mark and restores below a lower one, each after a dwell time; waits for
+/// the effect of each action; leaves a task alone that just started; bounds the evictions per
+/// worker and window.
 class EvictionPlanner
 {
 public:
@@ -58,26 +60,33 @@
         : m_settings(settings)
     {}
 
-    /// Takes one reading of a worker's urgent slowdown and returns what to do there, at most one
-    /// action a call.
-    std::vector<EvictionAction> plan(WorkerIndex worker, double urgentSlowdown,
-                                     std::span<const EvictionCandidate> tasks, TimePoint now);
+    /// Takes one reading of a worker's urgent slowdown and returns what to do there, if anything.
+    std::optional<EvictionAction> plan(WorkerIndex worker, double urgentSlowdown,
+                                       std::span<const EvictionCandidate> tasks, TimePoint now);
     /// Forgets a worker.
     void remove(WorkerIndex worker);
+    /// Urgent slowdown that counts as pressure.
+    double highPressure() const;
     nlohmann::json dump(WorkerIndex worker) const;
 
 private:
     struct Row
     {
-        bool underPressure = false;
-        TimePoint since{}; ///< Start of the pressure or of the calm.
-        TimePoint lastAction{};
-        std::deque<TimePoint> evictions;
+        std::optional<TimePoint> pressedSince;
+        std::optional<TimePoint> calmSince;
+        std::optional<TimePoint> lastAction;
+        std::deque<TimePoint> evictions; ///< Within the window, oldest first.
     };
 
     Row &at(WorkerIndex worker);
     void updatePressure(Row &row, double urgentSlowdown, TimePoint now) const;
+    bool isSettling(const Row &row, TimePoint now) const;
     bool mayEvict(Row &row, TimePoint now) const;
+    std::optional<EvictionAction> relieve(Row &row, std::span<const EvictionCandidate> tasks,
+                                          TimePoint now);
+    std::optional<ThrottleAction> throttle(std::span<const EvictionCandidate> tasks) const;
+    std::optional<EvictAction> evict(std::span<const EvictionCandidate> tasks, TimePoint now) const;
+    std::optional<ThrottleAction> restore(std::span<const EvictionCandidate> tasks) const;
 
     EvictionSettings m_settings;
     std::vector<Row> m_rows;
--- a/src/Placement/PlacementMessages.h
+++ b/src/Placement/PlacementMessages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -30,7 +31,6 @@
     Random,         ///< Any worker with room.
     NoRoom,         ///< Nothing fits now.
     UrgentRoomKept, ///< It would fit, but only into the room kept for urgent calls.
-    TooDisturbing,  ///< It would fit, but would slow urgent calls too much.
 };
 
 /// Short name of \a reason for dumps.
@@ -41,7 +41,7 @@
 {
     WorkerIndex worker{};
     PlacementReason reason = PlacementReason::LowestSlowdown;
-    float predictedSlowdown = 1;
+    float cost = 0; ///< Expected harm, in the policy's own unit; 0 for baselines.
 };
 
 /// The job has to wait.
--- a/src/Placement/PlacementPolicies.h
+++ b/src/Placement/PlacementPolicies.h
@@ -39,6 +39,11 @@
 {
     Placement choose(const PlacementContext &context, const PlacementRequest &request,
                      std::mt19937_64 &random, TimePoint now);
+    /// Expected harm of the job on \a worker: to urgent calls and to the job itself, by weight.
+    static double costOf(const PlacementContext &context, const PlacementRequest &request,
+                         WorkerIndex worker, TimePoint now);
+    /// Resources of \a worker that batch tasks leave to urgent calls.
+    static Resources keptForUrgent(const PlacementContext &context, WorkerIndex worker);
 };
 
 } // namespace firefly
--- a/src/Placement/SizeEstimator.h
+++ b/src/Placement/SizeEstimator.h
@@ -40,7 +40,7 @@
         double processors = 1;
         double memory = 1;
         double runtime = 1;
-        std::uint64_t observations = 0;
+        std::uint64_t ended = 0;
     };
     using Key = std::pair<CustomerId, std::string>;
 
--- a/src/Routing/WorkerPool.cpp
+++ b/src/Routing/WorkerPool.cpp
@@ -38,7 +38,7 @@
     }
     row.view.info = info;
     m_ledger.setCapacity(*known, info.capacity);
-    refreshOpen(*known);
+    refresh(*known);
     return *known;
 }
 
@@ -60,7 +60,7 @@
     m_indexOfWorker[info.id] = worker;
     m_urgentSlots += info.capacity.slots;
     m_outliers.add(worker);
-    refreshOpen(worker);
+    refresh(worker);
     return worker;
 }
 
@@ -75,7 +75,7 @@
     m_urgentSlots -= row.view.info.capacity.slots;
     m_indexOfWorker.erase(worker);
     m_outliers.remove(*known);
-    refreshOpen(*known);
+    refresh(*known);
     forgetIfIdle(*known);
 }
 
@@ -134,7 +134,7 @@
     if (!at(worker).removed) {
         learn(worker, observation, now);
     }
-    refreshOpen(worker);
+    refresh(worker);
     forgetIfIdle(worker);
 }
 
@@ -203,21 +203,21 @@
     if (!m_ledger.reserve(worker, WorkUse::Batch, amount)) {
         return false;
     }
-    refreshOpen(worker);
+    refresh(worker);
     return true;
 }
 
 void WorkerPool::releaseBatch(WorkerIndex worker, const Resources &amount)
 {
     m_ledger.release(worker, WorkUse::Batch, amount);
-    refreshOpen(worker);
+    refresh(worker);
     forgetIfIdle(worker);
 }
 
 void WorkerPool::adoptBatch(WorkerIndex worker, const Resources &amount)
 {
     m_ledger.adopt(worker, WorkUse::Batch, amount);
-    refreshOpen(worker);
+    refresh(worker);
 }
 
 bool WorkerPool::acceptsWork(WorkerIndex worker) const
@@ -241,7 +241,7 @@
 void WorkerPool::tick(TimePoint now)
 {
     for (const WorkerIndex worker : m_outliers.tick(now)) {
-        refreshOpen(worker);
+        refresh(worker);
     }
 }
 
@@ -265,6 +265,22 @@
     return m_openOfZone[zone];
 }
 
+void WorkerPool::refresh(WorkerIndex worker)
+{
+    refreshOpen(worker);
+    refreshBatchRoom(worker);
+}
+
+void WorkerPool::refreshBatchRoom(WorkerIndex worker)
+{
+    if (!acceptsWork(worker)) {
+        m_batchRoom.remove(worker);
+        return;
+    }
+    const std::int64_t capacity = m_ledger.capacity(worker).milliProcessors;
+    m_batchRoom.put(worker, capacity - m_ledger.batchInUse(worker).milliProcessors);
+}
+
 void WorkerPool::refreshOpen(WorkerIndex worker)
 {
     const bool shouldBeOpen = acceptsWork(worker) && fitsCall(worker);
--- a/src/Routing/WorkerPool.h
+++ b/src/Routing/WorkerPool.h
@@ -2,6 +2,7 @@
 
 #include "Core/Clock.h"
 #include "Core/VmInfo.h"
+#include "Routing/BatchRoomIndex.h"
 #include "Routing/CallObservation.h"
 #include "Routing/CapacityLedger.h"
 #include "Routing/OutlierDetector.h"
@@ -85,6 +86,8 @@
 
     /// Workers of \a zone that can take one more urgent call, in no meaningful order.
     std::span<const WorkerIndex> openWorkers(ZoneIndex zone) const;
+    /// Workers that accept work, by the processors that batch tasks leave free.
+    const BatchRoomIndex &batchRoom() const { return m_batchRoom; }
     /// Workers, of any zone, that can take one more urgent call.
     std::size_t openCount() const { return m_openCount; }
     /// Urgent calls now running.
@@ -107,7 +110,9 @@
 
     Row &at(WorkerIndex worker) { return m_rows[toPosition(worker)]; }
     WorkerIndex insert(const WorkerInfo &info, TimePoint now);
+    void refresh(WorkerIndex worker);
     void refreshOpen(WorkerIndex worker);
+    void refreshBatchRoom(WorkerIndex worker);
     void open(WorkerIndex worker);
     void close(WorkerIndex worker);
     void learn(WorkerIndex worker, const CallObservation &observation, TimePoint now);
@@ -122,6 +127,7 @@
     std::vector<Row> m_rows;
     std::map<WorkerId, WorkerIndex> m_indexOfWorker;
     std::vector<std::vector<WorkerIndex>> m_openOfZone;
+    BatchRoomIndex m_batchRoom;
     std::size_t m_openCount = 0;
     double m_meanLatencyUs;
     double m_undisturbedUs;
