--- a/src/Config.h
+++ b/src/Config.h
@@ -5,5 +5,6 @@
 #include "Config/Finding.h"
 #include "Config/Lists.h"
 #include "Config/ListsFold.h"
+#include "Config/Name.h"
 #include "Config/PlannedWorkFold.h"
 #include "Config/Settings.h"
--- /dev/null
+++ b/src/Config/PlannedWorkFold.cpp
@@ -0,0 +1,62 @@
+#include "Config/PlannedWorkFold.h"
+
+#include "Config/Name.h"
+#include "Records/IdJson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace firefly {
+
+FoldVerdict PlannedWorkFold::apply(Offset offset, const PlannedWorkSwitched &record)
+{
+    if (!isName(record.customer.value()) || !isName(record.kind)) {
+        return FoldVerdict::Invalid;
+    }
+    if (offset <= m_newest || isRunning(record.customer, record.kind) == record.running) {
+        return FoldVerdict::Duplicate;
+    }
+    m_newest = offset;
+    if (record.running) {
+        m_stops.erase({record.customer, record.kind});
+    } else {
+        m_stops[{record.customer, record.kind}] = Stop{offset, record.author};
+    }
+    return FoldVerdict::Accepted;
+}
+
+bool PlannedWorkFold::isRunning(const CustomerId &customer, const std::string &kind) const
+{
+    return !m_stops.contains({customer, kind});
+}
+
+nlohmann::json PlannedWorkFold::save() const
+{
+    nlohmann::json stops = nlohmann::json::array();
+    for (const auto &[key, stop] : m_stops) {
+        stops.push_back({{"customer", key.first},
+                         {"kind", key.second},
+                         {"since", stop.since},
+                         {"author", stop.author}});
+    }
+    return {{"newest", m_newest}, {"stops", stops}};
+}
+
+void PlannedWorkFold::load(const nlohmann::json &saved)
+{
+    PlannedWorkFold loaded;
+    saved.at("newest").get_to(loaded.m_newest);
+    for (const nlohmann::json &it : saved.at("stops")) {
+        Stop &stop =
+            loaded.m_stops[{it.at("customer").get<CustomerId>(), it.at("kind").get<std::string>()}];
+        it.at("since").get_to(stop.since);
+        it.at("author").get_to(stop.author);
+    }
+    *this = std::move(loaded);
+}
+
+nlohmann::json PlannedWorkFold::dump() const
+{
+    return save();
+}
+
+} // namespace firefly
--- a/src/Config/Settings.h
+++ b/src/Config/Settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/EndpointText.h"
 #include "Config/Finding.h"
 #include "Core/Clock.h"
 #include "Core/Id.h"
@@ -135,11 +136,4 @@
 /// \throws SettingsError
 Settings parseSettings(std::string_view text, const std::string &file);
 
-/// Reads "IP:port" or "[IPv6]:port".
-/// \throws std::invalid_argument for a host name, a bad IP number or a bad port.
-Endpoint parseEndpoint(std::string_view text);
-
-/// Writes what parseEndpoint() reads.
-std::string toString(const Endpoint &endpoint);
-
 } // namespace firefly
