Silence a false finding of the linter in Id

clang-tidy 14 reads the compiler's rewritten comparison of a defaulted three-way operator as a literal 0 for a pointer; every file that orders identifiers was reported, and there is no pointer to write nullptr for.

--- a/src/Config/EndpointText.cpp
+++ b/src/Config/EndpointText.cpp
@@ -38,7 +38,7 @@
     if (isBracketed) {
         address = address.substr(1, address.size() - 2);
     }
-    const Endpoint endpoint{std::string(address), parsePort(text.substr(colon + 1))};
+    Endpoint endpoint{std::string(address), parsePort(text.substr(colon + 1))};
     if (!isIpNumber(isBracketed ? AF_INET6 : AF_INET, endpoint.address)) {
         throw std::invalid_argument("\"" + endpoint.address + "\" is not an IP number");
     }
--- a/src/Core/Id.h
+++ b/src/Core/Id.h
@@ -28,7 +28,7 @@
     const std::string &value() const { return m_value; }
     bool isEmpty() const { return m_value.empty(); }
 
-    auto operator<=>(const Id &) const = default;
+    auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr)
 
 private:
     std::string m_value;
