--- a/src/Ops/OperatorApi.h
+++ b/src/Ops/OperatorApi.h
@@ -114,7 +114,12 @@
 {
     const ListsVersion &lists = m_backend.lists();
     PlansEdited edit = internal::readPlansEdit(body, lists);
-    m_backend.proposePlans(std::move(edit), internal::editReply<PlansList>(reply));
+    const EditDone<PlansList> done = internal::editReply<PlansList>(reply);
+    if (edit.baseVersion < lists.plans.version) {
+        done(EditConflict<PlansList>{edit.baseVersion, edit.list, lists.plans});
+        return;
+    }
+    m_backend.proposePlans(std::move(edit), done);
 }
 
 template <OperatorBackend Backend>
@@ -122,7 +127,12 @@
 {
     const ListsVersion &lists = m_backend.lists();
     LimitsEdited edit = internal::readLimitsEdit(body, lists);
-    m_backend.proposeLimits(std::move(edit), internal::editReply<LimitsList>(reply));
+    const EditDone<LimitsList> done = internal::editReply<LimitsList>(reply);
+    if (edit.baseVersion < lists.limits.version) {
+        done(EditConflict<LimitsList>{edit.baseVersion, edit.list, lists.limits});
+        return;
+    }
+    m_backend.proposeLimits(std::move(edit), done);
 }
 
 template <OperatorBackend Backend>
--- a/src/Ops/OperatorRequests.h
+++ b/src/Ops/OperatorRequests.h
@@ -48,7 +48,11 @@
 /// Compares the `Authorization` header with \a token in time that depends on lengths only.
 bool isAuthorised(std::string_view header, std::string_view token);
 
-/// Read `{"base": N, "author": "...", "yaml": "..."}` and check the list against the other one.
+/// Read `{"base": N, "author": "...", "yaml": "..."}`, with an optional "file" for findings to
+/// show.
+///
+/// The list is checked against the other one in force, unless the base is stale: then the conflict
+/// is what the operator needs to see.
 /// \throws BadRequest, ListError
 PlansEdited readPlansEdit(std::string_view body, const ListsVersion &lists);
 LimitsEdited readLimitsEdit(std::string_view body, const ListsVersion &lists);
