--- a/src/Platform/WorkerMessages.h
+++ b/src/Platform/WorkerMessages.h
@@ -41,12 +41,17 @@
     std::uint64_t number = 0;
     std::int64_t leaseMs = 0;
     std::vector<std::string> acknowledged; ///< "job#attempt" of ended tasks to forget.
+    /// Starts with a smaller sequence are refused from now on.  After a start without an answer the
+    /// owner raises it past that start; the accepted sync then proves what the start came to.
+    std::uint64_t startFence = 0;
 };
 
 /// The worker's answer to a WorkerSync.
 struct WorkerSyncReply
 {
-    bool accepted = false; ///< False when the term or number was stale.
+    /// False when the term or number was stale.  A refusal with the sender's own term means that an
+    /// earlier copy of the same number was accepted.
+    bool accepted = false;
     Term highestTerm = 0;
     std::string boot; ///< Changes when the VM was replaced or restarted.
     Resources capacity;
@@ -62,11 +67,16 @@
     Term term = 0;
     JobId job;
     std::uint64_t attempt = 0;
+    std::uint64_t sequence =
+        0; ///< Grows with each start under the term; see WorkerSync::startFence.
     std::string kind;
     Resources resources;
     std::int64_t runtimeMs = 0;
     std::int64_t progressMs = 0; ///< Where to resume.
     std::string payload;
+    /// Number of the answered sync whose lease this start runs under.  The worker refuses the start
+    /// when the lease lapsed or a later sync was accepted, so a late copy starts nothing.
+    std::uint64_t leaseNumber = 0;
 };
 
 /// Stops an attempt; with \a checkpoint its progress is kept in the report.
@@ -105,6 +115,7 @@
     Term term = 0;
     RequestId request;
     ServiceId service;
+    std::string key; ///< The caller's idempotency key; empty for idempotent calls.
     std::string body;
     Duration timeout{};
 };
