--- a/src/Recovery/AppendQueue.cpp
+++ b/src/Recovery/AppendQueue.cpp
@@ -63,7 +63,6 @@
         return false;
     }
     FIREFLY_ASSERT(envelope.sequence <= m_lastSequence, "a writer's name is used by one process");
-    FIREFLY_ASSERT(envelope.sequence == m_readBack + 1, "the log keeps a writer's order");
     m_readBack = envelope.sequence;
     dropUpTo(m_readBack);
     return true;
--- a/src/Recovery/AppendQueue.h
+++ b/src/Recovery/AppendQueue.h
@@ -57,6 +57,7 @@
     /// The result of the append that poll() gave.
     void onReply(TimePoint now, AppendResult result);
     /// Notes a record that was read back; true when it is one of this writer's for the first time.
+    /// It confirms every record before it too, also those that a restored snapshot skipped.
     bool onRead(const LoggedEnvelope &logged);
     /// Notes that a snapshot was restored which contains records up to \a sequence of this writer.
     void onRestored(std::uint64_t sequence);
