--- a/test/SnapshotRecovery.cpp
+++ b/test/SnapshotRecovery.cpp
@@ -54,13 +54,15 @@
             log.append(Other, ++otherSequence, JobSubmitted{job, {}});
         }
     }
-    /// Writes a snapshot of what \a writer has folded, without its last \a missing parts.
-    void writeSnapshot(Reader &writer, std::size_t missing = 0)
+    /// Writes a snapshot of what \a writer has folded, without its last \a missing parts;
+    /// \a between jobs are submitted between the snapshot's coverage and its first part.
+    void writeSnapshot(Reader &writer, std::size_t missing = 0, int between = 0)
     {
         writer.readAll(log);
         auto parts = planner.cut(now, Writer, writer.state.applied(), writer.state.snapshot());
         ASSERT_GT(parts.size(), missing);
         parts.resize(parts.size() - missing);
+        submitJobs(between);
         for (const SnapshotPart &it : parts) {
             log.append(Writer, ++sequence, it);
             planner.onRead(now, it);
@@ -97,8 +99,8 @@
 TEST_F(SnapshotRecovery, trimPastWhatANewcomerNeedsIsNeverGuessedOver)
 {
     submitJobs(20);
-    writeSnapshot(veteran);
-    submitJobs(5);
+    writeSnapshot(veteran, 0, 1);
+    submitJobs(4);
     veteran.readAll(log);
     log.trim(planner.covered() + 2);
     newcomer.readAll(log);
