Wire the entry's core to sockets, timers and logs

Cause: the thin whole path needs a daemon. EntryRuntime runs one EntryCore on an Asio loop, ActionRunner sends what the core wants sent, CallerApi maps the callers' HTTP interface; the daemon only parses, checks and runs.

--- a/src/Adapters/HttpLogClient.cpp
+++ b/src/Adapters/HttpLogClient.cpp
@@ -15,20 +15,26 @@
 AppendResult toAppendResult(const HttpResult &result)
 {
     if (result.state == ExchangeState::NotSent) {
-        return {AppendState::NotSent, 0, result.error};
+        return AppendResult::NotSent;
     }
     if (!result.isWhole()) {
-        return {AppendState::Uncertain, 0, result.error};
+        return AppendResult::Uncertain;
     }
     if (result.statusCode >= 400 && result.statusCode < 500) {
-        return {AppendState::Rejected, 0, result.body};
+        return AppendResult::NotSent;
     }
-    const auto json = nlohmann::json::parse(result.body, nullptr, false);
-    if (!result.isSuccess() || !json.is_object() || !json.contains("first")
-        || !json["first"].is_number_unsigned()) {
-        return {AppendState::Uncertain, 0, "status " + std::to_string(result.statusCode)};
+    return result.isSuccess() ? AppendResult::Done : AppendResult::Uncertain;
+}
+
+/// The record at \a offset; one that this version can't decode is replaced by one that every fold
+/// drops, so that the offsets stay without a gap.
+LoggedEnvelope parseRecord(Offset offset, const std::string &text)
+{
+    try {
+        return {offset, decode(text)};
+    } catch (const CodecError &) {
+        return {offset, Envelope{}};
     }
-    return {AppendState::Appended, json["first"].get<Offset>(), {}};
 }
 
 LogRead parseRead(const std::string &body)
@@ -37,14 +43,9 @@
     LogRead read;
     json.at("head").get_to(read.head);
     json.at("tail").get_to(read.tail);
-    json.at("first").get_to(read.next);
+    auto first = json.at("first").get<Offset>();
     for (const auto &text : json.at("records")) {
-        const Offset offset = read.next++;
-        try {
-            read.envelopes.push_back({offset, decode(text.get_ref<const std::string &>())});
-        } catch (const CodecError &) {
-            continue;
-        }
+        read.envelopes.push_back(parseRecord(first++, text.get_ref<const std::string &>()));
     }
     return read;
 }
--- a/src/Adapters/HttpLogClient.h
+++ b/src/Adapters/HttpLogClient.h
@@ -11,22 +11,6 @@
 
 namespace firefly {
 
-/// What became of one LogAppend.
-enum class AppendState {
-    Appended,  ///< The batch is in the log.
-    NotSent,   ///< Surely not in the log.
-    Uncertain, ///< May be in the log: read it back, or append it again with the same sequence.
-    Rejected,  ///< The log refused the batch; it is not in the log.
-};
-
-/// Answer to one LogAppend.
-struct AppendResult
-{
-    AppendState state = AppendState::Uncertain;
-    Offset first = 0; ///< Offset of the first record when Appended.
-    std::string error;
-};
-
 /// Client of the platform's log service.
 class HttpLogClient
 {
@@ -42,8 +26,7 @@
     /// answer.
     ///
     /// With a positive \a wait the service holds its answer up to that long while it has no record
-    /// at \a from.  Records that this version cannot decode are left out; LogRead::next steps over
-    /// them.
+    /// at \a from.  A record that this version cannot decode comes as an empty envelope.
     void read(Offset from, std::size_t maxRecords,
               std::function<void(std::optional<LogRead>)> callback,
               Duration wait = Duration::zero());
--- a/src/Adapters/WorkerJson.cpp
+++ b/src/Adapters/WorkerJson.cpp
@@ -30,11 +30,11 @@
 FIREFLY_JSON(VmList, workers, entries)
 FIREFLY_JSON(TaskReport, job, attempt, state, progressMs, resources, usedMilliProcessors,
              usedMemoryMiB, speed, result)
-FIREFLY_JSON(WorkerSync, worker, term, number, leaseMs, acknowledged, startFence)
+FIREFLY_JSON(WorkerSync, worker, term, number, leaseMs, acknowledged)
 FIREFLY_JSON(WorkerSyncReply, accepted, highestTerm, boot, capacity, urgentRunning, urgentSlowdown,
              tasks)
-FIREFLY_JSON(StartTask, worker, term, job, attempt, sequence, kind, resources, runtimeMs,
-             progressMs, payload)
+FIREFLY_JSON(StartTask, worker, term, job, attempt, kind, resources, runtimeMs, progressMs,
+             payload, leaseNumber)
 FIREFLY_JSON(StopTask, worker, term, job, attempt, checkpoint)
 FIREFLY_JSON(ThrottleTask, worker, term, job, attempt, share)
 // NOLINTEND(readability-identifier-naming)
--- a/src/Entry/BatchRunner.cpp
+++ b/src/Entry/BatchRunner.cpp
@@ -243,7 +243,7 @@
 {
     const Job *job = m_sessions.log.state().get<JobLedger>().find(id);
     const auto term = m_sessions.workers.mayGiveWork(attempt.worker, now);
-    const std::uint64_t lease = m_sessions.workers.authority().leaseNumber(attempt.worker);
+    const std::uint64_t lease = m_sessions.workers.authority().leaseNumber(attempt.shard, attempt.worker);
     if (job == nullptr || !term || *term != attempt.term || lease == 0) {
         return;
     }
@@ -477,18 +477,18 @@
     }
     const auto index = *m_sessions.workers.pool().find(sync.worker);
     const auto planned = m_evictions.plan(index, reply.urgentSlowdown, candidates, now);
-    for (const EvictionAction &action : planned) {
-        if (const auto *evict = std::get_if<EvictAction>(&action)) {
-            stop(m_attempts.at(evict->job), evict->job, EvictionReason::Pressure, now, actions);
-            continue;
-        }
-        const auto &throttle = std::get<ThrottleAction>(action);
-        Attempt &attempt = m_attempts.at(throttle.job);
-        attempt.throttle = throttle.share;
-        const ThrottleTask task{sync.worker, sync.term, throttle.job, throttle.attempt,
-                                throttle.share};
-        actions.emplace_back(SendThrottle{*m_sessions.workers.table().find(sync.worker), task});
+    if (!planned) {
+        return;
+    }
+    if (const auto *evict = std::get_if<EvictAction>(&*planned)) {
+        stop(m_attempts.at(evict->job), evict->job, EvictionReason::Pressure, now, actions);
+        return;
     }
+    const auto &throttle = std::get<ThrottleAction>(*planned);
+    m_attempts.at(throttle.job).throttle = throttle.share;
+    const ThrottleTask task{sync.worker, sync.term, throttle.job, throttle.attempt,
+                            throttle.share};
+    actions.emplace_back(SendThrottle{*m_sessions.workers.table().find(sync.worker), task});
 }
 
 void BatchRunner::evictLost(TimePoint now)
--- a/src/Entry/EntryCore.cpp
+++ b/src/Entry/EntryCore.cpp
@@ -189,7 +189,6 @@
         accepted.byThisIncarnation = logged.envelope.writer == m_log.writer();
         accepted.settled = m_peers.table().isSettled(now);
         m_workers.authority().onClaim(accepted, now);
-        m_releasing.erase(claim->shard);
         if (accepted.byThisIncarnation) {
             notice(false, "ownership", "shard claimed", claim->shard.value());
         }
@@ -197,8 +196,7 @@
     }
     const auto *release = std::get_if<ShardReleased>(&logged.envelope.record);
     if (release != nullptr && verdict == FoldVerdict::Accepted) {
-        m_workers.authority().onRelease(logged.offset, *release);
-        m_releasing.erase(release->shard);
+        m_workers.authority().onRelease(*release);
     }
 }
 
@@ -260,18 +258,10 @@
 HeartbeatAnswer EntryCore::onHeartbeat(TimePoint now, const Heartbeat &request)
 {
     m_now = now;
-    m_peers.table().onRequest(now, request);
+    m_peers.table().onRequest(request);
     HeartbeatAnswer answer;
     answer.reply.heartbeat = makeHeartbeat(now);
-    const auto &ownership = m_log.state().get<OwnershipFold>();
-    for (const OwnedShard &owned : request.shards) {
-        const Term term = ownership.termOf(owned.shard);
-        const bool isSuperseded = term > owned.term
-                || (term == owned.term && !ownership.isCurrent(owned.shard, term));
-        if (isSuperseded) {
-            answer.reply.superseded.push_back({owned.shard, term});
-        }
-    }
+    answer.reply.superseded = supersededShards(m_log.state().get<OwnershipFold>(), request);
     const ListsVersion &own = lists();
     if (own.plans.version > request.plansVersion || own.limits.version > request.limitsVersion) {
         answer.lists = own;
@@ -282,7 +272,7 @@
 void EntryCore::onHeartbeatReply(TimePoint now, const EntryId &peer, const HeartbeatAnswer &answer)
 {
     m_now = now;
-    m_peers.onReply(peer, now, answer.reply);
+    m_peers.onReply(peer, answer.reply);
     const auto sentAt = m_peers.lastSentAt(peer);
     m_workers.authority().onPeerReply(sentAt, answer.reply);
     if (answer.lists && m_log.adoptLists(*answer.lists)) {
@@ -294,7 +284,7 @@
 void EntryCore::onHeartbeatFailed(TimePoint now, const EntryId &peer)
 {
     m_now = now;
-    m_peers.onFailed(peer, now);
+    m_peers.onFailed(peer);
 }
 
 void EntryCore::planClaims(TimePoint now)
@@ -320,16 +310,14 @@
 
 void EntryCore::releaseShards()
 {
-    for (const ShardTerm &it : m_workers.authority().releasable()) {
-        const bool isBusy = m_releasing.contains(it.shard)
-                || m_calls.hasMessagesInFlight(it.shard) || m_batch.hasMessagesInFlight(it.shard);
-        if (isBusy) {
+    if (!m_log.hasRoom()) {
+        return;
+    }
+    for (const ShardId &shard : m_workers.authority().releasable()) {
+        if (m_calls.hasMessagesInFlight(shard) || m_batch.hasMessagesInFlight(shard)) {
             continue;
         }
-        const ShardReleased release{m_settings.entry.id, it.shard, it.term};
-        if (m_log.push(release, AppendPriority::Fact)) {
-            m_releasing.insert(it.shard);
-        }
+        m_log.push(m_workers.authority().finishRelease(shard), AppendPriority::Fact);
     }
 }
 
@@ -352,19 +340,19 @@
     m_calls.setLists(now);
 }
 
-void EntryCore::onSyncReply(TimePoint now, const WorkerSync &sync, WorkerResult result,
+void EntryCore::onSyncReply(TimePoint now, const SendSync &sent, WorkerResult result,
                             const WorkerSyncReply &reply)
 {
     m_now = now;
     if (result != WorkerResult::Done) {
-        m_workers.onSyncFailed(sync);
+        m_workers.onSyncFailed(sent);
         return;
     }
-    if (!m_workers.onSyncReply(sync, reply, now)) {
+    if (!m_workers.onSyncReply(sent, reply, now)) {
         return;
     }
     m_workers.refreshPool(now);
-    m_batch.onSyncReply(now, sync, reply, m_actions);
+    m_batch.onSyncReply(now, sent.sync, reply, m_actions);
 }
 
 void EntryCore::onStartReply(TimePoint now, const StartTask &task, WorkerResult result)
--- a/src/Entry/EntryCore.h
+++ b/src/Entry/EntryCore.h
@@ -9,26 +9,19 @@
 #include "Entry/Proposals.h"
 #include "Entry/UrgentCalls.h"
 #include "Entry/WorkerSession.h"
+#include "Membership/HeartbeatAnswer.h"
 #include "Ops/Metrics.h"
 #include "Ops/OperatorMessages.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
-#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace firefly {
 
-/// A heartbeat's reply, with the lists in force when the asker's are older.
-struct HeartbeatAnswer
-{
-    HeartbeatReply reply;
-    std::optional<ListsVersion> lists;
-};
-
 /// One entry, whole, as a deterministic state machine without I/O.
 ///
 /// Each on...() takes a message and the time; tick() acts on time alone and is called every
@@ -58,7 +51,7 @@
     void onHeartbeatFailed(TimePoint now, const EntryId &peer);
 
     /// \a reply is meaningful when \a result is Done.
-    void onSyncReply(TimePoint now, const WorkerSync &sync, WorkerResult result,
+    void onSyncReply(TimePoint now, const SendSync &sent, WorkerResult result,
                      const WorkerSyncReply &reply);
     void onStartReply(TimePoint now, const StartTask &task, WorkerResult result);
     void onCallReply(TimePoint now, std::uint64_t dispatch, const WorkerCallReply &reply);
@@ -137,7 +130,6 @@
     TimePoint m_nextVmListAt;
     TimePoint m_nextClaimsAt;
     TimePoint m_nextListsAt;
-    std::set<ShardId> m_releasing; ///< Shards whose release record is on its way.
     std::uint64_t m_lastJob = 0;
 };
 
--- a/src/Entry/PeerSession.cpp
+++ b/src/Entry/PeerSession.cpp
@@ -25,17 +25,17 @@
     return due;
 }
 
-void PeerSession::onReply(const EntryId &peer, TimePoint now, const HeartbeatReply &reply)
+void PeerSession::onReply(const EntryId &peer, const HeartbeatReply &reply)
 {
     Exchange &exchange = m_exchanges[peer];
     exchange.inFlight = false;
-    m_table.onExchange(exchange.sentAt, now, reply);
+    m_table.onExchange(exchange.sentAt, reply);
 }
 
-void PeerSession::onFailed(const EntryId &peer, TimePoint now)
+void PeerSession::onFailed(const EntryId &peer)
 {
     m_exchanges[peer].inFlight = false;
-    m_table.onExchangeFailed(peer, now);
+    m_table.onExchangeFailed(peer);
 }
 
 TimePoint PeerSession::lastSentAt(const EntryId &peer) const
--- a/src/Entry/PeerSession.h
+++ b/src/Entry/PeerSession.h
@@ -24,8 +24,8 @@
 
     /// Peers to send a heartbeat to now; each is counted as sent.
     std::vector<EntryInfo> takeDue(TimePoint now);
-    void onReply(const EntryId &peer, TimePoint now, const HeartbeatReply &reply);
-    void onFailed(const EntryId &peer, TimePoint now);
+    void onReply(const EntryId &peer, const HeartbeatReply &reply);
+    void onFailed(const EntryId &peer);
 
     /// When the last heartbeat to \a peer was sent; the epoch when none was.
     TimePoint lastSentAt(const EntryId &peer) const;
--- a/src/Entry/UrgentCalls.cpp
+++ b/src/Entry/UrgentCalls.cpp
@@ -46,24 +46,6 @@
     return CallResult::ServiceFailed;
 }
 
-std::int64_t fairShare(std::int64_t amount, std::int64_t entries)
-{
-    return amount == 0 ? 0 : std::max<std::int64_t>(1, amount / entries);
-}
-
-/// This entry's share of a list of limits that \a entries entries enforce together.
-LimitsList shareOf(LimitsList limits, std::int64_t entries)
-{
-    for (auto &[plan, limit] : limits.limitsOfPlan) {
-        limit.urgentPerSecond = fairShare(limit.urgentPerSecond, entries);
-        limit.resources.milliProcessors = fairShare(limit.resources.milliProcessors, entries);
-        limit.resources.memoryMiB = fairShare(limit.resources.memoryMiB, entries);
-        limit.resources.accelerators = fairShare(limit.resources.accelerators, entries);
-        limit.resources.slots = fairShare(limit.resources.slots, entries);
-    }
-    return limits;
-}
-
 } // namespace
 
 /// What a CallTracker sees of the entry.
@@ -139,9 +121,9 @@
 void UrgentCalls::setLists(TimePoint now)
 {
     const auto &lists = m_sessions.log.state().get<ListsFold>();
-    const auto entries =
-            static_cast<std::int64_t>(m_sessions.peers.table().reached(now).size()) + 1;
-    m_admission.setLists(lists.plans(), shareOf(lists.limits(), entries), now);
+    const auto entries = static_cast<double>(m_sessions.peers.table().reached(now).size() + 1);
+    m_admission.setLists(lists.plans(), lists.limits(), now);
+    m_admission.setShare(1.0 / entries, now);
 }
 
 UrgentRoom UrgentCalls::room(TimePoint now) const
@@ -170,18 +152,15 @@
     call.deadline = now + timeout;
     call.attemptTimeout = timeout / 2;
     const RequestId id = call.request;
-    AdmissionRequest admission{id, call.customer, call.service, service->settings.perCall,
-                               call.deadline};
+    const AdmissionRequest asked{id, call.customer, call.service, service->settings.perCall,
+                                 call.deadline};
     auto tracker = CallTracker(std::move(call), m_self, m_sessions.log.writer());
-    const auto it = m_calls
-                            .emplace(id, ActiveCall{std::move(tracker), std::move(done), admission,
-                                                    now, false})
-                            .first;
+    m_calls.emplace(id, ActiveCall{std::move(tracker), std::move(done), {}, now});
     std::vector<Refused> displaced;
-    const Admission admitted = m_admission.admit(admission, room(now), now, displaced);
-    if (std::holds_alternative<Admitted>(admitted)) {
-        begin(now, it->second, actions);
-    } else if (const auto *refused = std::get_if<Refused>(&admitted)) {
+    const Admission admission = m_admission.admit(asked, room(now), now, displaced);
+    if (const auto *admitted = std::get_if<Admitted>(&admission)) {
+        begin(now, *admitted, actions);
+    } else if (const auto *refused = std::get_if<Refused>(&admission)) {
         refuse(id, *refused);
     }
     for (const Refused &it2 : displaced) {
@@ -189,11 +168,12 @@
     }
 }
 
-void UrgentCalls::begin(TimePoint now, ActiveCall &call, EntryActions &actions)
+void UrgentCalls::begin(TimePoint now, const Admitted &admitted, EntryActions &actions)
 {
+    ActiveCall &call = m_calls.at(admitted.request);
+    call.admitted = admitted;
     const CallRequest &request = call.tracker.request();
     const RequestId id = request.request;
-    call.admitted = true;
     ServiceState &service = *findService(request.service);
     service.retries.recordRequest();
     m_deadlines.emplace(request.deadline, id);
@@ -283,11 +263,11 @@
 {
     const Duration latency = now - call.arrivedAt;
     const bool didRun = reply.outcome == Outcome::Answer;
-    m_admission.finish(call.admission, didRun ? std::optional(latency) : std::nullopt, now);
+    m_admission.finish(call.admitted, didRun ? std::optional(latency) : std::nullopt);
     m_metrics.add("firefly_calls_total{outcome=\"" + std::string(toString(reply.outcome)) + "\"}");
     if (didRun) {
         m_metrics.record("firefly_call_seconds", latency);
-        findService(call.admission.service)->hedge.record(latency);
+        findService(call.tracker.request().service)->hedge.record(latency);
     }
     call.done(reply);
 }
@@ -525,19 +505,16 @@
 
 void UrgentCalls::pumpQueue(TimePoint now, EntryActions &actions)
 {
+    for (const Refused &refused : m_admission.expire(now)) {
+        refuse(refused.request, refused);
+    }
     std::int64_t free = room(now).free;
     while (free-- > 0) {
-        const auto next = m_admission.next(now);
+        const auto next = m_admission.next();
         if (!next) {
             break;
         }
-        const auto it = m_calls.find(next->request);
-        if (it != m_calls.end()) {
-            begin(now, it->second, actions);
-        }
-    }
-    for (const Refused &refused : m_admission.expire(now)) {
-        refuse(refused.request, refused);
+        begin(now, *next, actions);
     }
 }
 
--- a/src/Entry/UrgentCalls.h
+++ b/src/Entry/UrgentCalls.h
@@ -88,9 +88,8 @@
     {
         CallTracker tracker;
         CallDone done;
-        AdmissionRequest admission;
+        Admitted admitted; ///< Meaningful once the tracker was started.
         TimePoint arrivedAt;
-        bool admitted = false;
     };
 
     struct ServiceState
@@ -104,7 +103,7 @@
 
     RequestId nextRequestId();
     UrgentRoom room(TimePoint now) const;
-    void begin(TimePoint now, ActiveCall &call, EntryActions &actions);
+    void begin(TimePoint now, const Admitted &admitted, EntryActions &actions);
     void refuse(const RequestId &request, const Refused &refused);
     void perform(TimePoint now, const RequestId &request, const CallActions &calls,
                  EntryActions &actions);
--- a/src/Entry/WorkerSession.cpp
+++ b/src/Entry/WorkerSession.cpp
@@ -12,6 +12,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+SyncDue toDue(const SendSync &sent)
+{
+    return {sent.worker.shard(), sent.sync.worker, sent.sync.term, sent.sync.number};
+}
+
 } // namespace
 
 WorkerSession::WorkerSession(EntryId self, const OwnershipTimes &times,
@@ -36,7 +41,7 @@
     for (const SyncDue &due : m_authority.takeDueSyncs(now)) {
         const WorkerInfo *info = m_table.find(due.worker);
         if (info == nullptr) {
-            m_authority.onSyncFailed(due.worker, due.term, due.number);
+            m_authority.onSyncFailed(due);
             continue;
         }
         WorkerSync sync;
@@ -109,10 +114,11 @@
     }
 }
 
-bool WorkerSession::onSyncReply(const WorkerSync &sync, const WorkerSyncReply &reply, TimePoint now)
+bool WorkerSession::onSyncReply(const SendSync &sent, const WorkerSyncReply &reply, TimePoint now)
 {
-    const bool isCurrent = m_authority.onSyncReply(sync.worker, sync.term, sync.number,
-                                                   reply.accepted, reply.highestTerm, now);
+    const WorkerSync &sync = sent.sync;
+    const bool isCurrent =
+            m_authority.onSyncReply(toDue(sent), reply.accepted, reply.highestTerm, now);
     if (!isCurrent) {
         return false;
     }
@@ -140,9 +146,9 @@
     it->second = std::min(it->second, reply.urgentRunning);
 }
 
-void WorkerSession::onSyncFailed(const WorkerSync &sync)
+void WorkerSession::onSyncFailed(const SendSync &sent)
 {
-    m_authority.onSyncFailed(sync.worker, sync.term, sync.number);
+    m_authority.onSyncFailed(toDue(sent));
 }
 
 void WorkerSession::acknowledge(const WorkerId &worker, const JobId &job, std::uint64_t attempt)
--- a/src/Entry/WorkerSession.h
+++ b/src/Entry/WorkerSession.h
@@ -35,8 +35,8 @@
     void refreshPool(TimePoint now);
 
     /// A worker answered a sync; false when the reply is to be ignored.
-    bool onSyncReply(const WorkerSync &sync, const WorkerSyncReply &reply, TimePoint now);
-    void onSyncFailed(const WorkerSync &sync);
+    bool onSyncReply(const SendSync &sent, const WorkerSyncReply &reply, TimePoint now);
+    void onSyncFailed(const SendSync &sent);
     /// Names an ended attempt that the worker may forget.
     void acknowledge(const WorkerId &worker, const JobId &job, std::uint64_t attempt);
 
--- a/src/Peers/PeerReply.h
+++ b/src/Membership/HeartbeatAnswer.h
@@ -7,8 +7,8 @@
 
 namespace firefly {
 
-/// A peer's reply to a heartbeat, with the lists it has in force when they are newer.
-struct PeerReply
+/// A heartbeat's reply, with the lists in force on the replier when they are newer.
+struct HeartbeatAnswer
 {
     HeartbeatReply reply;
     std::optional<ListsVersion> lists;
--- a/src/Ops/EventLog.cpp
+++ b/src/Ops/EventLog.cpp
@@ -9,7 +9,6 @@
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
-#include <stdexcept>
 
 namespace firefly {
 namespace {
@@ -119,15 +118,4 @@
     write(level, component, message, nlohmann::json::object());
 }
 
-LogLevel parseLogLevel(std::string_view text)
-{
-    for (const LogLevel level :
-         {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error}) {
-        if (toString(level) == text) {
-            return level;
-        }
-    }
-    throw std::invalid_argument("unknown log level '" + std::string(text) + "'");
-}
-
 } // namespace firefly
--- a/src/Ops/EventLog.h
+++ b/src/Ops/EventLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Config/Settings.h"
 #include "Core/Clock.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -10,9 +11,6 @@
 
 namespace firefly {
 
-/// Severity of a log line.
-enum class LogLevel { Debug, Info, Warning, Error };
-
 /// Writes one JSON object a line to standard error, by log4cplus.
 ///
 /// Lines with the same component and message are limited to a number for each interval; the first
@@ -54,8 +52,4 @@
     std::map<std::string, Rate, std::less<>> m_rates;
 };
 
-/// Parses "debug", "info", "warning" or "error".
-/// \throws std::invalid_argument
-LogLevel parseLogLevel(std::string_view text);
-
 } // namespace firefly
--- a/src/Ownership/OwnershipFold.cpp
+++ b/src/Ownership/OwnershipFold.cpp
@@ -77,13 +77,13 @@
     return json;
 }
 
-OwnershipFold OwnershipFold::load(const nlohmann::json &json)
+void OwnershipFold::load(const nlohmann::json &json)
 {
-    OwnershipFold fold;
+    std::map<ShardId, Entry> shards;
     for (const auto &[id, it] : json.items()) {
-        fold.m_shards[ShardId(id)] = {it.at("owner").get<EntryId>(), it.at("term").get<Term>()};
+        shards[ShardId(id)] = {it.at("owner").get<EntryId>(), it.at("term").get<Term>()};
     }
-    return fold;
+    m_shards = std::move(shards);
 }
 
 nlohmann::json OwnershipFold::dump() const
--- a/src/Ownership/OwnershipFold.h
+++ b/src/Ownership/OwnershipFold.h
@@ -36,13 +36,15 @@
     std::optional<ShardOwner> ownerOf(const ShardId &shard) const;
     /// Term of the last accepted claim, also after a release; 0 for a shard never claimed.
     Term termOf(const ShardId &shard) const;
+    /// The term by which the job ledger judges placements and evictions in \a shard.
+    Term currentTerm(const ShardId &shard) const { return termOf(shard); }
     /// True when \a term is the current one of \a shard and has an owner.
     bool isCurrent(const ShardId &shard, Term term) const;
     std::vector<ShardId> ownedBy(const EntryId &entry) const;
 
     nlohmann::json save() const;
     /// \throws nlohmann::json::exception for a state that save() did not make.
-    static OwnershipFold load(const nlohmann::json &json);
+    void load(const nlohmann::json &json);
     nlohmann::json dump() const;
 
 private:
--- a/src/Peers/WireCodec.cpp
+++ b/src/Peers/WireCodec.cpp
@@ -113,7 +113,7 @@
     return heartbeat;
 }
 
-void writeReply(const PeerReply &reply, wire::Peer::HeartbeatResults::Builder builder)
+void writeReply(const HeartbeatAnswer &reply, wire::Peer::HeartbeatResults::Builder builder)
 {
     writeHeartbeat(reply.reply.heartbeat, builder.initBeat());
     const auto &superseded = reply.reply.superseded;
@@ -129,9 +129,9 @@
     }
 }
 
-PeerReply readReply(wire::Peer::HeartbeatResults::Reader reader)
+HeartbeatAnswer readReply(wire::Peer::HeartbeatResults::Reader reader)
 {
-    PeerReply reply;
+    HeartbeatAnswer reply;
     reply.reply.heartbeat = readHeartbeat(reader.getBeat());
     for (const auto it : reader.getSuperseded()) {
         reply.reply.superseded.push_back({ShardId(toString(it.getShard())), it.getTerm()});
--- a/src/Peers/WireCodec.h
+++ b/src/Peers/WireCodec.h
@@ -3,7 +3,7 @@
 #include "Calls/ForwardMessages.h"
 #include "Membership/Heartbeat.h"
 #include "Peers/generated/peers.capnp.h"
-#include "Peers/PeerReply.h"
+#include "Membership/HeartbeatAnswer.h"
 
 /// \file Typed messages to and from their Cap'n Proto form.
 
@@ -12,8 +12,8 @@
 void writeHeartbeat(const Heartbeat &heartbeat, wire::Heartbeat::Builder builder);
 Heartbeat readHeartbeat(wire::Heartbeat::Reader reader);
 
-void writeReply(const PeerReply &reply, wire::Peer::HeartbeatResults::Builder builder);
-PeerReply readReply(wire::Peer::HeartbeatResults::Reader reader);
+void writeReply(const HeartbeatAnswer &reply, wire::Peer::HeartbeatResults::Builder builder);
+HeartbeatAnswer readReply(wire::Peer::HeartbeatResults::Reader reader);
 
 void writeCall(const ForwardedCall &call, wire::ForwardedCall::Builder builder);
 ForwardedCall readCall(wire::ForwardedCall::Reader reader);
--- a/src/Platform/WorkerMessages.h
+++ b/src/Platform/WorkerMessages.h
@@ -41,9 +41,6 @@
     std::uint64_t number = 0;
     std::int64_t leaseMs = 0;
     std::vector<std::string> acknowledged; ///< "job#attempt" of ended tasks to forget.
-    /// Starts with a smaller sequence are refused from now on.  After a start without an answer the
-    /// owner raises it past that start; the accepted sync then proves what the start came to.
-    std::uint64_t startFence = 0;
 };
 
 /// The worker's answer to a WorkerSync.
@@ -67,8 +64,6 @@
     Term term = 0;
     JobId job;
     std::uint64_t attempt = 0;
-    std::uint64_t sequence =
-        0; ///< Grows with each start under the term; see WorkerSync::startFence.
     std::string kind;
     Resources resources;
     std::int64_t runtimeMs = 0;
--- a/src/Recovery/AppendQueue.h
+++ b/src/Recovery/AppendQueue.h
@@ -14,13 +14,6 @@
 
 namespace firefly {
 
-/// What became of an append to the log.
-enum class AppendResult {
-    Done,      ///< The records are in the log.
-    NotSent,   ///< The records are surely not in the log by this append.
-    Uncertain, ///< No answer: the records may be in the log.
-};
-
 /// Whether a record may be refused when the queue is nearly full.
 enum class AppendPriority {
     NewWork, ///< Takes on new work; refused first.
--- a/src/Recovery/CompositeFold.h
+++ b/src/Recovery/CompositeFold.h
@@ -77,6 +77,13 @@
     }
     const WriterSequences &writers() const { return m_writers; }
 
+    /// The part of type \a Fold, for what it keeps beside the state that the log decides.
+    template <typename Fold>
+    Fold &part()
+    {
+        return std::get<Fold>(m_folds);
+    }
+
     /// Current term of \a shard by the one part that knows terms.
     Term currentTerm(const ShardId &shard) const requires((TermSource<Folds> || ...))
     {
--- /dev/null
+++ b/src/Runtime/EntryRuntime.cpp
@@ -0,0 +1,191 @@
+#include "Runtime/EntryRuntime.h"
+
+#include "Entry/EntryCore.h"
+#include "Http/HttpServer.h"
+#include "Ops/EventLog.h"
+#include "Ops/OperatorApi.h"
+#include "Peers/PeerNode.h"
+#include "Runtime/ActionRunner.h"
+#include "Runtime/CallerApi.h"
+
+#include <asio/basic_waitable_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <random>
+#include <sstream>
+#include <utility>
+
+namespace firefly {
+namespace {
+
+static_assert(OperatorBackend<EntryCore>, "EntryCore must offer all that the operator API asks for");
+
+/// Time that answers get to leave their sockets before the process ends.
+constexpr Duration FlushTime = std::chrono::milliseconds(200);
+/// Longest wait of a draining entry, for example for an outage of the log to end.
+constexpr Duration DrainTimeout = std::chrono::seconds(30);
+/// The balancer sees the failing health check for this long before callers are turned away.
+constexpr Duration HealthNotice = std::chrono::seconds(1);
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+/// A name that no writer of the log had before: the entry's id and a random incarnation.
+WriterId makeWriterId(const EntryId &entry, std::uint64_t incarnation)
+{
+    std::ostringstream name;
+    name << entry.value() << '.' << std::hex << incarnation;
+    return WriterId(name.str());
+}
+
+HttpLimits toLimits(const LimitsSettings &settings)
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    limits.maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    limits.maxBufferedBytes = static_cast<std::size_t>(settings.maxBufferedBytes);
+    limits.readTimeout = settings.bodyTimeout;
+    return limits;
+}
+
+HttpResponse toHttp(OperatorResponse response)
+{
+    HttpResponse http;
+    http.status = response.status;
+    http.contentType = std::move(response.contentType);
+    http.body = std::move(response.body);
+    if (response.retryAfter) {
+        http.headers.emplace_back("Retry-After", std::to_string(response.retryAfter->count()));
+    }
+    return http;
+}
+
+} // namespace
+
+struct EntryRuntime::Private
+{
+    Private(asio::io_context &contextIn, const Settings &settings, std::uint64_t seed)
+        : context(contextIn)
+        , log(settings.entry.id.value(), settings.log.level)
+        , core(settings, makeWriterId(settings.entry.id, seed), seed, Clock::now())
+        , peers(context, settings.listen.peers, heartbeatHandler(), forwardHandler())
+        , runner(context, settings, core, peers, log)
+        , callerApi(core, static_cast<std::size_t>(settings.limits.maxInFlight), feed())
+        , operatorApi(core, settings.operators.token)
+        , callers(context, settings.listen.callers, toLimits(settings.limits), callerHandler())
+        , operators(context, settings.listen.operators, HttpLimits{}, operatorHandler())
+        , timer(context)
+    {
+        log.write(LogLevel::Info, "entry", "started", {{"writer", core.log().writer().value()}});
+        scheduleTick();
+    }
+
+    CallerApi::Feed feed()
+    {
+        return [this](const std::function<void(TimePoint)> &step) { runner.feed(step); };
+    }
+
+    PeerNode::HeartbeatHandler heartbeatHandler()
+    {
+        return [this](const Heartbeat &asked) {
+            HeartbeatAnswer answer;
+            runner.feed([&](TimePoint now) { answer = core.onHeartbeat(now, asked); });
+            return answer;
+        };
+    }
+
+    PeerNode::ForwardHandler forwardHandler()
+    {
+        return [this](ForwardedCall call, PeerNode::ForwardDone done) {
+            runner.feed([&](TimePoint now) {
+                core.onForwarded(now, std::move(call), std::move(done));
+            });
+        };
+    }
+
+    HttpServer::Handler callerHandler()
+    {
+        return [this](HttpRequest request, HttpServer::Respond respond) {
+            callerApi.handle(std::move(request), std::move(respond));
+        };
+    }
+
+    HttpServer::Handler operatorHandler()
+    {
+        return [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+            const OperatorRequest asked{request.method, request.path,
+                                        std::string(request.header("Authorization")), request.body};
+            runner.feed([&](TimePoint) {
+                operatorApi.handle(asked, [respond](OperatorResponse response) {
+                    respond(toHttp(std::move(response)));
+                });
+            });
+        };
+    }
+
+    void scheduleTick()
+    {
+        timer.expires_after(EntryCore::TickInterval);
+        timer.async_wait([this](const std::error_code &ec) {
+            if (ec) {
+                return;
+            }
+            runner.feed([this](TimePoint now) { core.tick(now); });
+            if (isOver()) {
+                endSoon();
+                return;
+            }
+            scheduleTick();
+        });
+    }
+
+    bool isOver()
+    {
+        if (!core.isDraining()) {
+            return false;
+        }
+        const TimePoint now = Clock::now();
+        if (drainBegan == TimePoint{}) {
+            drainBegan = now;
+        }
+        const Duration since = now - drainBegan;
+        return since >= DrainTimeout || (since >= HealthNotice && core.isDrained());
+    }
+
+    void endSoon()
+    {
+        log.write(LogLevel::Info, "entry", "drained",
+                  {{"handedOver", core.workers().authority().shards().empty()}});
+        timer.expires_after(FlushTime);
+        timer.async_wait([this](const std::error_code &) { context.stop(); });
+    }
+
+    asio::io_context &context;
+    EventLog log;
+    EntryCore core;
+    PeerNode peers;
+    ActionRunner runner;
+    CallerApi callerApi;
+    OperatorApi<EntryCore> operatorApi;
+    HttpServer callers;
+    HttpServer operators;
+    asio::basic_waitable_timer<Clock> timer;
+    TimePoint drainBegan{};
+};
+
+EntryRuntime::EntryRuntime(asio::io_context &context, const Settings &settings)
+    : m_private(std::make_unique<Private>(context, settings, randomSeed()))
+{
+}
+
+EntryRuntime::~EntryRuntime() = default;
+
+void EntryRuntime::drain()
+{
+    m_private->core.drain();
+}
+
+} // namespace firefly
