--- /dev/null
+++ b/bench/policy/ExtraLoad.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Core/Clock.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace firefly::bench {
+
+/// Counts requests and extra requests by the second, to find the worst minute.
+class ExtraLoad
+{
+public:
+    void addRequest(Duration at) { ++second(at).requests; }
+    void addExtra(Duration at) { ++second(at).extra; }
+
+    /// Largest ratio of extra requests to requests over any 60 seconds in a row.
+    double worstMinute() const
+    {
+        constexpr std::size_t SecondsPerMinute = 60;
+        double worst = 0;
+        Second sum;
+        for (std::size_t i = 0; i < m_seconds.size(); ++i) {
+            sum.requests += m_seconds[i].requests;
+            sum.extra += m_seconds[i].extra;
+            if (i >= SecondsPerMinute) {
+                sum.requests -= m_seconds[i - SecondsPerMinute].requests;
+                sum.extra -= m_seconds[i - SecondsPerMinute].extra;
+            }
+            if (i + 1 >= SecondsPerMinute && sum.requests > 0) {
+                worst = std::max(worst, double(sum.extra) / double(sum.requests));
+            }
+        }
+        return worst;
+    }
+
+private:
+    struct Second
+    {
+        std::uint64_t requests = 0;
+        std::uint64_t extra = 0;
+    };
+
+    Second &second(Duration at)
+    {
+        const auto n = std::size_t(std::chrono::duration_cast<std::chrono::seconds>(at).count());
+        if (m_seconds.size() <= n) {
+            m_seconds.resize(n + 1);
+        }
+        return m_seconds[n];
+    }
+
+    std::vector<Second> m_seconds;
+};
+
+} // namespace firefly::bench
--- a/src/Admission/AdmissionMessages.h
+++ b/src/Admission/AdmissionMessages.h
@@ -62,8 +62,7 @@
 /// What the owner can take right now.
 struct UrgentRoom
 {
-    std::int64_t free = 0;  ///< Urgent calls that still fit.
-    std::int64_t total = 0; ///< Urgent calls that fit on idle workers.
+    std::int64_t free = 0; ///< At least so many urgent calls still fit.
 };
 
 } // namespace firefly
--- a/src/Admission/AdmissionSettings.h
+++ b/src/Admission/AdmissionSettings.h
@@ -9,7 +9,7 @@
 /// Settings of the admission of urgent requests.
 struct AdmissionSettings
 {
-    Duration maxWait = std::chrono::milliseconds(8); ///< Longest stay in the queue.
+    Duration maxWait = std::chrono::milliseconds(5); ///< Longest stay in the queue.
     std::size_t maxQueued = 64;                      ///< Requests that wait at one time.
     Duration initialServiceTime = std::chrono::milliseconds(20);
     Duration minRetryAfter = std::chrono::milliseconds(100);
