Sample the least disturbed open workers first

Open workers are listed per zone and expected disturbance, and the samples come from the best list that is not empty; with three random samples a call often saw disturbed workers only.

--- a/src/Routing/RoutingPolicies.cpp
+++ b/src/Routing/RoutingPolicies.cpp
@@ -1,9 +1,9 @@
 #include "Routing/RoutingPolicies.h"
 
+#include "Core/Assert.h"
 #include "Routing/UniformBelow.h"
 
 #include <algorithm>
-#include <span>
 
 namespace firefly {
 namespace {
@@ -14,15 +14,33 @@
            != request.exclude.end();
 }
 
-/// The open worker at position \a n of all zones' lists put end to end.
+/// The open worker at position \a n of all lists put end to end.
 WorkerIndex openWorkerAt(const WorkerPool &pool, std::size_t n)
 {
-    ZoneIndex zone = 0;
-    while (n >= pool.openWorkers(zone).size()) {
-        n -= pool.openWorkers(zone).size();
-        ++zone;
+    for (ZoneIndex zone = 0; zone < pool.links().size(); ++zone) {
+        for (const Disturbance disturbance : AllDisturbances) {
+            const auto open = pool.openWorkers(zone, disturbance);
+            if (n < open.size()) {
+                return open[n];
+            }
+            n -= open.size();
+        }
     }
-    return pool.openWorkers(zone)[n];
+    FIREFLY_ASSERT(false, "there are fewer open workers than were counted");
+    return {};
+}
+
+/// Any of the least disturbed open workers of \a zone.
+std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, ZoneIndex zone,
+                                         std::mt19937_64 &random)
+{
+    for (const Disturbance disturbance : AllDisturbances) {
+        const auto open = pool.openWorkers(zone, disturbance);
+        if (!open.empty()) {
+            return open[internal::uniformBelow(random, open.size())];
+        }
+    }
+    return std::nullopt;
 }
 
 /// Any open worker that \a request did not try, from a random start; nothing when there is none.
@@ -61,10 +79,12 @@
         , m_now(now)
     {}
 
-    void sample(std::span<const WorkerIndex> workers, std::size_t n, std::mt19937_64 &random)
+    void sample(ZoneIndex zone, std::size_t n, std::mt19937_64 &random)
     {
-        for (std::size_t i = 0; i < std::min(n, workers.size()); ++i) {
-            consider(workers[internal::uniformBelow(random, workers.size())]);
+        for (std::size_t i = 0; i < n; ++i) {
+            if (const auto worker = calmestWorker(m_pool, zone, random)) {
+                consider(*worker);
+            }
         }
     }
 
@@ -134,12 +154,10 @@
                                                  std::mt19937_64 &random, TimePoint now)
 {
     CheapestCandidate cheapest(pool, request, now);
-    cheapest.sample(pool.openWorkers(request.callerZone), pool.settings().localSamples, random);
+    cheapest.sample(request.callerZone, pool.settings().localSamples, random);
     for (std::size_t i = 0; i < pool.settings().remoteSamples; ++i) {
-        if (pool.openCount() == 0) {
-            break;
-        }
-        cheapest.consider(openWorkerAt(pool, internal::uniformBelow(random, pool.openCount())));
+        const auto zone = ZoneIndex(internal::uniformBelow(random, pool.links().size()));
+        cheapest.sample(zone, 1, random);
     }
     if (!cheapest.isEmpty()) {
         return cheapest.best();
--- a/src/Routing/RoutingSettings.h
+++ b/src/Routing/RoutingSettings.h
@@ -30,6 +30,8 @@
     double latencyGain = 0.1; ///< Weight of one new latency in a worker's average.
     Duration callTimeout = std::chrono::seconds(1);           ///< Latency that a failure counts as.
     Duration crossZonePenalty = std::chrono::milliseconds(2); ///< Price of cross-zone traffic.
+    double calmBelow = 1.2; ///< Expected slowdown below which a worker counts as calm.
+    double slowFrom = 1.6;  ///< Expected slowdown from which a worker counts as slow.
     std::size_t localSamples = 2;
     std::size_t remoteSamples = 1;
 };
--- a/src/Routing/WorkerPool.cpp
+++ b/src/Routing/WorkerPool.cpp
@@ -236,6 +236,7 @@
 {
     FIREFLY_ASSERT(slowdown >= 1, "a slowdown below 1 was predicted");
     at(worker).view.expectedSlowdown = slowdown;
+    refreshOpen(worker);
 }
 
 void WorkerPool::tick(TimePoint now)
@@ -257,12 +258,21 @@
     return worker;
 }
 
-std::span<const WorkerIndex> WorkerPool::openWorkers(ZoneIndex zone) const
+std::span<const WorkerIndex> WorkerPool::openWorkers(ZoneIndex zone, Disturbance disturbance) const
 {
     if (zone >= m_openOfZone.size()) {
         return {};
     }
-    return m_openOfZone[zone];
+    return m_openOfZone[zone][std::size_t(disturbance)];
+}
+
+Disturbance WorkerPool::disturbance(WorkerIndex worker) const
+{
+    const double slowdown = view(worker).expectedSlowdown;
+    if (slowdown < m_settings.calmBelow) {
+        return Disturbance::Calm;
+    }
+    return slowdown < m_settings.slowFrom ? Disturbance::Disturbed : Disturbance::Slow;
 }
 
 void WorkerPool::refresh(WorkerIndex worker)
@@ -283,22 +293,27 @@
 
 void WorkerPool::refreshOpen(WorkerIndex worker)
 {
+    const Row &row = at(worker);
     const bool shouldBeOpen = acceptsWork(worker) && fitsCall(worker);
-    const bool isOpen = at(worker).openPosition != NotOpen;
-    if (shouldBeOpen == isOpen) {
+    const bool isOpen = row.openPosition != NotOpen;
+    const bool inRightList =
+        isOpen == shouldBeOpen && (!isOpen || row.openAs == disturbance(worker));
+    if (inRightList) {
         return;
     }
+    if (isOpen) {
+        close(worker);
+    }
     if (shouldBeOpen) {
         open(worker);
-    } else {
-        close(worker);
     }
 }
 
 void WorkerPool::open(WorkerIndex worker)
 {
     Row &row = at(worker);
-    auto &list = m_openOfZone[row.view.zone];
+    row.openAs = disturbance(worker);
+    auto &list = m_openOfZone[row.view.zone][std::size_t(row.openAs)];
     row.openPosition = std::uint32_t(list.size());
     list.push_back(worker);
     ++m_openCount;
@@ -307,7 +322,7 @@
 void WorkerPool::close(WorkerIndex worker)
 {
     Row &row = at(worker);
-    auto &list = m_openOfZone[row.view.zone];
+    auto &list = m_openOfZone[row.view.zone][std::size_t(row.openAs)];
     list[row.openPosition] = list.back();
     at(list.back()).openPosition = row.openPosition;
     list.pop_back();
--- a/src/Routing/WorkerPool.h
+++ b/src/Routing/WorkerPool.h
@@ -5,6 +5,7 @@
 #include "Routing/BatchRoomIndex.h"
 #include "Routing/CallObservation.h"
 #include "Routing/CapacityLedger.h"
+#include "Routing/Disturbance.h"
 #include "Routing/OutlierDetector.h"
 #include "Routing/RoutingSettings.h"
 #include "Routing/WorkerIndex.h"
@@ -12,6 +13,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -84,8 +86,11 @@
     /// A probing worker whose probe is due and that has room.
     std::optional<WorkerIndex> takeProbe(TimePoint now);
 
-    /// Workers of \a zone that can take one more urgent call, in no meaningful order.
-    std::span<const WorkerIndex> openWorkers(ZoneIndex zone) const;
+    /// Workers of \a zone and \a disturbance that can take one more urgent call, in no meaningful
+    /// order.
+    std::span<const WorkerIndex> openWorkers(ZoneIndex zone, Disturbance disturbance) const;
+    /// How much the batch tasks on \a worker are expected to slow its calls.
+    Disturbance disturbance(WorkerIndex worker) const;
     /// Workers that accept work, by the processors that batch tasks leave free.
     const BatchRoomIndex &batchRoom() const { return m_batchRoom; }
     /// Workers, of any zone, that can take one more urgent call.
@@ -99,11 +104,13 @@
 
 private:
     static constexpr std::uint32_t NotOpen = ~std::uint32_t(0);
+    using OpenLists = std::array<std::vector<WorkerIndex>, DisturbanceCount>;
 
     struct Row
     {
         WorkerView view;
-        std::uint32_t openPosition = NotOpen; ///< Position in its zone's list of open workers.
+        std::uint32_t openPosition = NotOpen;   ///< Position in its list of open workers.
+        Disturbance openAs = Disturbance::Calm; ///< Which list of its zone that is.
         bool present = false;
         bool removed = false; ///< Gone from the VM list, but still has work.
     };
@@ -126,7 +133,7 @@
     ZoneLinks m_links;
     std::vector<Row> m_rows;
     std::map<WorkerId, WorkerIndex> m_indexOfWorker;
-    std::vector<std::vector<WorkerIndex>> m_openOfZone;
+    std::vector<OpenLists> m_openOfZone;
     BatchRoomIndex m_batchRoom;
     std::size_t m_openCount = 0;
     double m_meanLatencyUs;
