Drive ledgers, calls and log sides by random schedules with faults

Cause: unit tests cover one failure at a time. The soak runs three entries, four workers and a log in one process under the paused clock.

--- /dev/null
+++ b/test/fakes/LedgerWorld.h
@@ -0,0 +1,270 @@
+#pragma once
+
+#include "fakes/SoakEntry.h"
+#include "fakes/SoakRunner.h"
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace firefly::fakes {
+
+/// Several entries, the log and the workers, with faults of every kind between them.
+class LedgerWorld
+{
+public:
+    static constexpr std::size_t Entries = 3;
+    static constexpr std::size_t Workers = 4;
+    static constexpr int MaxSettleRounds = 400;
+
+    LedgerWorld()
+    {
+        Clock::pause(TimePoint(std::chrono::hours(1)));
+        for (std::size_t i = 0; i < Workers; ++i) {
+            m_shared.workers.emplace_back(WorkerId("w" + std::to_string(i + 1)), shard(i),
+                                          m_shared.audit);
+        }
+        for (std::size_t i = 0; i < Entries; ++i) {
+            m_entries.push_back(makeEntry(i));
+        }
+    }
+
+    static std::vector<double> weights()
+    {
+        std::vector<double> weights;
+        for (const Action &it : Actions) {
+            weights.push_back(it.weight);
+        }
+        return weights;
+    }
+
+    void step(const SoakStep &step)
+    {
+        const Action &action = Actions.at(step.kind);
+        m_trace.push_back(std::string(action.name) + " " + std::to_string(step.value));
+        m_shared.random.seed(step.value);
+        m_value = step.value;
+        (this->*action.run)();
+        followLog();
+    }
+
+    /// Ends all faults and runs until nothing is left to do.
+    void settle()
+    {
+        m_trace.emplace_back("settle");
+        m_shared.logMode = LogMode::Up;
+        m_shared.random.seed(1);
+        for (int i = 0; i < MaxSettleRounds; ++i) {
+            settleRound(i);
+            if (isSettled()) {
+                return;
+            }
+        }
+        FIREFLY_ASSERT(false, "every job and call comes to its end after the faults");
+    }
+
+    const std::vector<std::string> &trace() const { return m_trace; }
+
+private:
+    struct Action
+    {
+        const char *name;
+        double weight;
+        void (LedgerWorld::*run)();
+    };
+
+    static ShardId shard(std::size_t i) { return ShardId("zone/r" + std::to_string(i % 2)); }
+
+    std::shared_ptr<SoakEntry> makeEntry(std::size_t i)
+    {
+        return std::make_shared<SoakEntry>(EntryId("e" + std::to_string(i + 1)), ++m_incarnations,
+                                           m_shared);
+    }
+    std::size_t pick(std::size_t n) { return m_shared.random() % n; }
+    SoakEntry &anyEntry() { return *m_entries[pick(Entries)]; }
+    FakeWorker &anyWorker() { return m_shared.workers[pick(Workers)]; }
+    JobId anyJob() { return JobId("j" + std::to_string(1 + pick(m_jobs + 1))); }
+
+    void tick()
+    {
+        Clock::advance(std::chrono::milliseconds(20 + pick(1500)));
+        for (const auto &it : m_entries) {
+            it->onTime();
+        }
+    }
+    void flush() { anyEntry().flush(); }
+    void read() { anyEntry().read(1 + pick(40)); }
+    void deliver()
+    {
+        if (!m_shared.network.isEmpty()) {
+            m_shared.network.deliver(m_value);
+        }
+    }
+    void lose()
+    {
+        if (!m_shared.network.isEmpty()) {
+            m_shared.network.lose(m_value);
+        }
+    }
+    void timeOut()
+    {
+        if (!m_shared.network.isEmpty()) {
+            m_shared.network.timeOut(m_value);
+        }
+    }
+    void repeat()
+    {
+        if (!m_shared.network.isEmpty()) {
+            m_shared.network.repeat(m_value);
+        }
+    }
+    void submit() { anyEntry().submit(JobId("j" + std::to_string(++m_jobs))); }
+    void cancel() { anyEntry().cancel(anyJob()); }
+    void cancelBurst()
+    {
+        SoakEntry &entry = anyEntry();
+        for (std::size_t i = m_jobs > 5 ? m_jobs - 5 : 1; i <= m_jobs; ++i) {
+            entry.cancel(JobId("j" + std::to_string(i)));
+        }
+    }
+    void place() { anyEntry().place(pick(16), anyWorker()); }
+    void evict() { anyEntry().evictAny(shard(pick(2))); }
+    void claim() { anyEntry().claim(shard(pick(2))); }
+    void sync() { anyEntry().sync(anyWorker()); }
+    void work() { anyWorker().work(static_cast<std::int64_t>(pick(80))); }
+    void reboot() { anyWorker().reboot(); }
+    void call()
+    {
+        CallRequest request;
+        request.request = RequestId("r" + std::to_string(++m_requests));
+        request.customer = CustomerId("kayal");
+        request.isIdempotent = pick(3) == 0;
+        request.bodyHash = pick(12) == 0 ? 8 : 7;
+        request.deadline = Clock::now() + std::chrono::seconds(1 + pick(10));
+        if (!request.isIdempotent) {
+            request.key = "k" + std::to_string(pick(1 + m_requests / 2));
+        }
+        anyEntry().call(std::move(request));
+    }
+    void hedge() { anyEntry().hedgeAny(); }
+    void switchLog()
+    {
+        constexpr std::array Modes = {LogMode::Up,           LogMode::Up,   LogMode::Up,
+                                      LogMode::LosesReplies, LogMode::Slow, LogMode::Down};
+        m_shared.logMode = Modes.at(pick(Modes.size()));
+    }
+    /// Trims at most to where the newest complete snapshot can still be used.
+    void trim()
+    {
+        if (m_snapshots.newest()) {
+            const Offset room = m_snapshots.newest()->covers + 1 - m_shared.log.head();
+            m_shared.log.trim(m_shared.log.head() + (pick(2) == 0 ? room : pick(room + 1)));
+        }
+    }
+    void crash()
+    {
+        const std::size_t i = pick(Entries);
+        m_entries[i] = makeEntry(i);
+    }
+    void crashAll()
+    {
+        for (std::size_t i = 0; i < Entries; ++i) {
+            m_entries[i] = makeEntry(i);
+        }
+    }
+    void snapshot() { anyEntry().writeSnapshotIfDue(pick(3) == 0); }
+
+    /// Lets the reference reader, which never loses its memory, follow the log.
+    void followLog()
+    {
+        if (m_reference.applied() == m_shared.log.tail()) {
+            return;
+        }
+        for (const LoggedEnvelope &it :
+             m_shared.log.read(m_reference.applied() + 1, m_shared.log.tail()).envelopes) {
+            m_shared.audit.onFolded(it, m_reference.apply(it));
+            if (const auto *part = std::get_if<SnapshotPart>(&it.envelope.record)) {
+                m_snapshots.add(*part);
+            }
+        }
+        m_shared.audit.onState(m_reference.applied(), m_reference.snapshot());
+    }
+
+    void settleRound(int round)
+    {
+        Clock::advance(std::chrono::milliseconds(600));
+        for (const auto &it : m_entries) {
+            it->onTime();
+            it->flush();
+            followLog();
+            it->read(1000);
+        }
+        for (std::size_t i = 0; i < Workers; ++i) {
+            FakeWorker &worker = m_shared.workers[i];
+            if (round % 4 == 0 && !ownsByReference(worker.shard())) {
+                m_entries.front()->claim(worker.shard());
+            }
+            m_entries.front()->sync(worker);
+            m_shared.network.deliverAll();
+            m_entries.front()->placeAll(worker);
+            worker.work(1000);
+        }
+        m_shared.network.deliverAll();
+        followLog();
+    }
+
+    bool ownsByReference(const ShardId &shard) const
+    {
+        return m_reference.get<FakeShardTerms>().isOwner(EntryId("e1"), shard);
+    }
+
+    bool isSettled() const
+    {
+        const auto &jobs = m_reference.get<JobLedger>();
+        bool isDone = jobs.pending().empty() && jobs.placedIn(shard(0)).empty()
+                      && jobs.placedIn(shard(1)).empty() && m_shared.network.isEmpty();
+        for (const auto &it : m_entries) {
+            const bool isLevel = it->state().applied() == m_reference.applied();
+            isDone = isDone && it->isCurrent() && it->isIdle() && isLevel;
+        }
+        return isDone;
+    }
+
+    static constexpr std::array Actions = {Action{"tick", 8, &LedgerWorld::tick},
+                                           Action{"flush", 16, &LedgerWorld::flush},
+                                           Action{"read", 20, &LedgerWorld::read},
+                                           Action{"deliver", 22, &LedgerWorld::deliver},
+                                           Action{"lose", 2, &LedgerWorld::lose},
+                                           Action{"timeOut", 1, &LedgerWorld::timeOut},
+                                           Action{"repeat", 2, &LedgerWorld::repeat},
+                                           Action{"submit", 5, &LedgerWorld::submit},
+                                           Action{"cancel", 1, &LedgerWorld::cancel},
+                                           Action{"cancelBurst", 0.2, &LedgerWorld::cancelBurst},
+                                           Action{"place", 12, &LedgerWorld::place},
+                                           Action{"evict", 3, &LedgerWorld::evict},
+                                           Action{"claim", 2, &LedgerWorld::claim},
+                                           Action{"sync", 10, &LedgerWorld::sync},
+                                           Action{"work", 5, &LedgerWorld::work},
+                                           Action{"reboot", 0.7, &LedgerWorld::reboot},
+                                           Action{"call", 6, &LedgerWorld::call},
+                                           Action{"hedge", 1, &LedgerWorld::hedge},
+                                           Action{"switchLog", 1.5, &LedgerWorld::switchLog},
+                                           Action{"trim", 1.5, &LedgerWorld::trim},
+                                           Action{"crash", 1, &LedgerWorld::crash},
+                                           Action{"crashAll", 0.2, &LedgerWorld::crashAll},
+                                           Action{"snapshot", 2, &LedgerWorld::snapshot}};
+
+    SoakSurroundings m_shared;
+    SoakState m_reference = initialState();
+    SnapshotAssembly m_snapshots;
+    std::uint64_t m_incarnations = 0;
+    std::vector<std::shared_ptr<SoakEntry>> m_entries;
+    std::vector<std::string> m_trace;
+    std::uint32_t m_value = 0;
+    std::size_t m_jobs = 0;
+    std::size_t m_requests = 0;
+};
+
+} // namespace firefly::fakes
--- /dev/null
+++ b/test/fakes/SoakRunner.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "Core.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace firefly::fakes {
+
+/// One step of a schedule; the world decides what \a kind and \a value mean.
+struct SoakStep
+{
+    std::size_t kind = 0;
+    std::uint32_t value = 0;
+};
+
+/// A world that a schedule drives; it throws when an invariant is broken.
+template <typename World>
+concept SoakWorld = requires(World &world, const SoakStep &step)
+{
+    World::weights();
+    world.step(step);
+    world.settle();
+    world.trace();
+};
+
+/// A schedule that broke an invariant, without the steps that it does not need.
+struct SoakFailure
+{
+    std::uint64_t seed = 0;
+    std::string what;
+    std::vector<std::string> trace;
+};
+
+/// Runs random schedules over fresh worlds, and shrinks the one that fails.
+template <SoakWorld World>
+class SoakRunner
+{
+public:
+    static constexpr std::size_t StepsPerSchedule = 400;
+    /// Schedules tried while shrinking.
+    static constexpr std::size_t MaxShrinkRuns = 2000;
+
+    /// Runs the schedule of \a seed; gives the failure, shrunk, if there was one.
+    std::optional<SoakFailure> run(std::uint64_t seed)
+    {
+        std::vector<SoakStep> steps = makeSchedule(seed);
+        auto failure = attempt(steps);
+        ++m_schedules;
+        if (!failure) {
+            return std::nullopt;
+        }
+        shrink(steps, *failure);
+        failure->seed = seed;
+        return failure;
+    }
+
+    std::uint64_t schedules() const { return m_schedules; }
+    std::uint64_t steps() const { return m_steps; }
+
+private:
+    static std::vector<SoakStep> makeSchedule(std::uint64_t seed)
+    {
+        std::mt19937_64 random(seed);
+        const auto weights = World::weights();
+        std::discrete_distribution<std::size_t> kinds(weights.begin(), weights.end());
+        std::vector<SoakStep> steps(StepsPerSchedule);
+        for (SoakStep &it : steps) {
+            it.kind = kinds(random);
+            it.value = static_cast<std::uint32_t>(random());
+        }
+        return steps;
+    }
+
+    std::optional<SoakFailure> attempt(std::span<const SoakStep> steps)
+    {
+        World world;
+        try {
+            for (const SoakStep &it : steps) {
+                ++m_steps;
+                world.step(it);
+            }
+            world.settle();
+        } catch (const std::exception &e) {
+            return SoakFailure{0, e.what(), world.trace()};
+        }
+        return std::nullopt;
+    }
+
+    /// Drops steps in ever smaller chunks while the same invariant still breaks.
+    void shrink(std::vector<SoakStep> &steps, SoakFailure &failure)
+    {
+        std::size_t runs = 0;
+        for (std::size_t chunk = steps.size() / 2; chunk > 0; chunk /= 2) {
+            for (std::size_t at = 0; at + chunk <= steps.size() && runs < MaxShrinkRuns; ++runs) {
+                std::vector<SoakStep> fewer(steps);
+                const auto first = fewer.begin() + static_cast<std::ptrdiff_t>(at);
+                fewer.erase(first, first + static_cast<std::ptrdiff_t>(chunk));
+                auto smaller = attempt(fewer);
+                if (smaller && smaller->what == failure.what) {
+                    steps = std::move(fewer);
+                    failure = std::move(*smaller);
+                } else {
+                    at += chunk;
+                }
+            }
+        }
+    }
+
+    std::uint64_t m_schedules = 0;
+    std::uint64_t m_steps = 0;
+};
+
+} // namespace firefly::fakes
