--- /dev/null
+++ b/bench/recovery.cpp
@@ -0,0 +1,188 @@
+/// \file Cost of the log: bytes and time per record, snapshot size and catch-up time per job.
+
+#include "Recovery.h"
+
+#include "Calls.h"
+#include "fakes/FakeLog.h"
+#include "fakes/FakeShardTerms.h"
+#include "Jobs.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+using namespace firefly;
+
+using State = CompositeFold<fakes::FakeShardTerms, JobLedger, IntentLedger>;
+using Seconds = std::chrono::duration<double>;
+
+const ShardId Rack("kochi/r1");
+constexpr std::size_t PayloadBytes = 64;
+constexpr std::size_t ResultBytes = 64;
+constexpr std::size_t AnswerBytes = 64;
+
+template <typename Work>
+double secondsOf(Work work)
+{
+    const auto start = std::chrono::steady_clock::now();
+    work();
+    return Seconds(std::chrono::steady_clock::now() - start).count();
+}
+
+class History
+{
+public:
+    explicit History(int jobs)
+    {
+        add(ShardClaimed{EntryId("e1"), Rack, 0});
+        for (int i = 0; i < jobs; ++i) {
+            addJob(i);
+            addCall(i);
+        }
+    }
+
+    const std::vector<Envelope> &envelopes() const { return m_envelopes; }
+
+private:
+    void add(Record record)
+    {
+        m_envelopes.push_back({WriterId("e1.1"), m_envelopes.size() + 1, std::move(record)});
+    }
+    /// A job is placed, evicted, placed again and, every second one, finished.
+    void addJob(int i)
+    {
+        const JobId job("job-" + std::to_string(i));
+        const WorkerId worker("kochi-worker-" + std::to_string(i % 50));
+        JobSpec spec{CustomerId("kayal"), "rebuild", {4000, 8192, 0, 0}, 600'000, {}};
+        spec.payload.assign(PayloadBytes, 'p');
+        add(JobSubmitted{job, spec});
+        add(JobPlaced{job, 1, worker, Rack, 1});
+        add(JobCheckpointed{job, 1, 1, 1000});
+        add(JobEvicted{job, 1, 1, EvictionReason::Pressure, 2000});
+        add(JobPlaced{job, 2, worker, Rack, 1});
+        if (i % 2 == 0) {
+            add(JobFinished{job, 2, 1, true, std::string(ResultBytes, 'r')});
+        }
+    }
+    void addCall(int i)
+    {
+        const std::string key = "swap-" + std::to_string(i);
+        const RequestId request("e1.1." + std::to_string(i));
+        add(CallIntended{CustomerId("kayal"), key, EntryId("e1"), WriterId("e1.1"), request, 7});
+        add(CallConcluded{CustomerId("kayal"), key, request, Outcome::Answer,
+                          std::string(AnswerBytes, 'a')});
+    }
+
+    std::vector<Envelope> m_envelopes;
+};
+
+struct Catch
+{
+    double seconds = 0;
+    std::uint64_t restores = 0;
+};
+
+Catch catchUp(const fakes::FakeLog &log, const std::string &expected)
+{
+    State state;
+    CatchUp reader;
+    const auto ignore = [](const LoggedEnvelope & /*logged*/, FoldVerdict /*verdict*/) {};
+    const double seconds = secondsOf([&] {
+        while (!reader.isCurrent()) {
+            reader.absorb(log.read(reader.next(), log.tail()), state, ignore);
+        }
+    });
+    FIREFLY_ASSERT(state.snapshot() == expected, "both ways lead to one state");
+    return {seconds, reader.restores()};
+}
+
+nlohmann::json measure(int jobs)
+{
+    const History history(jobs);
+    const auto records = static_cast<double>(history.envelopes().size());
+    std::vector<std::string> lines;
+    const double encoding = secondsOf([&] {
+        for (const Envelope &it : history.envelopes()) {
+            lines.push_back(encode(it));
+        }
+    });
+    double bytes = 0;
+    for (const std::string &it : lines) {
+        bytes += static_cast<double>(it.size());
+    }
+    const double decoding = secondsOf([&] {
+        for (const std::string &it : lines) {
+            decode(it);
+        }
+    });
+    fakes::FakeLog log;
+    log.append(history.envelopes());
+    State state;
+    const LogRead all = log.read(1, log.tail());
+    const double folding = secondsOf([&] {
+        for (const LoggedEnvelope &it : all.envelopes) {
+            state.apply(it);
+        }
+    });
+    std::string text;
+    const double saving = secondsOf([&] { text = state.snapshot(); });
+    const Catch replay = catchUp(log, text);
+
+    SnapshotPlanner planner({}, TimePoint{});
+    const auto parts = planner.cut(TimePoint{}, WriterId("e1.1"), state.applied(), text);
+    std::uint64_t sequence = history.envelopes().size();
+    double partBytes = 0;
+    for (const SnapshotPart &it : parts) {
+        const Envelope envelope{WriterId("e1.1"), ++sequence, it};
+        partBytes += static_cast<double>(encode(envelope).size());
+        log.append({envelope});
+        state.apply({log.tail(), envelope});
+    }
+    log.trim(history.envelopes().size() + 1);
+    const Catch restored = catchUp(log, state.snapshot());
+    FIREFLY_ASSERT(restored.restores == 1, "the second reader used the snapshot");
+
+    constexpr double Nano = 1e9;
+    constexpr double Milli = 1e3;
+    const double thousands = jobs / 1000.0;
+    return {{"jobs", jobs},
+            {"records", records},
+            {"bytesPerRecord", bytes / records},
+            {"encodeNsPerRecord", encoding * Nano / records},
+            {"decodeNsPerRecord", decoding * Nano / records},
+            {"foldNsPerRecord", folding * Nano / records},
+            {"snapshotBytesPer1000Jobs", static_cast<double>(text.size()) / thousands},
+            {"snapshotLogBytesPer1000Jobs", partBytes / thousands},
+            {"snapshotMsPer1000Jobs", saving * Milli / thousands},
+            {"replayMsPer1000Jobs", replay.seconds * Milli / thousands},
+            {"restoreMsPer1000Jobs", restored.seconds * Milli / thousands}};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const bool isJson = argc > 1 && std::string_view(argv[1]) == "--json";
+    nlohmann::json rows = nlohmann::json::array();
+    for (const int jobs : {1000, 4000, 16'000}) {
+        rows.push_back(measure(jobs));
+    }
+    if (isJson) {
+        std::cout << rows.dump(2) << '\n';
+        return 0;
+    }
+    for (const auto &row : rows) {
+        for (const auto &[name, value] : row.items()) {
+            std::cout << name << ' ' << value << '\n';
+        }
+        std::cout << '\n';
+    }
+    return 0;
+}
--- a/src/Recovery/AppendQueue.h
+++ b/src/Recovery/AppendQueue.h
@@ -58,6 +58,8 @@
     const WriterId &writer() const { return m_writer; }
     /// Sequence number up to which every record was read back from the log.
     std::uint64_t readBack() const { return m_readBack; }
+    /// Sequence number of the last record that was queued.
+    std::uint64_t lastSequence() const { return m_lastSequence; }
     /// Records that are not known to be in the log.
     std::size_t pending() const { return m_pending.size(); }
     bool isInFlight() const { return m_inFlight > 0; }
--- a/test/fakes/FakeNetwork.h
+++ b/test/fakes/FakeNetwork.h
@@ -25,6 +25,7 @@
     bool isEmpty() const { return m_messages.empty(); }
 
     void deliver(std::size_t value) { take(value).deliver(); }
+    void deliverNewest() { deliver(m_messages.size() - 1); }
     void lose(std::size_t value) { take(value).lose(); }
     void timeOut(std::size_t value)
     {
--- a/test/fakes/LedgerWorld.h
+++ b/test/fakes/LedgerWorld.h
@@ -34,6 +34,7 @@
     static std::vector<double> weights()
     {
         std::vector<double> weights;
+        weights.reserve(Actions.size());
         for (const Action &it : Actions) {
             weights.push_back(it.weight);
         }
@@ -96,10 +97,16 @@
     }
     void flush() { anyEntry().flush(); }
     void read() { anyEntry().read(1 + pick(40)); }
+    /// Prefers the newest message, so that an old one may stay on its way for long.
     void deliver()
     {
-        if (!m_shared.network.isEmpty()) {
+        if (m_shared.network.isEmpty()) {
+            return;
+        }
+        if (pick(3) == 0) {
             m_shared.network.deliver(m_value);
+        } else {
+            m_shared.network.deliverNewest();
         }
     }
     void lose()
--- a/test/fakes/SoakAudit.h
+++ b/test/fakes/SoakAudit.h
@@ -65,9 +65,9 @@
         }
     }
     /// A reader folded every record up to \a applied and reached the state \a text.
-    void onState(Offset applied, std::string text)
+    void onState(Offset applied, const std::string &text)
     {
-        const auto [it, isNew] = m_states.try_emplace(applied, std::move(text));
+        const auto [it, isNew] = m_states.try_emplace(applied, text);
         FIREFLY_ASSERT(isNew || it->second == text, "readers at one offset have one state");
     }
     bool isTold(const RequestId &request) const { return m_told.contains(request); }
--- a/test/fakes/SoakEntry.h
+++ b/test/fakes/SoakEntry.h
@@ -63,7 +63,11 @@
     {}
 
     const SoakState &state() const { return m_state; }
-    bool isIdle() const { return m_appends.pending() == 0 && m_calls.empty(); }
+    /// True when every record it queued was read back and every call is over.
+    bool isIdle() const
+    {
+        return m_appends.readBack() == m_appends.lastSequence() && m_calls.empty();
+    }
     bool isCurrent() const { return m_catchUp.isCurrent(); }
 
     void flush()
