--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -52,6 +52,9 @@
             status = ExitInvariantBroken;
         }
     }
+    for (const auto &[name, n] : runner.counts()) {
+        std::cout << "  " << name << ' ' << n << '\n';
+    }
     const std::chrono::duration<double> elapsed = Clock::now() - start;
     std::cout << "schedules " << runner.schedules() << ", steps " << runner.steps() << ", seconds "
               << elapsed.count() << '\n';
--- a/test/fakes/LedgerWorld.h
+++ b/test/fakes/LedgerWorld.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
         for (std::size_t i = 0; i < Entries; ++i) {
             m_entries.push_back(makeEntry(i));
         }
+        for (std::size_t i = 0; i < 2; ++i) {
+            m_entries[i]->claim(shard(i));
+        }
     }
 
     static std::vector<double> weights()
@@ -67,6 +71,7 @@
     }
 
     const std::vector<std::string> &trace() const { return m_trace; }
+    const std::map<std::string, std::uint64_t> &counts() const { return m_shared.audit.counts(); }
 
 private:
     struct Action
@@ -95,8 +100,22 @@
             it->onTime();
         }
     }
-    void flush() { anyEntry().flush(); }
-    void read() { anyEntry().read(1 + pick(40)); }
+    void flush()
+    {
+        for (const auto &it : m_entries) {
+            if (pick(2) == 0) {
+                it->flush();
+            }
+        }
+    }
+    void read()
+    {
+        for (const auto &it : m_entries) {
+            if (pick(2) == 0) {
+                it->read(1 + pick(40));
+            }
+        }
+    }
     /// Prefers the newest message, so that an old one may stay on its way for long.
     void deliver()
     {
@@ -136,11 +155,30 @@
             entry.cancel(JobId("j" + std::to_string(i)));
         }
     }
-    void place() { anyEntry().place(pick(16), anyWorker()); }
+    void place()
+    {
+        SoakEntry &entry = anyEntry();
+        for (FakeWorker &it : m_shared.workers) {
+            entry.place(pick(16), it);
+        }
+    }
     void evict() { anyEntry().evictAny(shard(pick(2))); }
     void claim() { anyEntry().claim(shard(pick(2))); }
-    void sync() { anyEntry().sync(anyWorker()); }
-    void work() { anyWorker().work(static_cast<std::int64_t>(pick(80))); }
+    void sync()
+    {
+        SoakEntry &entry = anyEntry();
+        for (FakeWorker &it : m_shared.workers) {
+            if (pick(2) == 0) {
+                entry.sync(it);
+            }
+        }
+    }
+    void work()
+    {
+        for (FakeWorker &it : m_shared.workers) {
+            it.work(static_cast<std::int64_t>(pick(40)));
+        }
+    }
     void reboot() { anyWorker().reboot(); }
     void call()
     {
@@ -249,9 +287,9 @@
                                            Action{"submit", 5, &LedgerWorld::submit},
                                            Action{"cancel", 1, &LedgerWorld::cancel},
                                            Action{"cancelBurst", 0.2, &LedgerWorld::cancelBurst},
-                                           Action{"place", 12, &LedgerWorld::place},
+                                           Action{"place", 8, &LedgerWorld::place},
                                            Action{"evict", 3, &LedgerWorld::evict},
-                                           Action{"claim", 2, &LedgerWorld::claim},
+                                           Action{"claim", 1, &LedgerWorld::claim},
                                            Action{"sync", 10, &LedgerWorld::sync},
                                            Action{"work", 5, &LedgerWorld::work},
                                            Action{"reboot", 0.7, &LedgerWorld::reboot},
--- a/test/fakes/SoakEntry.h
+++ b/test/fakes/SoakEntry.h
@@ -280,6 +280,7 @@
 
     void onRestored()
     {
+        m_shared.audit.onRestored();
         m_appends.onRestored(m_state.writers().last(m_writer));
         m_planner.onRestored(Clock::now(), m_state.applied());
         for (const RequestId &it : callIds()) {
--- a/test/fakes/SoakRunner.h
+++ b/test/fakes/SoakRunner.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -27,6 +28,7 @@
     world.step(step);
     world.settle();
     world.trace();
+    world.counts();
 };
 
 /// A schedule that broke an invariant, without the steps that it does not need.
@@ -62,6 +64,8 @@
 
     std::uint64_t schedules() const { return m_schedules; }
     std::uint64_t steps() const { return m_steps; }
+    /// How often each thing happened in all schedules that passed.
+    const std::map<std::string, std::uint64_t> &counts() const { return m_counts; }
 
 private:
     static std::vector<SoakStep> makeSchedule(std::uint64_t seed)
@@ -86,6 +90,9 @@
                 world.step(it);
             }
             world.settle();
+            for (const auto &[name, n] : world.counts()) {
+                m_counts[name] += n;
+            }
         } catch (const std::exception &e) {
             return SoakFailure{0, e.what(), world.trace()};
         }
@@ -114,6 +121,7 @@
 
     std::uint64_t m_schedules = 0;
     std::uint64_t m_steps = 0;
+    std::map<std::string, std::uint64_t> m_counts;
 };
 
 } // namespace firefly::fakes
