--- a/src/Config/ListsFold.cpp
+++ b/src/Config/ListsFold.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace firefly {
 namespace {
 
@@ -25,16 +27,17 @@
 }
 
 template <typename List, typename Other, typename Edited>
-FoldVerdict applyEdit(ListVersion<List> &current, const Other &other, Offset offset,
+FoldVerdict applyEdit(ListVersion<List> &current, const ListVersion<Other> &other, Offset offset,
                       const Edited &record)
 {
-    if (offset <= current.version) {
+    // A record that was refused once must not be judged again by a later state of either list.
+    if (offset <= std::max(current.version, other.version)) {
         return FoldVerdict::Duplicate;
     }
     if (record.baseVersion != current.version) {
         return FoldVerdict::Conflict;
     }
-    if (!validate(record.list, other).empty()) {
+    if (!validate(record.list, other.list).empty()) {
         return FoldVerdict::Invalid;
     }
     current = ListVersion<List>{offset, record.author, record.list};
@@ -70,12 +73,12 @@
 
 FoldVerdict ListsFold::apply(Offset offset, const PlansEdited &record)
 {
-    return applyEdit(m_logged.plans, m_logged.limits.list, offset, record);
+    return applyEdit(m_logged.plans, m_logged.limits, offset, record);
 }
 
 FoldVerdict ListsFold::apply(Offset offset, const LimitsEdited &record)
 {
-    return applyEdit(m_logged.limits, m_logged.plans.list, offset, record);
+    return applyEdit(m_logged.limits, m_logged.plans, offset, record);
 }
 
 bool ListsFold::adopt(const ListsVersion &peers)
