Test the operator API against a backend whose log answers on demand

No reply is sent before the edit is read back; of two racing edits one gets the version and the other both versions; a repeated winner is told its version, so that a lost reply can be retried. Wrong tokens, unknown paths, malformed bodies and a log outage are covered too.

--- /dev/null
+++ b/test/OperatorApi.cpp
@@ -0,0 +1,222 @@
+#include "Ops/OperatorApi.h"
+
+#include "Config.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace firefly;
+
+namespace {
+
+constexpr std::string_view Token = "0123456789abcdef";
+constexpr std::string_view GoldYaml = "limits: {gold: {processors: 1, memory: 1GiB, slots: 2}}";
+
+/// An entry whose log answers when the test says so.
+struct FakeBackend
+{
+    ListsFold fold;
+    PlannedWorkFold planned;
+    Offset tail = 0;
+    bool isLogUp = true;
+    int drains = 0;
+    std::optional<JobSubmission> submitted;
+    std::vector<std::function<void()>> pending;
+
+    const ListsVersion &lists() const { return fold.inForce(); }
+    std::vector<EntryInForce> inForce() const
+    {
+        return {{EntryId("kochi-1"), fold.plansVersion(), fold.limitsVersion(), 0}};
+    }
+    std::string metrics() const { return "firefly_up 1\n"; }
+    nlohmann::json dump() const { return {{"lists", fold.dump()}}; }
+    nlohmann::json jobStatus(const JobId &job) const
+    {
+        return job == JobId("j1") ? nlohmann::json{{"state", "placed"}} : nlohmann::json();
+    }
+    nlohmann::json explainJob(const JobId &job) const { return jobStatus(job); }
+    nlohmann::json explainWorker(const WorkerId &worker) const { return {{"id", worker.value()}}; }
+
+    void proposePlans(const PlansEdited &edit, const EditDone<PlansList> &done)
+    {
+        propose<PlansList>(edit, done);
+    }
+    void proposeLimits(const LimitsEdited &edit, const EditDone<LimitsList> &done)
+    {
+        propose<LimitsList>(edit, done);
+    }
+    void drain() { ++drains; }
+    void submitJob(const JobSubmission &submission, const CommandDoneCallback &done)
+    {
+        submitted = submission;
+        done(CommandDone{JobId("j1")});
+    }
+    void cancelJob(const JobId &job, const CommandDoneCallback &done)
+    {
+        done(job == JobId("j1") ? CommandResult(CommandDone{job}) : CommandNotFound{});
+    }
+    void switchPlannedWork(const PlannedWorkSwitched &record, const CommandDoneCallback &done)
+    {
+        planned.apply(++tail, record);
+        done(CommandDone{});
+    }
+
+    void readLog()
+    {
+        for (const auto &it : std::exchange(pending, {})) {
+            it();
+        }
+    }
+
+private:
+    template <typename List, typename Edit>
+    void propose(const Edit &edit, const EditDone<List> &done)
+    {
+        if (!isLogUp) {
+            done(LogNotReached{std::chrono::seconds(7), true});
+            return;
+        }
+        pending.push_back([this, edit, done] {
+            const Offset offset = ++tail;
+            const bool isAccepted = fold.apply(offset, edit) == FoldVerdict::Accepted;
+            done(isAccepted ? EditResult<List>(EditAccepted{offset}) : fold.conflict(edit));
+        });
+    }
+};
+
+struct OperatorApiTest : testing::Test
+{
+    FakeBackend backend;
+    OperatorApi<FakeBackend> api{backend, std::string(Token)};
+    std::vector<OperatorResponse> replies;
+
+    void send(const std::string &method, const std::string &path, const std::string &body = "",
+              const std::string &authorization = "Bearer " + std::string(Token))
+    {
+        api.handle({method, path, authorization, body},
+                   [this](const OperatorResponse &it) { replies.push_back(it); });
+    }
+    void edit(const std::string &list, Offset base, std::string_view yaml)
+    {
+        const nlohmann::json body = {{"base", base}, {"author", "ann"}, {"yaml", yaml}};
+        send("PUT", "/ops/lists/" + list, body.dump());
+    }
+    nlohmann::json json() const { return nlohmann::json::parse(replies.back().body); }
+    int status() const { return replies.back().status; }
+};
+
+} // namespace
+
+TEST_F(OperatorApiTest, nothingIsReachableWithoutTheToken)
+{
+    const std::vector<std::string> wrong = {"", "Bearer ", "Bearer 0123456789abcdeX",
+                                            "Basic 0123456789abcdef", "0123456789abcdef"};
+    for (const std::string &it : wrong) {
+        send("POST", "/ops/drain", "", it);
+        EXPECT_EQ(status(), 401) << it;
+        send("GET", "/nowhere", "", it);
+        EXPECT_EQ(status(), 401) << it;
+    }
+    EXPECT_EQ(backend.drains, 0);
+
+    send("POST", "/ops/drain");
+    EXPECT_EQ(status(), 200);
+    EXPECT_EQ(backend.drains, 1);
+    OperatorApi<FakeBackend> open(backend, "");
+    open.handle({"POST", "/ops/drain", "Bearer ", ""},
+                [](const OperatorResponse &it) { EXPECT_EQ(it.status, 401); });
+}
+
+TEST_F(OperatorApiTest, unknownPathsAndMethodsAreRefused)
+{
+    for (const std::string path : {"/", "/ops", "/ops/jobs/", "/ops/jobs/a/b", "/ops/dump/x"}) {
+        send("GET", path);
+        EXPECT_EQ(status(), 404) << path;
+    }
+    send("GET", "/ops/drain");
+    EXPECT_EQ(status(), 405);
+    send("GET", "/ops/jobs/unknown");
+    EXPECT_EQ(status(), 404);
+    send("GET", "/ops/jobs/j1");
+    EXPECT_EQ(json().at("state"), "placed");
+}
+
+TEST_F(OperatorApiTest, racingEditsGetOneVersionAndOneConflict)
+{
+    edit("limits", 0, GoldYaml);
+    EXPECT_TRUE(replies.empty()); // Nothing is said before the log is read back.
+    edit("limits", 0, "limits: {tin: {processors: 1, memory: 1GiB, slots: 2}}");
+    backend.readLog();
+
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_EQ(replies[0].status, 200);
+    EXPECT_EQ(replies[1].status, 409);
+    EXPECT_EQ(json().at("base"), 0);
+    EXPECT_EQ(json().at("theirs").at("version"), 1);
+    EXPECT_NE(json().at("theirs").at("yaml").get<std::string>().find("gold"), std::string::npos);
+    EXPECT_NE(json().at("yours").get<std::string>().find("tin"), std::string::npos);
+
+    edit("limits", 0, GoldYaml); // The winner repeats its edit, say after a lost reply.
+    EXPECT_EQ(status(), 200);
+    EXPECT_EQ(json().at("version"), 1);
+    send("GET", "/ops/inforce");
+    EXPECT_EQ(json().at("entries").at(0).at("limits"), 1);
+}
+
+TEST_F(OperatorApiTest, findingsComeTogetherAndNothingIsProposed)
+{
+    edit("plans", 0, "plans:\n  kayal: gold\n  a b: gold\n");
+
+    EXPECT_EQ(status(), 422);
+    const nlohmann::json findings = json().at("findings");
+    ASSERT_EQ(findings.size(), 2U);
+    EXPECT_EQ(findings[0].at("file"), "plans.yaml");
+    EXPECT_EQ(findings[0].at("line"), 2);
+    EXPECT_EQ(findings[0].at("field"), "plans.kayal");
+    EXPECT_EQ(findings[1].at("line"), 3);
+    EXPECT_TRUE(backend.pending.empty());
+}
+
+TEST_F(OperatorApiTest, malformedBodiesAreRefused)
+{
+    for (const std::string body : {"", "[]", "{}", R"({"base":-1,"author":"a","yaml":""})",
+                                   R"({"base":0,"author":"","yaml":""})",
+                                   R"({"base":0,"author":"a","yaml":"","force":true})"}) {
+        send("PUT", "/ops/lists/plans", body);
+        EXPECT_EQ(status(), 400) << body;
+    }
+    send("POST", "/ops/jobs", R"({"customer":"kayal","kind":"rebuild","runtimeMs":1})");
+    EXPECT_EQ(status(), 400);
+    EXPECT_FALSE(backend.submitted);
+}
+
+TEST_F(OperatorApiTest, logOutageSaysWhenToComeBackAndWhatMayHappen)
+{
+    backend.isLogUp = false;
+    edit("limits", 0, GoldYaml);
+
+    EXPECT_EQ(status(), 503);
+    EXPECT_EQ(replies.back().retryAfter, std::chrono::seconds(7));
+    EXPECT_EQ(json().at("mayTakeEffect"), true);
+}
+
+TEST_F(OperatorApiTest, jobsAndPlannedWorkReachTheBackend)
+{
+    send("POST", "/ops/jobs",
+         R"({"job":"week-49","customer":"kayal","kind":"rebuild","runtimeMs":60000,
+             "resources":{"milliProcessors":4000,"memoryMiB":1024}})");
+    EXPECT_EQ(json().at("job"), "j1");
+    EXPECT_EQ(backend.submitted->job, JobId("week-49"));
+    EXPECT_EQ(backend.submitted->spec.resources, (Resources{4000, 1024, 0, 0}));
+
+    send("POST", "/ops/planned",
+         R"({"author":"ann","customer":"kayal","kind":"rebuild","running":false})");
+    EXPECT_EQ(status(), 200);
+    EXPECT_FALSE(backend.planned.isRunning(CustomerId("kayal"), "rebuild"));
+    send("DELETE", "/ops/jobs/j2");
+    EXPECT_EQ(status(), 404);
+}
