Add fireflyctl with narrow output and distinct exit codes

The command is run in its test against the operator API on a loopback HTTP server: edits from a file and by single changes, the wait, a conflict with both versions, findings with line and field, every exit code, and no line of help, dump or explain wider than a phone's 40 columns. A second address is tried only when the first refuses the connection, because then the request surely was not received.

--- /dev/null
+++ b/apps/fireflyctl.cpp
@@ -0,0 +1,265 @@
+/// \file The operator's command: parses the command line and runs one command.
+
+#include "Config.h"
+#include "ctl/Commands.h"
+#include "ctl/ListChange.h"
+#include "ctl/Screen.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <map>
+#include <string>
+
+namespace {
+
+using namespace firefly;
+using namespace firefly::ctl;
+
+constexpr const char *Usage = R"(fireflyctl, the operator's command.
+
+Usage:
+  fireflyctl [options] lists show
+             (plans|limits)
+  fireflyctl [options] lists edit
+             (plans|limits)
+             (--file F | (--set C)...)
+             [--base N] [--wait]
+             [--timeout S]
+  fireflyctl [options] inforce
+  fireflyctl [options] planned
+             (start|stop)
+             CUSTOMER KIND
+  fireflyctl [options] job submit
+             CUSTOMER KIND
+             --processors N --memory M
+             --runtime S
+             [--accelerators N]
+             [--payload TEXT] [--id ID]
+  fireflyctl [options] job status ID
+  fireflyctl [options] job result ID
+  fireflyctl [options] job cancel ID
+  fireflyctl [options] explain job ID
+  fireflyctl [options] explain worker ID
+  fireflyctl [options] drain
+  fireflyctl [options] dump
+  fireflyctl [options] metrics
+  fireflyctl --help
+
+Options:
+  --ops ADDRESS     IP:port of entries,
+                    comma between them;
+                    or FIREFLY_OPS.
+  --token TOKEN     Or FIREFLY_TOKEN.
+  --author NAME     Or FIREFLY_AUTHOR,
+                    or USER.
+  --json            Replies as JSON.
+  --file F          The whole list, as
+                    YAML.
+  --set C           CUSTOMER=PLAN or
+                    PLAN.FIELD=VALUE;
+                    nothing behind '='
+                    removes.
+  --base N          Version the edit is
+                    based on; else the
+                    one that the file
+                    or list names.
+  --wait            Until in force
+                    everywhere.
+  --timeout S       For --wait
+                    [default: 60].
+  --processors N    Such as 4 or 0.5.
+  --memory M        Such as 64GiB.
+  --accelerators N  [default: 0].
+  --runtime S       Declared, seconds.
+  --payload TEXT    For the job, as is.
+  --id ID           Makes a repetition
+                    safe.
+
+Exit codes:
+  0 done
+  1 failed
+  2 bad input
+  3 conflict
+  4 not reached, try again
+  5 not found
+  6 refused, or no token
+)";
+
+constexpr std::int64_t MsPerSecond = 1000;
+
+using Options = std::map<std::string, docopt::value>;
+
+bool isSet(const Options &options, const std::string &name)
+{
+    return options.at(name).isBool() && options.at(name).asBool();
+}
+
+std::string text(const Options &options, const std::string &name, const std::string &otherwise = "")
+{
+    const docopt::value &value = options.at(name);
+    return value.isString() ? value.asString() : otherwise;
+}
+
+std::string environment(const char *name, const std::string &otherwise = "")
+{
+    const char *value = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return value == nullptr ? otherwise : value;
+}
+
+std::int64_t required(std::optional<std::int64_t> value, const std::string &option)
+{
+    if (!value || *value < 0) {
+        throw BadChange(option + " cannot be read");
+    }
+    return *value;
+}
+
+std::int64_t count(const Options &options, const std::string &name)
+{
+    return required(parseInteger(text(options, name)), name);
+}
+
+std::string listName(const Options &options)
+{
+    return isSet(options, "plans") ? "plans" : "limits";
+}
+
+std::string authorName(const Options &options)
+{
+    const std::string user = environment("USER", "operator");
+    return text(options, "--author", environment("FIREFLY_AUTHOR", user));
+}
+
+EditOptions editOptions(const Options &options)
+{
+    EditOptions edit;
+    edit.list = listName(options);
+    edit.author = authorName(options);
+    edit.changes = options.at("--set").asStringList();
+    edit.wait = isSet(options, "--wait");
+    edit.waitTimeout = std::chrono::seconds(count(options, "--timeout"));
+    if (options.at("--file").isString()) {
+        edit.file = options.at("--file").asString();
+    }
+    if (options.at("--base").isString()) {
+        edit.base = static_cast<Offset>(count(options, "--base"));
+    }
+    return edit;
+}
+
+SubmitOptions submitOptions(const Options &options)
+{
+    SubmitOptions submit;
+    submit.customer = text(options, "CUSTOMER");
+    submit.kind = text(options, "KIND");
+    submit.id = text(options, "--id");
+    submit.milliProcessors =
+        required(parseMilliProcessors(text(options, "--processors")), "--processors");
+    submit.memoryMiB = required(parseMemoryMiB(text(options, "--memory")), "--memory");
+    submit.accelerators = count(options, "--accelerators");
+    submit.runtimeMs = count(options, "--runtime") * MsPerSecond;
+    submit.payload = text(options, "--payload");
+    return submit;
+}
+
+ExitCode runLists(const Options &options, const OperatorClient &client, Output output)
+{
+    if (isSet(options, "show")) {
+        return showList(client, listName(options), output);
+    }
+    return editList(client, editOptions(options), output);
+}
+
+/// The ID argument, safe to stand in a path.
+std::string pathId(const Options &options)
+{
+    const std::string id = text(options, "ID");
+    if (id.empty() || id.find_first_of("/?#% ") != std::string::npos) {
+        throw BadChange("\"" + id + "\" is not an id");
+    }
+    return id;
+}
+
+ExitCode runJob(const Options &options, const OperatorClient &client, Output output)
+{
+    if (isSet(options, "submit")) {
+        return submitJob(client, submitOptions(options), output);
+    }
+    const std::string id = pathId(options);
+    if (isSet(options, "result")) {
+        return showResult(client, id, output);
+    }
+    const std::string method = isSet(options, "cancel") ? "DELETE" : "GET";
+    return simpleRequest(client, method, "/ops/jobs/" + id, output);
+}
+
+ExitCode run(const Options &options, const OperatorClient &client, Output output)
+{
+    if (isSet(options, "lists")) {
+        return runLists(options, client, output);
+    }
+    if (isSet(options, "planned")) {
+        return switchPlannedWork(client, authorName(options), text(options, "CUSTOMER"),
+                                 text(options, "KIND"), isSet(options, "start"), output);
+    }
+    if (isSet(options, "explain")) {
+        const std::string kind = isSet(options, "worker") ? "worker/" : "job/";
+        return simpleRequest(client, "GET", "/ops/explain/" + kind + pathId(options), output);
+    }
+    if (isSet(options, "job")) {
+        return runJob(options, client, output);
+    }
+    if (isSet(options, "drain")) {
+        return simpleRequest(client, "POST", "/ops/drain", output);
+    }
+    for (const std::string name : {"inforce", "dump", "metrics"}) {
+        if (isSet(options, name)) {
+            return simpleRequest(client, "GET", "/ops/" + name, output);
+        }
+    }
+    return ExitCode::BadInput;
+}
+
+ExitCode runSafely(const Options &options)
+{
+    const OperatorClient client(text(options, "--ops", environment("FIREFLY_OPS")),
+                                text(options, "--token", environment("FIREFLY_TOKEN")));
+    try {
+        return run(options, client, Output{std::cout, isSet(options, "--json")});
+    } catch (const NotReached &e) {
+        std::cerr << wrapped(std::string("not reached: ") + e.what());
+        if (e.mayHaveTakenEffect()) {
+            std::cerr << wrapped("It may have taken effect: look before you repeat it.");
+        }
+        return ExitCode::TryAgain;
+    } catch (const FindingsError &e) {
+        std::cerr << wrapped(e.what());
+        return ExitCode::BadInput;
+    } catch (const BadChange &e) {
+        std::cerr << wrapped(e.what());
+        return ExitCode::BadInput;
+    } catch (const std::exception &e) {
+        std::cerr << wrapped(std::string("failed: ") + e.what());
+        return ExitCode::Failed;
+    }
+}
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    Options options;
+    try {
+        options = docopt::docopt_parse(Usage, {argv + 1, argv + argc}, true, false);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << Usage;
+        return static_cast<int>(ExitCode::Done);
+    } catch (const std::exception &) {
+        std::cerr << Usage;
+        return static_cast<int>(ExitCode::BadInput);
+    }
+    return static_cast<int>(runSafely(options));
+}
--- a/src/Config.h
+++ b/src/Config.h
@@ -2,6 +2,7 @@
 
 /// \file Checked settings, the two operator lists and planned work.
 
+#include "Config/Amounts.h"
 #include "Config/Finding.h"
 #include "Config/Lists.h"
 #include "Config/ListsFold.h"
--- a/src/Config/Lists.cpp
+++ b/src/Config/Lists.cpp
@@ -1,5 +1,6 @@
 #include "Config/Lists.h"
 
+#include "Config/Amounts.h"
 #include "Config/Name.h"
 #include "Config/YamlSection.h"
 
@@ -8,9 +9,9 @@
 namespace firefly {
 namespace {
 
+using internal::AnyInteger;
 using internal::FindingCollector;
 using internal::Need;
-using internal::Range;
 using internal::YamlSection;
 
 constexpr std::size_t MaxCustomers = 10'000;
@@ -18,9 +19,6 @@
 constexpr std::size_t MaxZones = 100;
 constexpr std::int64_t MaxAmount = 1'000'000'000'000;
 constexpr std::int64_t MaxWeight = 1'000;
-constexpr std::int64_t MiBPerGiB = 1024;
-constexpr std::int64_t MilliPerOne = 1000;
-constexpr Range AnyInteger{-MaxAmount, MaxAmount};
 
 /// Adds findings by field; the place in a file, if any, is added later.
 class FieldFindings
@@ -195,24 +193,6 @@
     return "\"" + name + "\"";
 }
 
-std::string processorsText(std::int64_t milliProcessors)
-{
-    std::string text = std::to_string(milliProcessors / MilliPerOne);
-    const std::int64_t rest = milliProcessors % MilliPerOne;
-    if (rest != 0) {
-        text += "." + std::to_string(MilliPerOne + rest).substr(1);
-    }
-    return text;
-}
-
-std::string memoryText(std::int64_t memoryMiB)
-{
-    if (memoryMiB % MiBPerGiB == 0) {
-        return std::to_string(memoryMiB / MiBPerGiB) + "GiB";
-    }
-    return std::to_string(memoryMiB) + "MiB";
-}
-
 std::string zonesText(const std::vector<std::string> &zones)
 {
     std::string text;
--- a/src/Config/YamlSection.cpp
+++ b/src/Config/YamlSection.cpp
@@ -1,62 +1,21 @@
 #include "Config/YamlSection.h"
 
+#include "Config/Amounts.h"
 #include "Config/EndpointText.h"
 
-#include <charconv>
-#include <cmath>
-#include <limits>
 #include <stdexcept>
 
 namespace firefly::internal {
 namespace {
 
-constexpr std::int64_t MiBPerGiB = 1024;
-constexpr std::int64_t MaxInteger = 1'000'000'000'000'000;
-constexpr double MaxProcessors = 1e9;
-constexpr double MilliPerOne = 1000.0;
 constexpr std::string_view QuotedTag = "!";
 
-std::optional<std::int64_t> toInteger(std::string_view text)
-{
-    std::int64_t value = 0;
-    const char *end = text.data() + text.size();
-    const auto [rest, ec] = std::from_chars(text.data(), end, value);
-    if (ec != std::errc() || rest != end || value < -MaxInteger || value > MaxInteger) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-std::optional<double> toNumber(std::string_view text)
-{
-    double value = 0;
-    const char *end = text.data() + text.size();
-    const auto [rest, ec] = std::from_chars(text.data(), end, value);
-    if (ec != std::errc() || rest != end || !std::isfinite(value)) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-std::optional<std::int64_t> toMemoryMiB(std::string_view text)
-{
-    std::int64_t unit = 1;
-    if (text.ends_with("GiB")) {
-        unit = MiBPerGiB;
-        text.remove_suffix(3);
-    } else if (text.ends_with("MiB")) {
-        text.remove_suffix(3);
-    }
-    const auto amount = toInteger(text);
-    if (!amount) {
-        return std::nullopt;
-    }
-    return *amount * unit;
-}
-
 std::string describe(Range range)
 {
-    return "from " + std::to_string(range.least) + " to " + std::to_string(range.most);
+    if (range.least == AnyInteger.least && range.most == AnyInteger.most) {
+        return "";
+    }
+    return " from " + std::to_string(range.least) + " to " + std::to_string(range.most);
 }
 
 } // namespace
@@ -140,12 +99,12 @@
 
 void YamlSection::integer(const std::string &key, std::int64_t &target, Range range, Need need)
 {
-    const std::string expected = "a whole number " + describe(range);
+    const std::string expected = "a whole number" + describe(range);
     const auto node = scalar(key, need, expected);
     if (!node) {
         return;
     }
-    const auto value = toInteger(node->Scalar());
+    const auto value = parseInteger(node->Scalar());
     if (node->Tag() == QuotedTag || !value || *value < range.least || *value > range.most) {
         m_findings->add(pathOf(key), "expected " + expected);
         return;
@@ -159,7 +118,7 @@
     if (!node) {
         return;
     }
-    const auto value = toNumber(node->Scalar());
+    const auto value = parseNumber(node->Scalar());
     if (!value || *value < least || *value > most) {
         m_findings->add(pathOf(key), "expected a number from " + YAML::Dump(YAML::Node(least))
                                          + " to " + YAML::Dump(YAML::Node(most)));
@@ -194,12 +153,12 @@
     if (!node) {
         return;
     }
-    const auto value = toNumber(node->Scalar());
-    if (!value || std::abs(*value) > MaxProcessors) {
+    const auto value = parseMilliProcessors(node->Scalar());
+    if (!value) {
         m_findings->add(pathOf("processors"), "expected a number such as 4 or 0.5");
         return;
     }
-    target = std::llround(*value * MilliPerOne);
+    target = *value;
 }
 
 void YamlSection::memory(std::int64_t &target, Need need)
@@ -208,7 +167,7 @@
     if (!node) {
         return;
     }
-    const auto value = toMemoryMiB(node->Scalar());
+    const auto value = parseMemoryMiB(node->Scalar());
     if (!value) {
         m_findings->add(pathOf("memory"), "expected an amount such as 64GiB, 512MiB or 512");
         return;
@@ -218,11 +177,10 @@
 
 void YamlSection::resources(Resources &target, Need need)
 {
-    constexpr Range Any{-MaxInteger, MaxInteger};
     processors(target.milliProcessors, need);
     memory(target.memoryMiB, need);
-    integer("accelerators", target.accelerators, Any);
-    integer("slots", target.slots, Any, need);
+    integer("accelerators", target.accelerators, AnyInteger);
+    integer("slots", target.slots, AnyInteger, need);
 }
 
 void YamlSection::texts(const std::string &key, std::vector<std::string> &target)
--- a/src/Config/YamlSection.h
+++ b/src/Config/YamlSection.h
@@ -28,6 +28,9 @@
     std::int64_t most;
 };
 
+/// Any whole number that a file may hold; narrower bounds are checked later.
+constexpr Range AnyInteger{-1'000'000'000'000'000, 1'000'000'000'000'000};
+
 /// A YAML map that is read field by field.
 ///
 /// A reader leaves its target as it is when the field is absent or faulty, and reports the fault.
--- a/test/OperatorApi.cpp
+++ b/test/OperatorApi.cpp
@@ -1,11 +1,10 @@
 #include "Ops/OperatorApi.h"
 
-#include "Config.h"
+#include "FakeOperatorBackend.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,82 +15,10 @@
 constexpr std::string_view Token = "0123456789abcdef";
 constexpr std::string_view GoldYaml = "limits: {gold: {processors: 1, memory: 1GiB, slots: 2}}";
 
-/// An entry whose log answers when the test says so.
-struct FakeBackend
-{
-    ListsFold fold;
-    PlannedWorkFold planned;
-    Offset tail = 0;
-    bool isLogUp = true;
-    int drains = 0;
-    std::optional<JobSubmission> submitted;
-    std::vector<std::function<void()>> pending;
-
-    const ListsVersion &lists() const { return fold.inForce(); }
-    std::vector<EntryInForce> inForce() const
-    {
-        return {{EntryId("kochi-1"), fold.plansVersion(), fold.limitsVersion(), 0}};
-    }
-    std::string metrics() const { return "firefly_up 1\n"; }
-    nlohmann::json dump() const { return {{"lists", fold.dump()}}; }
-    nlohmann::json jobStatus(const JobId &job) const
-    {
-        return job == JobId("j1") ? nlohmann::json{{"state", "placed"}} : nlohmann::json();
-    }
-    nlohmann::json explainJob(const JobId &job) const { return jobStatus(job); }
-    nlohmann::json explainWorker(const WorkerId &worker) const { return {{"id", worker.value()}}; }
-
-    void proposePlans(const PlansEdited &edit, const EditDone<PlansList> &done)
-    {
-        propose<PlansList>(edit, done);
-    }
-    void proposeLimits(const LimitsEdited &edit, const EditDone<LimitsList> &done)
-    {
-        propose<LimitsList>(edit, done);
-    }
-    void drain() { ++drains; }
-    void submitJob(const JobSubmission &submission, const CommandDoneCallback &done)
-    {
-        submitted = submission;
-        done(CommandDone{JobId("j1")});
-    }
-    void cancelJob(const JobId &job, const CommandDoneCallback &done)
-    {
-        done(job == JobId("j1") ? CommandResult(CommandDone{job}) : CommandNotFound{});
-    }
-    void switchPlannedWork(const PlannedWorkSwitched &record, const CommandDoneCallback &done)
-    {
-        planned.apply(++tail, record);
-        done(CommandDone{});
-    }
-
-    void readLog()
-    {
-        for (const auto &it : std::exchange(pending, {})) {
-            it();
-        }
-    }
-
-private:
-    template <typename List, typename Edit>
-    void propose(const Edit &edit, const EditDone<List> &done)
-    {
-        if (!isLogUp) {
-            done(LogNotReached{std::chrono::seconds(7), true});
-            return;
-        }
-        pending.push_back([this, edit, done] {
-            const Offset offset = ++tail;
-            const bool isAccepted = fold.apply(offset, edit) == FoldVerdict::Accepted;
-            done(isAccepted ? EditResult<List>(EditAccepted{offset}) : fold.conflict(edit));
-        });
-    }
-};
-
 struct OperatorApiTest : testing::Test
 {
-    FakeBackend backend;
-    OperatorApi<FakeBackend> api{backend, std::string(Token)};
+    FakeOperatorBackend backend;
+    OperatorApi<FakeOperatorBackend> api{backend, std::string(Token)};
     std::vector<OperatorResponse> replies;
 
     void send(const std::string &method, const std::string &path, const std::string &body = "",
@@ -126,7 +53,7 @@
     send("POST", "/ops/drain");
     EXPECT_EQ(status(), 200);
     EXPECT_EQ(backend.drains, 1);
-    OperatorApi<FakeBackend> open(backend, "");
+    OperatorApi<FakeOperatorBackend> open(backend, "");
     open.handle({"POST", "/ops/drain", "Bearer ", ""},
                 [](const OperatorResponse &it) { EXPECT_EQ(it.status, 401); });
 }
