--- a/standins/HttpServer.cpp
+++ b/standins/HttpServer.cpp
@@ -69,8 +69,14 @@
 
 struct Responder::Handle
 {
+    using List = std::vector<std::shared_ptr<Handle>>;
+
+    Handle(restinio::request_handle_t handled, List &held)
+        : request(std::move(handled))
+        , swallowed(held)
+    {}
     restinio::request_handle_t request;
-    std::vector<std::shared_ptr<Handle>> *swallowed = nullptr;
+    List &swallowed; ///< Requests that are never answered.
 };
 
 std::string ServerRequest::header(const std::string &name, const std::string &fallback) const
@@ -119,7 +125,7 @@
 
 void Responder::swallow() const
 {
-    m_handle->swallowed->push_back(m_handle);
+    m_handle->swallowed.push_back(m_handle);
 }
 
 struct HttpServer::Impl
@@ -149,7 +155,7 @@
 
     void handle(const restinio::request_handle_t &request)
     {
-        const Responder responder(std::make_shared<Responder::Handle>(request, &swallowed));
+        const Responder responder(std::make_shared<Responder::Handle>(request, swallowed));
         try {
             handler(toServerRequest(*request), responder);
         } catch (const std::exception &e) {
@@ -158,7 +164,7 @@
     }
 
     Handler handler;
-    std::vector<std::shared_ptr<Responder::Handle>> swallowed;
+    Responder::Handle::List swallowed;
     restinio::http_server_t<Traits> server;
 };
 
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace firefly::standins {
 namespace {
@@ -283,7 +284,7 @@
         for (auto &[key, task] : m_tasks) {
             advanceTask(task, at);
         }
-        next->checkpointed = next->progress;
+        next->progress = next->needed;
         const bool fails = next->endsInFailure || m_failsEverything;
         endTask(*next, fails ? TaskState::Failed : TaskState::Finished,
                 fails ? "failed" : "finished", at);
@@ -431,11 +432,11 @@
 {
     double sum = 0;
     int n = 0;
-    for (auto it = m_callSlowdowns.rbegin(); it != m_callSlowdowns.rend(); ++it) {
-        if (it->first + m_profile.usageLag > now) {
+    for (const auto &[at, slowdown] : m_callSlowdowns | std::views::reverse) {
+        if (at + m_profile.usageLag > now) {
             continue;
         }
-        sum += it->second;
+        sum += slowdown;
         if (++n == SlowdownWindow) {
             break;
         }
--- /dev/null
+++ b/test/StandinWorker.cpp
@@ -0,0 +1,176 @@
+#include "StandinWorker.h"
+
+#include <gtest/gtest.h>
+
+using namespace firefly;
+using namespace firefly::standins;
+
+namespace {
+
+constexpr Resources Capacity{4000, 8000, 1, 2};
+constexpr Resources Half{2000, 4000, 0, 0};
+constexpr std::int64_t LeaseMs = 3000;
+
+class StandinWorkerTest : public testing::Test
+{
+protected:
+    static TimePoint at(std::int64_t ms) { return TimePoint(std::chrono::milliseconds(ms)); }
+
+    WorkerSyncReply sync(Term term, std::uint64_t number, std::int64_t ms,
+                         std::vector<std::string> acknowledged = {})
+    {
+        return worker.sync({WorkerId("w"), term, number, LeaseMs, std::move(acknowledged)}, at(ms));
+    }
+
+    Verdict start(const char *job, std::uint64_t lease, std::int64_t ms, Term term = 5,
+                  Resources resources = Half)
+    {
+        StartTask task;
+        task.term = term;
+        task.job = JobId(job);
+        task.attempt = 1;
+        task.kind = "rebuild";
+        task.resources = resources;
+        task.runtimeMs = 10'000;
+        task.leaseNumber = lease;
+        return worker.start(task, at(ms));
+    }
+
+    CallTicket call(Term term, std::int64_t ms)
+    {
+        WorkerCall message;
+        message.term = term;
+        message.service = ServiceId("legality-check");
+        return worker.beginCall(message, at(ms));
+    }
+
+    WorkerProfile profile{{}, {{"rebuild", {{"rebuild", 1.0}}}}};
+    StandinWorker worker{WorkerId("w"), Capacity, profile, "boot", 1};
+};
+
+} // namespace
+
+TEST_F(StandinWorkerTest, olderTermIsRefusedByEveryMessage)
+{
+    sync(5, 1, 0);
+    sync(6, 1, 1);
+
+    EXPECT_FALSE(sync(5, 2, 2).accepted);
+    EXPECT_EQ(sync(5, 3, 2).highestTerm, 6U);
+    EXPECT_EQ(start("j", 1, 3), Verdict::StaleTerm);
+    EXPECT_EQ(worker.stop({WorkerId("w"), 5, JobId("j"), 1, true}, at(3)), Verdict::StaleTerm);
+    EXPECT_EQ(call(5, 3).verdict, Verdict::StaleTerm);
+    EXPECT_TRUE(worker.records().tasks.empty());
+    EXPECT_TRUE(worker.records().calls.empty());
+}
+
+TEST_F(StandinWorkerTest, syncNumbersOfOneTermMustGrow)
+{
+    EXPECT_TRUE(sync(5, 2, 0).accepted);
+    EXPECT_FALSE(sync(5, 2, 1).accepted);
+    EXPECT_FALSE(sync(5, 1, 1).accepted);
+    EXPECT_TRUE(sync(5, 3, 1).accepted);
+    EXPECT_TRUE(sync(6, 1, 1).accepted);
+}
+
+TEST_F(StandinWorkerTest, refusedSyncDoesNotProlongTheLease)
+{
+    sync(5, 1, 0);
+    start("j", 1, 0);
+    EXPECT_FALSE(sync(5, 1, LeaseMs - 1).accepted);
+
+    EXPECT_EQ(sync(5, 2, LeaseMs).tasks.at(0).state, TaskState::Stopped);
+}
+
+TEST_F(StandinWorkerTest, startNeedsTheLeaseOfTheLastSync)
+{
+    EXPECT_EQ(start("j", 0, 0), Verdict::LapsedLease);
+    sync(5, 1, 0);
+    sync(5, 2, 1);
+
+    EXPECT_EQ(start("late", 1, 2), Verdict::Fenced);
+    EXPECT_EQ(start("newer", 2, 2, 6), Verdict::LapsedLease);
+    EXPECT_EQ(start("lapsed", 2, 1 + LeaseMs, 6), Verdict::LapsedLease);
+    EXPECT_TRUE(worker.records().tasks.empty());
+}
+
+TEST_F(StandinWorkerTest, lapseStopsTasksAtItsMomentAndKeepsTheLastCheckpoint)
+{
+    profile.checkpointInterval = std::chrono::seconds(2);
+    sync(5, 1, 0);
+    start("j", 1, 0);
+
+    const WorkerSyncReply reply = sync(6, 1, 9000);
+
+    ASSERT_EQ(reply.tasks.size(), 1U);
+    EXPECT_EQ(reply.tasks[0].state, TaskState::Stopped);
+    EXPECT_EQ(reply.tasks[0].progressMs, 2000);
+    EXPECT_EQ(worker.records().tasks[0].endUs, LeaseMs * 1000);
+    EXPECT_EQ(worker.records().tasks[0].outcome, "lapsed");
+}
+
+TEST_F(StandinWorkerTest, workBeyondCapacityIsRefusedAndCounted)
+{
+    sync(5, 1, 0);
+    EXPECT_EQ(start("a", 1, 0), Verdict::Done);
+    EXPECT_EQ(start("b", 1, 0), Verdict::Done);
+    EXPECT_EQ(start("c", 1, 0), Verdict::NoRoom);
+    EXPECT_EQ(call(5, 0).verdict, Verdict::Done);
+    EXPECT_EQ(call(5, 0).verdict, Verdict::Done);
+    EXPECT_EQ(call(5, 0).verdict, Verdict::NoSlot);
+
+    EXPECT_EQ(worker.records().overrunAttempts, 2U);
+    EXPECT_TRUE(worker.records().maxUse.fitsIn(Capacity));
+}
+
+TEST_F(StandinWorkerTest, endedTaskStaysListedUntilAcknowledged)
+{
+    sync(5, 1, 0);
+    start("j", 1, 0);
+    for (std::int64_t n = 2; n <= 10; ++n) {
+        sync(5, static_cast<std::uint64_t>(n), n * 1000);
+    }
+
+    EXPECT_EQ(sync(5, 11, 10'001).tasks.at(0).state, TaskState::Finished);
+    EXPECT_EQ(sync(5, 12, 10'002).tasks.size(), 1U);
+    EXPECT_TRUE(sync(5, 13, 10'003, {"j#1"}).tasks.empty());
+}
+
+TEST_F(StandinWorkerTest, neighboursSlowEachOtherAndUsageLags)
+{
+    sync(5, 1, 0);
+    start("a", 1, 0);
+    start("b", 1, 0);
+
+    EXPECT_DOUBLE_EQ(sync(5, 2, 999).tasks[0].speed, 1.0);
+    const TaskReport report = sync(5, 3, 2000).tasks[0];
+    EXPECT_DOUBLE_EQ(report.speed, 0.5);
+    EXPECT_EQ(report.progressMs, 1000);
+    EXPECT_EQ(report.usedMilliProcessors, Half.milliProcessors);
+}
+
+TEST_F(StandinWorkerTest, stopWithCheckpointKeepsProgress)
+{
+    sync(5, 1, 0);
+    start("j", 1, 0);
+
+    EXPECT_EQ(worker.stop({WorkerId("w"), 5, JobId("j"), 1, true}, at(1500)), Verdict::Done);
+    EXPECT_EQ(sync(5, 2, 2000).tasks[0].progressMs, 1500);
+    EXPECT_EQ(start("j", 2, 2000), Verdict::Repeated);
+}
+
+TEST_F(StandinWorkerTest, rebootForgetsItsStateButNotItsRecords)
+{
+    const std::string boot = sync(5, 1, 0).boot;
+    start("j", 1, 0);
+    const CallTicket ticket = call(5, 0);
+    worker.reboot(at(100));
+
+    EXPECT_FALSE(worker.endCall(ticket.call, at(101)));
+    const WorkerSyncReply reply = sync(4, 1, 102);
+    EXPECT_TRUE(reply.accepted);
+    EXPECT_NE(reply.boot, boot);
+    EXPECT_TRUE(reply.tasks.empty());
+    EXPECT_EQ(worker.records().tasks[0].outcome, "lost");
+    EXPECT_EQ(worker.records().calls[0].outcome, "cut");
+}
