--- a/src/Entry/BatchRunner.cpp
+++ b/src/Entry/BatchRunner.cpp
@@ -27,7 +27,7 @@
         return 0;
     }
     return static_cast<double>(amount.milliProcessors)
-            / static_cast<double>(capacity.milliProcessors);
+           / static_cast<double>(capacity.milliProcessors);
 }
 
 PlacementSettings toPlacement(const PolicySettings &policy)
@@ -57,8 +57,7 @@
     , m_placementSettings(toPlacement(settings.policy))
     , m_service(m_slowdowns.service(firstService(settings)))
     , m_evictions(toEviction(settings.policy))
-{
-}
+{}
 
 void BatchRunner::onVmList(const VmList &list)
 {
@@ -165,7 +164,7 @@
     request.resources = need;
     request.zones = state.get<ListsFold>().limitsOf(job.spec.customer)->zones;
     const Placement placement =
-            m_placer.place(context(), m_shapes, request, m_sessions.random, now);
+        m_placer.place(context(), m_shapes, request, m_sessions.random, now);
     if (const auto *placed = std::get_if<Placed>(&placement)) {
         propose(job, *placed, need, now);
     } else if (const auto *notNow = std::get_if<NotNow>(&placement)) {
@@ -226,7 +225,7 @@
 void BatchRunner::refreshExpectedSlowdown(const Attempt &attempt)
 {
     const auto estimate =
-            m_slowdowns.predict(m_service, m_mixes.of(attempt.index), attempt.startedAt);
+        m_slowdowns.predict(m_service, m_mixes.of(attempt.index), attempt.startedAt);
     m_sessions.workers.pool().setExpectedSlowdown(attempt.index, estimate.mean);
 }
 
@@ -243,7 +242,8 @@
 {
     const Job *job = m_sessions.log.state().get<JobLedger>().find(id);
     const auto term = m_sessions.workers.mayGiveWork(attempt.worker, now);
-    const std::uint64_t lease = m_sessions.workers.authority().leaseNumber(attempt.shard, attempt.worker);
+    const std::uint64_t lease =
+        m_sessions.workers.authority().leaseNumber(attempt.shard, attempt.worker);
     if (job == nullptr || !term || *term != attempt.term || lease == 0) {
         return;
     }
@@ -268,7 +268,7 @@
     task.progressMs = job->progressMs;
     task.payload = job->spec.payload;
     actions.emplace_back(
-            SendStart{*m_sessions.workers.table().find(attempt.worker), std::move(task)});
+        SendStart{*m_sessions.workers.table().find(attempt.worker), std::move(task)});
 }
 
 void BatchRunner::onStartReply(const StartTask &task, WorkerResult result)
@@ -322,7 +322,7 @@
 {
     const Job *job = m_sessions.log.state().get<JobLedger>().find(report.job);
     const bool isCurrent = job != nullptr && job->mayBeRunning() && job->attempt == report.attempt
-            && job->placement->worker == sync.worker;
+                           && job->placement->worker == sync.worker;
     if (!isCurrent) {
         onForeignReport(sync, report, job, actions);
         return;
@@ -438,8 +438,8 @@
         if (listed.contains(id) || !surelyNotThere(job, sync)) {
             continue;
         }
-        pushOnce(id, JobEvicted{id, job.attempt, sync.term, EvictionReason::WorkerLost,
-                                job.progressMs});
+        pushOnce(
+            id, JobEvicted{id, job.attempt, sync.term, EvictionReason::WorkerLost, job.progressMs});
     }
 }
 
@@ -460,8 +460,7 @@
     std::vector<EvictionCandidate> candidates;
     for (const TaskReport &report : reply.tasks) {
         const auto it = m_attempts.find(report.job);
-        if (it == m_attempts.end() || it->second.phase != Phase::Running
-            || it->second.stopReason) {
+        if (it == m_attempts.end() || it->second.phase != Phase::Running || it->second.stopReason) {
             continue;
         }
         const Attempt &attempt = it->second;
@@ -470,7 +469,7 @@
         candidate.attempt = report.attempt;
         candidate.started = attempt.startedAt;
         candidate.urgentSlowdown =
-                m_slowdowns.pair(m_service, attempt.kind, now).mean * attempt.share;
+            m_slowdowns.pair(m_service, attempt.kind, now).mean * attempt.share;
         candidate.share = attempt.throttle;
         candidate.milliProcessors = attempt.reserved.milliProcessors;
         candidates.push_back(std::move(candidate));
@@ -486,8 +485,7 @@
     }
     const auto &throttle = std::get<ThrottleAction>(*planned);
     m_attempts.at(throttle.job).throttle = throttle.share;
-    const ThrottleTask task{sync.worker, sync.term, throttle.job, throttle.attempt,
-                            throttle.share};
+    const ThrottleTask task{sync.worker, sync.term, throttle.job, throttle.attempt, throttle.share};
     actions.emplace_back(SendThrottle{*m_sessions.workers.table().find(sync.worker), task});
 }
 
@@ -502,8 +500,9 @@
             const WorkerId &worker = job.placement->worker;
             const auto it = stopped.find(worker);
             const bool isStopped = it != stopped.end()
-                    ? it->second
-                    : stopped[worker] = authority.lostWorkerStopped(owned.shard, worker, now);
+                                       ? it->second
+                                       : stopped[worker] =
+                                             authority.lostWorkerStopped(owned.shard, worker, now);
             if (!isStopped) {
                 continue;
             }
@@ -527,8 +526,8 @@
     if (const auto *placed = std::get_if<JobPlaced>(&logged.envelope.record)) {
         settle(placed->job);
         const auto it = m_attempts.find(placed->job);
-        const bool isMine = isOwn && it != m_attempts.end()
-                && it->second.number == placed->attempt && it->second.term == placed->term;
+        const bool isMine = isOwn && it != m_attempts.end() && it->second.number == placed->attempt
+                            && it->second.term == placed->term;
         if (isAccepted) {
             m_usage.add(*ledger.find(placed->job));
         }
@@ -565,7 +564,8 @@
     for (const auto &[id, attempt] : m_attempts) {
         const Job *job = ledger.find(id);
         const bool isCurrent = job != nullptr && job->mayBeRunning()
-                && job->attempt == attempt.number && job->placement->worker == attempt.worker;
+                               && job->attempt == attempt.number
+                               && job->placement->worker == attempt.worker;
         if (!isCurrent) {
             stale.push_back(id);
         }
--- a/src/Entry/BatchRunner.h
+++ b/src/Entry/BatchRunner.h
@@ -146,7 +146,7 @@
     std::map<JobId, Attempt> m_attempts;
     std::map<JobId, std::uint64_t> m_pushed; ///< Own record on its way about a job, by sequence.
     std::map<JobId, std::string> m_reasons;  ///< Last placement decision, for jobs not ended.
-    Offset m_cursor = 0; ///< Where the next scan of pending jobs goes on.
+    Offset m_cursor = 0;                     ///< Where the next scan of pending jobs goes on.
 };
 
 } // namespace firefly
--- a/src/Entry/ClusterState.h
+++ b/src/Entry/ClusterState.h
@@ -11,6 +11,6 @@
 
 /// Everything that the log decides, as one fold.
 using ClusterState =
-        CompositeFold<OwnershipFold, ListsFold, PlannedWorkFold, JobLedger, IntentLedger>;
+    CompositeFold<OwnershipFold, ListsFold, PlannedWorkFold, JobLedger, IntentLedger>;
 
 } // namespace firefly
--- a/src/Entry/EntryActions.h
+++ b/src/Entry/EntryActions.h
@@ -91,9 +91,9 @@
     std::string detail;
 };
 
-using EntryAction = std::variant<SendAppend, SendLogRead, SendVmListRead, SendSync, SendStart,
-                                 SendStop, SendThrottle, SendCall, SendHeartbeat, SendForward,
-                                 WriteNotice>;
+using EntryAction =
+    std::variant<SendAppend, SendLogRead, SendVmListRead, SendSync, SendStart, SendStop,
+                 SendThrottle, SendCall, SendHeartbeat, SendForward, WriteNotice>;
 using EntryActions = std::vector<EntryAction>;
 
 } // namespace firefly
--- a/src/Entry/EntryCore.cpp
+++ b/src/Entry/EntryCore.cpp
@@ -42,8 +42,7 @@
 
 } // namespace
 
-EntryCore::EntryCore(const Settings &settings, WriterId writer, std::uint64_t seed,
-                     TimePoint start)
+EntryCore::EntryCore(const Settings &settings, WriterId writer, std::uint64_t seed, TimePoint start)
     : m_settings(settings)
     , m_random(seed)
     , m_now(start)
@@ -58,8 +57,7 @@
     , m_nextVmListAt(start)
     , m_nextClaimsAt(start)
     , m_nextListsAt(start)
-{
-}
+{}
 
 EntryActions EntryCore::takeActions()
 {
@@ -119,9 +117,9 @@
 {
     m_now = now;
     const bool restored =
-            m_log.onRead(now, read, [&](const LoggedEnvelope &logged, FoldVerdict verdict) {
-                onRecord(now, logged, verdict);
-            });
+        m_log.onRead(now, read, [&](const LoggedEnvelope &logged, FoldVerdict verdict) {
+            onRecord(now, logged, verdict);
+        });
     if (restored) {
         onRestored(now);
     }
@@ -170,7 +168,7 @@
         m_proposals.onRead(logged.envelope.sequence, {logged.offset, verdict});
     }
     const bool isLists = std::holds_alternative<PlansEdited>(logged.envelope.record)
-            || std::holds_alternative<LimitsEdited>(logged.envelope.record);
+                         || std::holds_alternative<LimitsEdited>(logged.envelope.record);
     if (isLists) {
         m_calls.setLists(now);
     }
@@ -367,8 +365,7 @@
     m_calls.onCallReply(now, dispatch, reply, m_actions);
 }
 
-void EntryCore::onForwardReply(TimePoint now, std::uint64_t dispatch,
-                               const ForwardedResult &result)
+void EntryCore::onForwardReply(TimePoint now, std::uint64_t dispatch, const ForwardedResult &result)
 {
     m_now = now;
     m_calls.onForwardReply(now, dispatch, result, m_actions);
@@ -395,8 +392,7 @@
 std::vector<EntryInForce> EntryCore::inForce() const
 {
     std::vector<EntryInForce> entries;
-    entries.push_back(
-            {m_settings.entry.id, lists().plans.version, lists().limits.version, 0});
+    entries.push_back({m_settings.entry.id, lists().plans.version, lists().limits.version, 0});
     for (const EntryInfo &peer : m_peers.table().peers()) {
         const Heartbeat *heartbeat = m_peers.table().lastHeartbeat(peer.id);
         if (heartbeat == nullptr) {
@@ -404,9 +400,9 @@
             continue;
         }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-                m_now - m_peers.lastSentAt(peer.id));
-        entries.push_back({peer.id, heartbeat->plansVersion, heartbeat->limitsVersion,
-                           age.count()});
+            m_now - m_peers.lastSentAt(peer.id));
+        entries.push_back(
+            {peer.id, heartbeat->plansVersion, heartbeat->limitsVersion, age.count()});
     }
     return entries;
 }
@@ -470,8 +466,7 @@
         return;
     }
     if (submission.job.isEmpty()) {
-        submission.job =
-                JobId(m_log.writer().value() + ".job-" + std::to_string(++m_lastJob));
+        submission.job = JobId(m_log.writer().value() + ".job-" + std::to_string(++m_lastJob));
     }
     const bool wasReachable = m_log.isReachable();
     const JobId job = submission.job;
@@ -523,12 +518,9 @@
     if (job == nullptr) {
         return nullptr;
     }
-    nlohmann::json json = {{"job", id.value()},
-                           {"state", stateName(*job)},
-                           {"attempt", job->attempt},
-                           {"evictions", job->evictions},
-                           {"progressMs", job->progressMs},
-                           {"result", job->result}};
+    nlohmann::json json = {
+        {"job", id.value()},           {"state", stateName(*job)},      {"attempt", job->attempt},
+        {"evictions", job->evictions}, {"progressMs", job->progressMs}, {"result", job->result}};
     if (job->placement) {
         json["worker"] = job->placement->worker.value();
     }
@@ -599,14 +591,14 @@
 bool EntryCore::isDrained() const
 {
     return m_draining && m_calls.active() == 0 && m_workers.authority().shards().empty()
-            && !m_log.hasPendingAppends();
+           && !m_log.hasPendingAppends();
 }
 
 void EntryCore::notice(bool isWarning, std::string component, std::string message,
                        std::string detail)
 {
     m_actions.emplace_back(
-            WriteNotice{isWarning, std::move(component), std::move(message), std::move(detail)});
+        WriteNotice{isWarning, std::move(component), std::move(message), std::move(detail)});
 }
 
 } // namespace firefly
--- a/src/Entry/EntryCore.h
+++ b/src/Entry/EntryCore.h
@@ -60,7 +60,10 @@
     /// Takes a caller's request.  \pre hasService(request.service).
     void onCallerRequest(TimePoint now, CallerRequest request, CallDone done);
     void onForwarded(TimePoint now, ForwardedCall call, ForwardDone done);
-    bool hasService(const ServiceId &service) const { return m_settings.services.contains(service); }
+    bool hasService(const ServiceId &service) const
+    {
+        return m_settings.services.contains(service);
+    }
     /// The settings of \a service.  \pre hasService(service).
     const ServiceSettings &service(const ServiceId &service) const
     {
--- a/src/Entry/LogSession.cpp
+++ b/src/Entry/LogSession.cpp
@@ -19,8 +19,7 @@
     : m_appends(std::move(writer))
     , m_snapshots(toLimits(settings), start)
     , m_nextReadAt(start)
-{
-}
+{}
 
 void LogSession::tick(TimePoint now, EntryActions &actions)
 {
@@ -87,10 +86,14 @@
 
 nlohmann::json LogSession::dump() const
 {
-    return {{"reachable", m_reachable}, {"current", isCurrent()},
-            {"head", m_head},           {"tail", m_tail},
-            {"applied", m_state.applied()}, {"catchUp", m_catchUp.dump()},
-            {"appends", m_appends.dump()},  {"snapshots", m_snapshots.dump()}};
+    return {{"reachable", m_reachable},
+            {"current", isCurrent()},
+            {"head", m_head},
+            {"tail", m_tail},
+            {"applied", m_state.applied()},
+            {"catchUp", m_catchUp.dump()},
+            {"appends", m_appends.dump()},
+            {"snapshots", m_snapshots.dump()}};
 }
 
 } // namespace firefly
--- a/src/Entry/PeerSession.cpp
+++ b/src/Entry/PeerSession.cpp
@@ -7,8 +7,7 @@
 PeerSession::PeerSession(EntryId self, const MembershipTimes &times, Duration interval)
     : m_table(std::move(self), times)
     , m_interval(interval)
-{
-}
+{}
 
 std::vector<EntryInfo> PeerSession::takeDue(TimePoint now)
 {
--- a/src/Entry/UrgentCalls.cpp
+++ b/src/Entry/UrgentCalls.cpp
@@ -56,8 +56,7 @@
         : m_calls(calls)
         , m_now(now)
         , m_service(service)
-    {
-    }
+    {}
 
     bool canAppend() const
     {
@@ -148,7 +147,7 @@
     call.bodyHash = XXH3_64bits(request.body.data(), request.body.size());
     call.body = std::move(request.body);
     const Duration timeout =
-            request.timeout > Duration::zero() ? request.timeout : service->settings.timeout;
+        request.timeout > Duration::zero() ? request.timeout : service->settings.timeout;
     call.deadline = now + timeout;
     call.attemptTimeout = timeout / 2;
     const RequestId id = call.request;
@@ -233,8 +232,8 @@
     const auto index = m_sessions.workers.pool().find(info.id);
     FIREFLY_ASSERT(index.has_value(), "a call goes to a worker of the pool");
     const std::uint64_t number = ++m_lastDispatch;
-    m_targets[number] = {call.tracker.request().request, dispatch.number, false, index,
-                         info.shard(), {}, now};
+    m_targets[number] = {
+        call.tracker.request().request, dispatch.number, false, index, info.shard(), {}, now};
     SendCall send{info, number, dispatch.call};
     send.call.term = m_sessions.workers.mayGiveWork(info.id, now).value_or(0);
     send.call.key = call.tracker.request().key;
@@ -255,8 +254,7 @@
     forwarded.key = request.key;
     forwarded.remaining = dispatch.call.timeout;
     forwarded.body = dispatch.call.body;
-    actions.emplace_back(
-            SendForward{*m_sessions.peers.find(peer), number, std::move(forwarded)});
+    actions.emplace_back(SendForward{*m_sessions.peers.find(peer), number, std::move(forwarded)});
 }
 
 void UrgentCalls::answer(TimePoint now, ActiveCall &call, const CallReply &reply)
@@ -305,8 +303,7 @@
             triedPeers.push_back(std::move(*peer));
         }
     }
-    const auto peer =
-            m_sessions.peers.chooseForCall(now, m_sessions.random(), triedPeers);
+    const auto peer = m_sessions.peers.chooseForCall(now, m_sessions.random(), triedPeers);
     if (peer) {
         return asTarget(peer->id);
     }
@@ -349,7 +346,7 @@
     }
     const WorkerInfo &info = *m_sessions.workers.table().find(*worker);
     const std::uint64_t number = ++m_lastDispatch;
-    m_targets[number] = {call.request, 0, true, m_sessions.workers.pool().find(*worker),
+    m_targets[number] = {call.request, 0,  true, m_sessions.workers.pool().find(*worker),
                          info.shard(), {}, now};
     m_forwarded.emplace(call.request, std::move(done));
     WorkerCall message;
@@ -415,8 +412,8 @@
     done({target.request, result, isForeign ? std::string() : reply.body, RetryAfterNoWorker});
 }
 
-void UrgentCalls::onForwardReply(TimePoint now, std::uint64_t number,
-                                 const ForwardedResult &result, EntryActions &actions)
+void UrgentCalls::onForwardReply(TimePoint now, std::uint64_t number, const ForwardedResult &result,
+                                 EntryActions &actions)
 {
     const auto target = takeTarget(number);
     if (!target) {
--- a/src/Entry/UrgentCalls.h
+++ b/src/Entry/UrgentCalls.h
@@ -28,9 +28,9 @@
 {
     CustomerId customer;
     ServiceId service;
-    std::string key;      ///< Idempotency key; may be empty for idempotent services.
+    std::string key; ///< Idempotency key; may be empty for idempotent services.
     std::string body;
-    Duration timeout{};   ///< Until the caller's deadline; zero takes the service's own.
+    Duration timeout{}; ///< Until the caller's deadline; zero takes the service's own.
 };
 
 /// Receives a caller's outcome; called exactly once.
@@ -47,7 +47,8 @@
 
     /// Takes a caller's request; refuses at once what it can't serve.
     void onRequest(TimePoint now, CallerRequest request, CallDone done, EntryActions &actions);
-    /// Takes a call that a peer forwarded; it is dispatched at most once, to a worker of this entry.
+    /// Takes a call that a peer forwarded; it is dispatched at most once, to a worker of this
+    /// entry.
     void onForwarded(TimePoint now, ForwardedCall call, ForwardDone done, EntryActions &actions);
     /// A worker answered dispatch \a number.
     void onCallReply(TimePoint now, std::uint64_t number, const WorkerCallReply &reply,
@@ -133,8 +134,8 @@
     UrgentRouter<TwoChoice> m_router;
     std::map<ServiceId, ServiceState> m_services;
     std::map<RequestId, ActiveCall> m_calls;
-    std::map<RequestId, ForwardDone> m_forwarded; ///< Calls of peers on this entry's workers.
-    std::map<std::uint64_t, Target> m_targets;    ///< Dispatches without an answer.
+    std::map<RequestId, ForwardDone> m_forwarded;     ///< Calls of peers on this entry's workers.
+    std::map<std::uint64_t, Target> m_targets;        ///< Dispatches without an answer.
     std::map<CallKey, std::set<RequestId>> m_waiters; ///< Requests that follow a key.
     std::multimap<TimePoint, RequestId> m_deadlines;
     std::multimap<TimePoint, RequestId> m_hedges;
--- a/src/Entry/WorkerSession.cpp
+++ b/src/Entry/WorkerSession.cpp
@@ -25,8 +25,7 @@
     , m_planner(self, ClaimSettings{})
     , m_pool(routing)
     , m_lease(times.lease)
-{
-}
+{}
 
 void WorkerSession::onVmList(const VmList &list, TimePoint now)
 {
@@ -74,7 +73,7 @@
             }
             held.emplace(worker, owned.term);
             const bool isOpen = m_table.acceptsWork(worker)
-                    && m_authority.mayGiveWork(owned.shard, worker, now).has_value();
+                                && m_authority.mayGiveWork(owned.shard, worker, now).has_value();
             if (isOpen) {
                 m_open.insert(worker);
             }
@@ -118,7 +117,7 @@
 {
     const WorkerSync &sync = sent.sync;
     const bool isCurrent =
-            m_authority.onSyncReply(toDue(sent), reply.accepted, reply.highestTerm, now);
+        m_authority.onSyncReply(toDue(sent), reply.accepted, reply.highestTerm, now);
     if (!isCurrent) {
         return false;
     }
--- a/src/Ops/EventLog.cpp
+++ b/src/Ops/EventLog.cpp
@@ -9,7 +9,6 @@
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
-
 namespace firefly {
 namespace {
 
--- a/src/Peers/WireCodec.h
+++ b/src/Peers/WireCodec.h
@@ -2,8 +2,8 @@
 
 #include "Calls/ForwardMessages.h"
 #include "Membership/Heartbeat.h"
-#include "Peers/generated/peers.capnp.h"
 #include "Membership/HeartbeatAnswer.h"
+#include "Peers/generated/peers.capnp.h"
 
 /// \file Typed messages to and from their Cap'n Proto form.
 
--- a/src/Runtime/ActionRunner.cpp
+++ b/src/Runtime/ActionRunner.cpp
@@ -22,8 +22,7 @@
     , m_logClient(m_curl, settings.platform.log, settings.entry.id.value())
     , m_workers(m_curl, 2 * settings.ownership.heartbeat)
     , m_vmList(m_curl, settings.platform.vms)
-{
-}
+{}
 
 void ActionRunner::feed(const std::function<void(TimePoint)> &step)
 {
@@ -81,11 +80,11 @@
 {
     const WorkerInfo worker = action.worker;
     const WorkerSync sync = action.sync;
-    m_workers.sync(worker, sync,
-                   [this, sent = std::move(action)](WorkerResult result,
-                                                    const WorkerSyncReply &reply) {
-                       feed([&](TimePoint now) { m_core.onSyncReply(now, sent, result, reply); });
-                   });
+    m_workers.sync(
+        worker, sync,
+        [this, sent = std::move(action)](WorkerResult result, const WorkerSyncReply &reply) {
+            feed([&](TimePoint now) { m_core.onSyncReply(now, sent, result, reply); });
+        });
 }
 
 void ActionRunner::perform(SendStart action)
@@ -135,9 +134,7 @@
     const Duration timeout = action.call.remaining;
     m_peers.forward(action.peer.peerEndpoint, std::move(action.call), timeout,
                     [this, dispatch = action.dispatch](const ForwardedResult &result) {
-                        feed([&](TimePoint now) {
-                            m_core.onForwardReply(now, dispatch, result);
-                        });
+                        feed([&](TimePoint now) { m_core.onForwardReply(now, dispatch, result); });
                     });
 }
 
--- a/src/Runtime/CallerApi.cpp
+++ b/src/Runtime/CallerApi.cpp
@@ -74,7 +74,7 @@
     response.body = reply.body;
     if (reply.outcome == Outcome::NotRun || reply.outcome == Outcome::Unknown) {
         const std::string reason =
-                reply.body.empty() ? std::string(toString(reply.reason)) : reply.body;
+            reply.body.empty() ? std::string(toString(reply.reason)) : reply.body;
         response = errorResponse(response.status, reason);
     }
     if (reply.outcome == Outcome::NotRun && response.status == 503) {
@@ -131,7 +131,8 @@
         return errorResponse(422, refused->reason);
     }
     const auto &notReached = std::get<LogNotReached>(result);
-    HttpResponse response = errorResponse(503, "the log can't be reached; ask again with the same key");
+    HttpResponse response =
+        errorResponse(503, "the log can't be reached; ask again with the same key");
     addRetryAfter(response, notReached.retryAfter);
     return response;
 }
@@ -147,7 +148,7 @@
     };
     const auto isText = [&](const char *field) {
         return json.contains(field) && json[field].is_string() && !json[field].empty()
-                && json[field].get_ref<const std::string &>().size() <= MaxNameBytes;
+               && json[field].get_ref<const std::string &>().size() <= MaxNameBytes;
     };
     need("customer", isText("customer"), "must be a text of 1 to 200 bytes");
     need("kind", isText("kind"), "must be a text of 1 to 200 bytes");
@@ -155,13 +156,13 @@
     need("payload", !json.contains("payload") || json["payload"].is_string(), "must be a text");
     need("runtimeMs",
          json.contains("runtimeMs") && json["runtimeMs"].is_number_unsigned()
-                 && json["runtimeMs"].get<std::uint64_t>() > 0,
+             && json["runtimeMs"].get<std::uint64_t>() > 0,
          "must be a positive number");
     need("resources", json.contains("resources") && json["resources"].is_object(),
          "must be an object");
     for (const auto &[field, value] : json.items()) {
         const bool isKnown = field == "customer" || field == "kind" || field == "key"
-                || field == "payload" || field == "runtimeMs" || field == "resources";
+                             || field == "payload" || field == "runtimeMs" || field == "resources";
         need(field.c_str(), isKnown, "is not a known field");
     }
     if (!json.contains("resources") || !json["resources"].is_object()) {
@@ -169,7 +170,7 @@
     }
     for (const auto &[field, value] : json["resources"].items()) {
         const bool isKnown = field == "milliProcessors" || field == "memoryMiB"
-                || field == "accelerators" || field == "slots";
+                             || field == "accelerators" || field == "slots";
         const std::string name = "resources." + field;
         need(name.c_str(), isKnown, "is not a known field");
         need(name.c_str(), value.is_number_unsigned(), "must be a number of at least 0");
@@ -189,8 +190,8 @@
                                  resources.value("memoryMiB", std::int64_t(0)),
                                  resources.value("accelerators", std::int64_t(0)), 0};
     if (json.contains("key")) {
-        submission.job = JobId(json["customer"].get<std::string>() + "~"
-                               + json["key"].get<std::string>());
+        submission.job =
+            JobId(json["customer"].get<std::string>() + "~" + json["key"].get<std::string>());
     }
     return submission;
 }
@@ -201,8 +202,7 @@
     : m_core(core)
     , m_maxInFlight(maxInFlight)
     , m_feed(std::move(feed))
-{
-}
+{}
 
 void CallerApi::handle(HttpRequest request, HttpServer::Respond respond)
 {
@@ -272,18 +272,16 @@
         return;
     }
     m_feed([&](TimePoint) {
-        m_core.submitJob(toSubmission(json), [respond](const CommandResult &result) {
-            respond(toResponse(result));
-        });
+        m_core.submitJob(toSubmission(json),
+                         [respond](const CommandResult &result) { respond(toResponse(result)); });
     });
 }
 
 void CallerApi::cancel(const JobId &job, HttpServer::Respond respond)
 {
     m_feed([&](TimePoint) {
-        m_core.cancelJob(job, [respond](const CommandResult &result) {
-            respond(toResponse(result));
-        });
+        m_core.cancelJob(job,
+                         [respond](const CommandResult &result) { respond(toResponse(result)); });
     });
 }
 
--- a/src/Runtime/EntryRuntime.cpp
+++ b/src/Runtime/EntryRuntime.cpp
@@ -18,7 +18,8 @@
 namespace firefly {
 namespace {
 
-static_assert(OperatorBackend<EntryCore>, "EntryCore must offer all that the operator API asks for");
+static_assert(OperatorBackend<EntryCore>,
+              "EntryCore must offer all that the operator API asks for");
 
 /// Time that answers get to leave their sockets before the process ends.
 constexpr Duration FlushTime = std::chrono::milliseconds(200);
@@ -100,9 +101,8 @@
     PeerNode::ForwardHandler forwardHandler()
     {
         return [this](ForwardedCall call, PeerNode::ForwardDone done) {
-            runner.feed([&](TimePoint now) {
-                core.onForwarded(now, std::move(call), std::move(done));
-            });
+            runner.feed(
+                [&](TimePoint now) { core.onForwarded(now, std::move(call), std::move(done)); });
         };
     }
 
@@ -178,8 +178,7 @@
 
 EntryRuntime::EntryRuntime(asio::io_context &context, const Settings &settings)
     : m_private(std::make_unique<Private>(context, settings, randomSeed()))
-{
-}
+{}
 
 EntryRuntime::~EntryRuntime() = default;
 
--- a/test/AdaptersHttp.cpp
+++ b/test/AdaptersHttp.cpp
@@ -1,5 +1,4 @@
 #include "Adapters.h"
-
 #include "fakes/FakeHttpPeer.h"
 
 #include <gtest/gtest.h>
