--- a/standins/WorkerRecords.cpp
+++ b/standins/WorkerRecords.cpp
@@ -11,17 +11,20 @@
                                    outcome)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TaskRecord, job, attempt, term, beginUs, endUs, beginProgressMs,
                                    endProgressMs, outcome)
-// NOLINTEND(readability-identifier-naming)
 
-void to_json(nlohmann::json &json, const WorkerRecords &value)
+void to_json(nlohmann::json &nlohmann_json_j, const WorkerRecords &nlohmann_json_t)
 {
-    json = {{"calls", value.calls},
-            {"tasks", value.tasks},
-            {"maxUse", value.maxUse},
-            {"overrunAttempts", value.overrunAttempts},
-            {"staleMessages", value.staleMessages}};
+    NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, calls, tasks, maxUse,
+                                             overrunAttempts, staleMessages))
 }
 
+void from_json(const nlohmann::json &nlohmann_json_j, WorkerRecords &nlohmann_json_t)
+{
+    NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, calls, tasks, maxUse,
+                                             overrunAttempts, staleMessages))
+}
+// NOLINTEND(readability-identifier-naming)
+
 std::string bodyHash(std::string_view body)
 {
     constexpr std::uint64_t Basis = 0xcbf29ce484222325U;
--- a/standins/WorkerRecords.h
+++ b/standins/WorkerRecords.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace firefly::standins {
@@ -46,6 +47,7 @@
 };
 
 void to_json(nlohmann::json &json, const WorkerRecords &value);
+void from_json(const nlohmann::json &json, WorkerRecords &value);
 
 /// Hash of a call's body, as in CallRecord::bodyHash.
 std::string bodyHash(std::string_view body);
