--- a/src/Entry/UrgentCalls.cpp
+++ b/src/Entry/UrgentCalls.cpp
@@ -130,7 +130,7 @@
     const WorkerPool &pool = m_sessions.workers.pool();
     const std::int64_t own = std::max<std::int64_t>(0, pool.urgentSlots() - pool.urgentInUse());
     const std::int64_t peers = m_sessions.peers.freeSlots(now);
-    return {own + peers, pool.urgentSlots() + peers};
+    return {own + peers};
 }
 
 void UrgentCalls::onRequest(TimePoint now, CallerRequest request, CallDone done,
