--- a/apps/load/CallDriver.cpp
+++ b/apps/load/CallDriver.cpp
@@ -48,8 +48,7 @@
 {
     while (m_next < m_traces.size() && m_active < m_options.concurrency) {
         const double dueUs = static_cast<double>(m_next) * 1e6 / m_options.callsPerSecond;
-        const Duration wait =
-            m_begin + Duration(static_cast<std::int64_t>(dueUs)) - Clock::now();
+        const Duration wait = m_begin + Duration(static_cast<std::int64_t>(dueUs)) - Clock::now();
         if (wait > Duration::zero()) {
             m_pacer.expires_after(wait);
             m_pacer.async_wait([this](asio::error_code ec) {
@@ -75,8 +74,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(m_options.deadline).count();
     HttpExchange exchange;
     exchange.method = "POST";
-    exchange.url = baseUrl(m_options.entries[entry]) + "/v1/services/" + trace.call.service
-                   + "/calls";
+    exchange.url =
+        baseUrl(m_options.entries[entry]) + "/v1/services/" + trace.call.service + "/calls";
     exchange.headers = {{"Content-Type", "application/json"},
                         {"Firefly-Customer", trace.call.customer},
                         {"Firefly-Deadline-Ms", std::to_string(deadlineMs)}};
@@ -85,9 +84,8 @@
     }
     exchange.body = trace.call.body;
     exchange.timeout = m_options.deadline + ReplyMargin;
-    m_loop.start(std::move(exchange), [this, index](HttpResult result) {
-        onReply(index, std::move(result));
-    });
+    m_loop.start(std::move(exchange),
+                 [this, index](HttpResult result) { onReply(index, std::move(result)); });
 }
 
 void CallDriver::onReply(std::size_t index, HttpResult result)
--- a/apps/load/Checker.cpp
+++ b/apps/load/Checker.cpp
@@ -168,8 +168,8 @@
         const auto finished =
             std::ranges::count(attempts, "finished", &standins::TaskRecord::outcome);
         if (trace.state == "finished" && finished != 1) {
-            add("a job finishes once", trace.id + " finished " + std::to_string(finished)
-                                           + " times on the workers");
+            add("a job finishes once",
+                trace.id + " finished " + std::to_string(finished) + " times on the workers");
         }
         if (trace.state == "finished" && trace.result != "result of " + trace.id) {
             add("a job's result is its own", trace.id);
--- a/apps/load/Checker.h
+++ b/apps/load/Checker.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "Traces.h"
-
 #include "WorkerRecords.h"
 
 #include <cstdint>
@@ -29,8 +28,8 @@
 /// Compares what callers were told with what the workers executed.
 ///
 /// Rules: each call has one outcome; an answer belongs to its own request and was executed; a call
-/// with a key is executed at most once; what was not run was not executed; attempts of one job never
-/// overlap and one of them finishes; no worker was given more than it holds.
+/// with a key is executed at most once; what was not run was not executed; attempts of one job
+/// never overlap and one of them finishes; no worker was given more than it holds.
 std::vector<Violation> check(std::span<const CallTrace> calls, std::span<const JobTrace> jobs,
                              std::span<const WorkerEvidence> workers);
 
--- a/apps/load/JobDriver.cpp
+++ b/apps/load/JobDriver.cpp
@@ -24,9 +24,9 @@
 
 std::string submission(const PlannedJob &job)
 {
-    return nlohmann::json{{"customer", job.customer}, {"kind", job.kind},
-                          {"key", job.key},           {"resources", job.resources},
-                          {"runtimeMs", job.runtimeMs}, {"payload", ""}}
+    return nlohmann::json{
+        {"customer", job.customer},   {"kind", job.kind},           {"key", job.key},
+        {"resources", job.resources}, {"runtimeMs", job.runtimeMs}, {"payload", ""}}
         .dump();
 }
 
@@ -88,9 +88,8 @@
     exchange.headers = {{"Content-Type", "application/json"}};
     exchange.body = submission(m_traces[index].job);
     exchange.timeout = ReplyTimeout;
-    m_loop.start(std::move(exchange), [this, index](const HttpResult &result) {
-        onSubmitted(index, result);
-    });
+    m_loop.start(std::move(exchange),
+                 [this, index](const HttpResult &result) { onSubmitted(index, result); });
 }
 
 void JobDriver::onSubmitted(std::size_t index, const HttpResult &result)
@@ -101,8 +100,7 @@
         after(PollInterval, index, trace.job.isCancelled ? &JobDriver::cancel : &JobDriver::poll);
         return;
     }
-    const bool isRejected =
-        result.isWhole() && result.statusCode >= 400 && result.statusCode < 500;
+    const bool isRejected = result.isWhole() && result.statusCode >= 400 && result.statusCode < 500;
     if (isRejected || Clock::now() > m_giveUpAt) {
         finish(index, "not accepted: " + std::to_string(result.statusCode) + " " + result.body);
         return;
@@ -126,9 +124,8 @@
     HttpExchange exchange;
     exchange.url = jobUrl(nextEntry(), m_traces[index].id);
     exchange.timeout = ReplyTimeout;
-    m_loop.start(std::move(exchange), [this, index](const HttpResult &result) {
-        onStatus(index, result);
-    });
+    m_loop.start(std::move(exchange),
+                 [this, index](const HttpResult &result) { onStatus(index, result); });
 }
 
 void JobDriver::onStatus(std::size_t index, const HttpResult &result)
--- a/apps/load/Report.cpp
+++ b/apps/load/Report.cpp
@@ -107,11 +107,13 @@
     out << std::left << std::setw(16) << "service" << std::right << std::setw(9) << "requests"
         << std::setw(9) << "attempts" << std::setw(8) << "answer" << std::setw(8) << "failed"
         << std::setw(8) << "not-run" << std::setw(8) << "unknown" << std::setw(6) << "none"
-        << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << "\n";
+        << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms"
+        << "\n";
     for (const auto &[name, figures] : summary["calls"].items()) {
         const auto &outcomes = figures["outcomes"];
         out << std::left << std::setw(16) << name << std::right << std::setw(9)
-            << figures["requests"] << std::setw(9) << figures["attempts"];
+            << figures["requests"].get<std::uint64_t>() << std::setw(9)
+            << figures["attempts"].get<std::uint64_t>();
         for (const char *outcome : {"answer", "failed", "not-run", "unknown"}) {
             out << std::setw(8) << outcomes.value(outcome, 0);
         }
--- a/apps/load/Workload.h
+++ b/apps/load/Workload.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "LoadOptions.h"
-
 #include "Core/Resources.h"
+#include "LoadOptions.h"
 
 #include <string>
 #include <vector>
--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -1,9 +1,8 @@
 #include "CallDriver.h"
 #include "Checker.h"
 #include "JobDriver.h"
-#include "Report.h"
-
 #include "Records/Codec.h"
+#include "Report.h"
 
 #include <asio/io_context.hpp>
 #include <docopt/docopt.h>
@@ -11,6 +10,7 @@
 
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 
 namespace {
@@ -24,7 +24,8 @@
 constexpr Duration RecordsTimeout = std::chrono::seconds(30);
 constexpr std::size_t MaxRecordsBytes = 1U << 30U;
 
-constexpr const char *Usage = R"(Drives entries with urgent and batch work, then checks it against the workers' own records.
+constexpr const char *Usage =
+    R"(Drives entries with urgent and batch work, then checks it against the workers' own records.
 
 Usage:
   firefly-load --entries LIST --workers LIST [--calls N] [--jobs N] [--cancel N] [--rate R]
@@ -141,7 +142,8 @@
         throw std::runtime_error("no records from " + baseUrl(endpoint) + ": " + result->error);
     }
     std::vector<WorkerEvidence> evidence;
-    for (const auto &json : nlohmann::json::parse(result->body).at("workers")) {
+    const auto records = nlohmann::json::parse(result->body);
+    for (const auto &json : records.at("workers")) {
         evidence.push_back({json.at("worker").get<std::string>(),
                             json.at("capacity").get<Resources>(),
                             json.get<standins::WorkerRecords>()});
--- a/standins/WorkerRecords.cpp
+++ b/standins/WorkerRecords.cpp
@@ -14,15 +14,13 @@
 
 void to_json(nlohmann::json &nlohmann_json_j, const WorkerRecords &nlohmann_json_t)
 {
-    NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, calls, tasks, maxUse,
-                                             overrunAttempts, staleMessages))
+    NLOHMANN_JSON_EXPAND(
+        NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, calls, tasks, maxUse, overrunAttempts, staleMessages))
 }
 
-void from_json(const nlohmann::json &nlohmann_json_j, WorkerRecords &nlohmann_json_t)
-{
+void from_json(const nlohmann::json &nlohmann_json_j, WorkerRecords &nlohmann_json_t){
     NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, calls, tasks, maxUse,
-                                             overrunAttempts, staleMessages))
-}
+                                             overrunAttempts, staleMessages))}
 // NOLINTEND(readability-identifier-naming)
 
 std::string bodyHash(std::string_view body)
