Record a worker's mix only when it changed

The history took every recording for a change, so no observed span was ever steady and the slowdown model learned nothing; found by comparing the disturbance a worker was listed under with its true slowdown (workers listed calm were slowed 1.59 times).

--- a/src/Interference/MixHistory.cpp
+++ b/src/Interference/MixHistory.cpp
@@ -1,9 +1,14 @@
 #include "Interference/MixHistory.h"
 
+#include <algorithm>
+
 namespace firefly {
 
 void MixHistory::record(std::span<const WorkloadShare> mix, TimePoint now)
 {
+    if (!m_entries.empty() && std::ranges::equal(m_entries.back().mix, mix)) {
+        return;
+    }
     m_entries.push_back({now, {mix.begin(), mix.end()}});
     while (m_entries.size() > 1 && m_entries[1].since < now - m_kept) {
         m_entries.pop_front();
--- a/src/Interference/SlowdownModel.h
+++ b/src/Interference/SlowdownModel.h
@@ -23,6 +23,8 @@
 {
     WorkloadIndex workload = 0;
     double share = 0;
+
+    bool operator==(const WorkloadShare &) const = default;
 };
 
 /// Predicted slowdown: 1 means undisturbed.
