--- a/bench/policy/BatchSide.h
+++ b/bench/policy/BatchSide.h
@@ -330,7 +330,8 @@
         if (!history.isSteady(report.from, report.to)) {
             return;
         }
-        m_model.observe(m_service, history.at(report.to), slowdown, m_world.now);
+        const double load = report.loadSum / double(report.calls);
+        m_model.observe(m_service, history.at(report.to), slowdown, m_world.now, load);
         expectSlowdown(worker);
     }
 
@@ -354,12 +355,12 @@
     EvictionCandidate candidate(std::size_t number, const FakeTask &task) const
     {
         const Job &job = m_jobs[number];
-        const WorkloadShare share{m_kinds[task.kind], job.mixShare};
         EvictionCandidate it{.job = JobId(std::to_string(number)), .attempt = job.attempt};
         it.started = task.started;
         it.unsavedWork = Duration(Duration::rep((task.doneSeconds - job.savedSeconds) * 1e6));
         it.canCheckpoint = canCheckpoint(task.kind);
-        it.urgentSlowdown = m_model.predict(m_service, {&share, 1}, m_world.now).mean - 1;
+        it.urgentSlowdown =
+            m_model.pair(m_service, m_kinds[task.kind], m_world.now, job.mixShare).mean - 1;
         it.share = task.throttle;
         return it;
     }
--- a/bench/policy/FakeWorker.cpp
+++ b/bench/policy/FakeWorker.cpp
@@ -25,6 +25,7 @@
         m_windows.push_back({now, now + WindowLength});
     }
     m_windows.back().sum += slowdown;
+    m_windows.back().loadSum += urgentLoad();
     ++m_windows.back().calls;
     return slowdown;
 }
--- a/bench/policy/FakeWorker.h
+++ b/bench/policy/FakeWorker.h
@@ -27,12 +27,13 @@
     TimePoint started{};
 };
 
-/// Mean slowdown of the urgent calls that a worker began within a span of time.
+/// Slowdown and load of the urgent calls that a worker began within a span of time.
 struct SlowdownWindow
 {
     TimePoint from{};
     TimePoint to{};
-    double sum = 0;
+    double sum = 0;     ///< Of the calls' slowdowns.
+    double loadSum = 0; ///< Of the shares of the slots in use when each began.
     std::uint64_t calls = 0;
 };
 
--- a/src/Interference/SlowdownModel.cpp
+++ b/src/Interference/SlowdownModel.cpp
@@ -27,73 +27,156 @@
     return it->second;
 }
 
-SlowdownModel::Effect SlowdownModel::effect(WorkloadIndex victim, WorkloadIndex aggressor,
-                                            TimePoint now) const
+void SlowdownModel::addTerm(Victim &victim, double mean) const
 {
-    const double priorVariance = m_settings.priorDeviation * m_settings.priorDeviation;
-    const auto it = m_effects.find({victim, aggressor});
-    if (it == m_effects.end()) {
-        return {.mean = m_settings.priorMean, .variance = priorVariance, .updated = now};
+    victim.means.push_back(mean);
+    for (auto &row : victim.covariance) {
+        row.push_back(0);
     }
-    Effect effect = it->second;
-    const double seconds = std::chrono::duration<double>(now - effect.updated).count();
-    effect.variance =
-        std::min(effect.variance + seconds * m_settings.driftPerSecond, priorVariance);
-    effect.updated = now;
-    return effect;
+    victim.covariance.emplace_back(victim.means.size(), 0);
+    victim.covariance.back().back() = m_settings.priorDeviation * m_settings.priorDeviation;
+}
+
+std::size_t SlowdownModel::placeOf(Victim &victim, WorkloadIndex workload) const
+{
+    if (victim.placeOf.size() <= workload) {
+        victim.placeOf.resize(workload + 1U, NoPlace);
+    }
+    std::size_t &place = victim.placeOf[workload];
+    if (place == NoPlace) {
+        place = victim.means.size();
+        addTerm(victim, m_settings.priorMean);
+        addTerm(victim, 0);
+    }
+    return place;
+}
+
+std::vector<SlowdownModel::Term>
+SlowdownModel::termsOf(Victim &victim, std::span<const WorkloadShare> others, double load) const
+{
+    if (victim.means.empty()) {
+        addTerm(victim, 0);
+    }
+    std::vector<Term> terms{{0, load}};
+    for (const WorkloadShare &it : others) {
+        const std::size_t place = placeOf(victim, it.workload);
+        terms.push_back({place, it.share});
+        terms.push_back({place + 1, it.share * load});
+    }
+    return terms;
+}
+
+void SlowdownModel::age(Victim &victim, TimePoint now) const
+{
+    const double seconds = std::chrono::duration<double>(now - victim.updated).count();
+    const double prior = m_settings.priorDeviation * m_settings.priorDeviation;
+    for (std::size_t i = 0; i < victim.means.size(); ++i) {
+        double &variance = victim.covariance[i][i];
+        variance =
+            std::max(variance, std::min(prior, variance + seconds * m_settings.driftPerSecond));
+    }
+    victim.updated = now;
 }
 
 void SlowdownModel::observe(WorkloadIndex victim, std::span<const WorkloadShare> others,
-                            double slowdown, TimePoint now)
+                            double slowdown, TimePoint now, double load)
 {
+    Victim &learned = m_victims.try_emplace(victim, Victim{.updated = now}).first->second;
+    age(learned, now);
+    const std::vector<Term> terms = termsOf(learned, others, load);
+    const std::size_t n = learned.means.size();
+    std::vector<double> spread(n, 0); // Covariance of every effect with the predicted slowdown.
+    for (std::size_t i = 0; i < n; ++i) {
+        for (const Term &it : terms) {
+            spread[i] += learned.covariance[i][it.place] * it.value;
+        }
+    }
     double predicted = 1;
     double variance = m_settings.noiseDeviation * m_settings.noiseDeviation;
-    for (const WorkloadShare &it : others) {
-        const Effect effect = this->effect(victim, it.workload, now);
-        predicted += it.share * effect.mean;
-        variance += it.share * it.share * effect.variance;
+    for (const Term &it : terms) {
+        predicted += learned.means[it.place] * it.value;
+        variance += spread[it.place] * it.value;
     }
     const double surprise = slowdown - predicted;
-    for (const WorkloadShare &it : others) {
-        Effect effect = this->effect(victim, it.workload, now);
-        const double gain = effect.variance * it.share / variance;
-        effect.mean = std::max(0.0, effect.mean + gain * surprise);
-        effect.variance *= 1 - gain * it.share;
-        ++effect.observations;
-        m_effects[{victim, it.workload}] = effect;
+    for (std::size_t i = 0; i < n; ++i) {
+        learned.means[i] += spread[i] / variance * surprise;
+        for (std::size_t j = 0; j < n; ++j) {
+            learned.covariance[i][j] -= spread[i] * spread[j] / variance;
+        }
     }
+    ++learned.observations;
 }
 
-SlowdownEstimate SlowdownModel::predict(WorkloadIndex victim, std::span<const WorkloadShare> others,
-                                        TimePoint now) const
+void SlowdownModel::addKnown(SlowdownEstimate &sum, std::span<const Term> terms,
+                             const Victim &victim, TimePoint now) const
 {
-    double mean = 1;
+    const double seconds = std::chrono::duration<double>(now - victim.updated).count();
+    double mean = 0;
     double variance = 0;
-    for (const WorkloadShare &it : others) {
-        const Effect effect = this->effect(victim, it.workload, now);
-        mean += it.share * effect.mean;
-        variance += it.share * it.share * effect.variance;
+    for (const Term &it : terms) {
+        mean += victim.means[it.place] * it.value;
+        variance += it.value * it.value * seconds * m_settings.driftPerSecond;
+        for (const Term &other : terms) {
+            variance += it.value * other.value * victim.covariance[it.place][other.place];
+        }
+    }
+    sum.mean += mean;
+    sum.deviation = std::sqrt(sum.deviation * sum.deviation + std::max(0.0, variance));
+}
+
+SlowdownEstimate SlowdownModel::predict(WorkloadIndex victim, std::span<const WorkloadShare> others,
+                                        TimePoint now, double load) const
+{
+    SlowdownEstimate sum;
+    const auto it = m_victims.find(victim);
+    const bool isKnown = it != m_victims.end();
+    std::vector<Term> terms;
+    if (isKnown) {
+        terms.push_back({0, load});
+    }
+    for (const WorkloadShare &other : others) {
+        const bool seen = isKnown && other.workload < it->second.placeOf.size()
+                          && it->second.placeOf[other.workload] != NoPlace;
+        if (!seen) {
+            sum.mean += other.share * m_settings.priorMean;
+            sum.deviation = std::hypot(sum.deviation, other.share * m_settings.priorDeviation);
+            continue;
+        }
+        const std::size_t place = it->second.placeOf[other.workload];
+        terms.push_back({place, other.share});
+        terms.push_back({place + 1, other.share * load});
+    }
+    if (isKnown) {
+        addKnown(sum, terms, it->second, now);
     }
-    return {mean, std::sqrt(variance)};
+    sum.mean = std::max(1.0, sum.mean);
+    return sum;
 }
 
-SlowdownEstimate SlowdownModel::pair(WorkloadIndex victim, WorkloadIndex aggressor,
-                                     TimePoint now) const
+SlowdownEstimate SlowdownModel::pair(WorkloadIndex victim, WorkloadIndex aggressor, TimePoint now,
+                                     double share, double load) const
 {
-    const WorkloadShare whole{aggressor, 1};
-    return predict(victim, {&whole, 1}, now);
+    const WorkloadShare beside{aggressor, share};
+    const SlowdownEstimate with = predict(victim, {&beside, 1}, now, load);
+    const SlowdownEstimate without = predict(victim, {}, now, load);
+    return {std::max(1.0, 1 + with.mean - without.mean), with.deviation};
 }
 
 nlohmann::json SlowdownModel::dump(TimePoint now) const
 {
     nlohmann::json pairs = nlohmann::json::array();
-    for (const auto &[key, learned] : m_effects) {
-        const SlowdownEstimate estimate = pair(key.first, key.second, now);
-        pairs.push_back({{"victim", m_names[key.first]},
-                         {"beside", m_names[key.second]},
-                         {"slowdown", estimate.mean},
-                         {"deviation", estimate.deviation},
-                         {"observations", learned.observations}});
+    for (const auto &[victim, learned] : m_victims) {
+        for (WorkloadIndex other = 0; other < learned.placeOf.size(); ++other) {
+            if (learned.placeOf[other] == NoPlace) {
+                continue;
+            }
+            const SlowdownEstimate estimate = pair(victim, other, now);
+            pairs.push_back({{"victim", m_names[victim]},
+                             {"beside", m_names[other]},
+                             {"slowdown", estimate.mean},
+                             {"deviation", estimate.deviation},
+                             {"observations", learned.observations}});
+        }
     }
     return pairs;
 }
--- a/src/Interference/SlowdownModel.h
+++ b/src/Interference/SlowdownModel.h
@@ -5,12 +5,13 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace firefly {
@@ -37,20 +38,25 @@
     double pessimistic() const { return mean + deviation; }
 };
 
+/// Share of a service's slots in use that is assumed where none is given.
+constexpr double TypicalLoad = 0.6;
+
 /// Settings of SlowdownModel.
 struct SlowdownSettings
 {
     double priorMean = 0.5;       ///< Slowdown added by a whole worker of an unknown workload.
-    double priorDeviation = 1.0;  ///< Uncertainty of priorMean.
+    double priorDeviation = 1.0;  ///< Uncertainty of every effect before it was observed.
     double noiseDeviation = 0.15; ///< Noise of one observation.
-    double driftPerSecond = 0.01; ///< Growth of a pair's variance, which lets old lessons fade.
+    double driftPerSecond = 0.01; ///< Growth of an effect's variance: old lessons fade.
 };
 
 /// Learns how much each workload slows each other one, from observed slowdowns of workers whose
 /// mix is known.
 ///
-/// Slowdown of a victim is modelled as 1 + sum over the others of share x effect; each pair's
-/// effect has a mean and a variance, updated by a Kalman filter with a diagonal covariance.
+/// The slowdown of a victim is modelled as 1 + own x load + sum over the others of
+/// share x (effect + effectOfLoad x load), where the load is the share of the victim's own slots in
+/// use.  Per victim, a Kalman filter keeps the means of these effects and their covariance, because
+/// workloads that are often seen together could not be told apart by their variances alone.
 class SlowdownModel
 {
 public:
@@ -64,31 +70,49 @@
 
     /// Learns that \a victim ran \a slowdown times slower beside \a others.
     void observe(WorkloadIndex victim, std::span<const WorkloadShare> others, double slowdown,
-                 TimePoint now);
-    /// Slowdown of \a victim beside \a others.
+                 TimePoint now, double load = TypicalLoad);
+    /// Slowdown of \a victim beside \a others, its own load included.
     SlowdownEstimate predict(WorkloadIndex victim, std::span<const WorkloadShare> others,
-                             TimePoint now) const;
-    /// Slowdown that a whole worker of \a aggressor would cause.
-    SlowdownEstimate pair(WorkloadIndex victim, WorkloadIndex aggressor, TimePoint now) const;
+                             TimePoint now, double load = TypicalLoad) const;
+    /// Slowdown that \a share of a worker given to \a aggressor causes by itself.
+    SlowdownEstimate pair(WorkloadIndex victim, WorkloadIndex aggressor, TimePoint now,
+                          double share = 1, double load = TypicalLoad) const;
 
     nlohmann::json dump(TimePoint now) const;
 
 private:
-    struct Effect
+    /// One factor of the linear model, with its value in an observation.
+    struct Term
     {
-        double mean = 0;
-        double variance = 0;
+        std::size_t place = 0;
+        double value = 0;
+    };
+
+    /// What was learned about one victim.
+    struct Victim
+    {
+        std::vector<std::size_t> placeOf; ///< By workload: first of its two terms, or NoPlace.
+        std::vector<double> means;
+        std::vector<std::vector<double>> covariance;
         TimePoint updated{};
         std::uint64_t observations = 0;
     };
 
+    static constexpr std::size_t NoPlace = ~std::size_t(0);
+
     WorkloadIndex index(std::string name);
-    Effect effect(WorkloadIndex victim, WorkloadIndex aggressor, TimePoint now) const;
+    void addTerm(Victim &victim, double mean) const;
+    std::size_t placeOf(Victim &victim, WorkloadIndex workload) const;
+    void age(Victim &victim, TimePoint now) const;
+    std::vector<Term> termsOf(Victim &victim, std::span<const WorkloadShare> others,
+                              double load) const;
+    void addKnown(SlowdownEstimate &sum, std::span<const Term> terms, const Victim &victim,
+                  TimePoint now) const;
 
     SlowdownSettings m_settings;
     std::vector<std::string> m_names;
     std::map<std::string, WorkloadIndex, std::less<>> m_indexOfName;
-    std::map<std::pair<WorkloadIndex, WorkloadIndex>, Effect> m_effects;
+    std::map<WorkloadIndex, Victim> m_victims;
 };
 
 } // namespace firefly
