Gather batch on workers that calls avoid already

The harm of a job is now the loss of a worker's worth to urgent calls, concave and capped, so that batch gathers on few workers; calls avoid those, and batch may fill them further.

--- a/src/Placement/PlacementPolicies.cpp
+++ b/src/Placement/PlacementPolicies.cpp
@@ -3,6 +3,7 @@
 #include "Routing/UniformBelow.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <span>
 #include <string>
@@ -30,6 +31,19 @@
     return request.resources.fitsIn(context.pool.ledger().room(worker));
 }
 
+/// Part of a worker's urgent slots that batch leaves free once calls avoid the worker.
+constexpr double SlotsKeptWhereAvoided = 0.25;
+/// Price of a job's own slowdown against a worker that calls have to avoid.
+constexpr double OwnSlowdownPrice = 0.25;
+/// Slowdown from which calls avoid a worker, so that more does no more harm.
+constexpr double AvoidedFrom = 1.6;
+
+/// Share of its worth to urgent calls that a worker with \a slowdown has lost, 0..1.
+double harmOf(double slowdown)
+{
+    return std::sqrt(std::min(1.0, (slowdown - 1) / (AvoidedFrom - 1)));
+}
+
 double shareOf(const PlacementContext &context, const PlacementRequest &request, WorkerIndex worker)
 {
     const auto whole = context.pool.ledger().capacity(worker).milliProcessors;
@@ -72,7 +86,9 @@
 {
     const Resources &call = context.pool.settings().call;
     const auto slots = context.pool.ledger().capacity(worker).slots;
-    const auto kept = std::int64_t(context.settings.urgentWeight * double(slots));
+    const bool avoided = context.pool.disturbance(worker) == Disturbance::Slow;
+    const double share = avoided ? SlotsKeptWhereAvoided : context.settings.urgentWeight;
+    const auto kept = std::int64_t(share * double(slots));
     const std::int64_t n = std::max(kept, context.pool.view(worker).outstanding);
     return {n * call.milliProcessors, n * call.memoryMiB, n * call.accelerators, 0};
 }
@@ -81,17 +97,13 @@
                              WorkerIndex worker, TimePoint now)
 {
     const auto mix = context.mixes.of(worker);
-    const WorkloadShare added{request.kind, shareOf(context, request, worker)};
-    const auto alone = context.slowdowns.predict(context.service, {&added, 1}, now);
+    const double share = shareOf(context, request, worker);
+    const auto alone = context.slowdowns.pair(context.service, request.kind, now, share);
     const auto before = context.slowdowns.predict(context.service, mix, now);
     const auto own = context.slowdowns.predict(request.kind, mix, now);
-    const WorkerView &view = context.pool.view(worker);
-    const double urgentLoad =
-        double(view.outstanding + 1) / double(std::max<std::int64_t>(1, view.info.capacity.slots));
-    // A call avoids a worker that is slow already, so more of the same costs little there.
-    const double urgentCost = urgentLoad * (alone.pessimistic() - 1) / before.mean;
+    const double after = before.mean + alone.mean - 1;
     const double w = context.settings.urgentWeight;
-    return w * urgentCost + (1 - w) * (own.mean - 1);
+    return w * (harmOf(after) - harmOf(before.mean)) + (1 - w) * OwnSlowdownPrice * (own.mean - 1);
 }
 
 Placement LeastSlowdown::choose(const PlacementContext &context, const PlacementRequest &request,
