--- a/src/Routing/RoutingPolicies.cpp
+++ b/src/Routing/RoutingPolicies.cpp
@@ -43,6 +43,29 @@
     return std::nullopt;
 }
 
+/// Any of the least disturbed open workers of all zones.
+std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, std::mt19937_64 &random)
+{
+    const auto zones = ZoneIndex(pool.links().size());
+    for (const Disturbance disturbance : AllDisturbances) {
+        std::size_t n = 0;
+        for (ZoneIndex zone = 0; zone < zones; ++zone) {
+            n += pool.openWorkers(zone, disturbance).size();
+        }
+        if (n == 0) {
+            continue;
+        }
+        std::size_t place = internal::uniformBelow(random, n);
+        ZoneIndex zone = 0;
+        while (place >= pool.openWorkers(zone, disturbance).size()) {
+            place -= pool.openWorkers(zone, disturbance).size();
+            ++zone;
+        }
+        return pool.openWorkers(zone, disturbance)[place];
+    }
+    return std::nullopt;
+}
+
 /// Any open worker that \a request did not try, from a random start; nothing when there is none.
 std::optional<WorkerIndex> anyOpenWorker(const WorkerPool &pool, const RoutingRequest &request,
                                          std::mt19937_64 &random)
@@ -79,25 +102,16 @@
         , m_now(now)
     {}
 
-    void sample(ZoneIndex zone, std::size_t n, std::mt19937_64 &random)
-    {
-        for (std::size_t i = 0; i < n; ++i) {
-            if (const auto worker = calmestWorker(m_pool, zone, random)) {
-                consider(*worker);
-            }
-        }
-    }
-
-    void consider(WorkerIndex worker)
+    void consider(std::optional<WorkerIndex> worker)
     {
-        if (isExcluded(m_request, worker)) {
+        if (!worker || isExcluded(m_request, *worker)) {
             return;
         }
-        const double us = TwoChoice::costUs(m_pool, worker, m_request.callerZone, m_now);
+        const double us = TwoChoice::costUs(m_pool, *worker, m_request.callerZone, m_now);
         if (m_best.candidates == 0 || us < m_best.costUs) {
             m_best.runnerUpCostUs = m_best.costUs;
             m_best.costUs = float(us);
-            m_best.worker = worker;
+            m_best.worker = *worker;
         } else if (m_best.runnerUpCostUs == 0 || us < m_best.runnerUpCostUs) {
             m_best.runnerUpCostUs = float(us);
         }
@@ -154,10 +168,11 @@
                                                  std::mt19937_64 &random, TimePoint now)
 {
     CheapestCandidate cheapest(pool, request, now);
-    cheapest.sample(request.callerZone, pool.settings().localSamples, random);
+    for (std::size_t i = 0; i < pool.settings().localSamples; ++i) {
+        cheapest.consider(calmestWorker(pool, request.callerZone, random));
+    }
     for (std::size_t i = 0; i < pool.settings().remoteSamples; ++i) {
-        const auto zone = ZoneIndex(internal::uniformBelow(random, pool.links().size()));
-        cheapest.sample(zone, 1, random);
+        cheapest.consider(calmestWorker(pool, random));
     }
     if (!cheapest.isEmpty()) {
         return cheapest.best();
@@ -166,7 +181,7 @@
     if (!worker) {
         return std::nullopt;
     }
-    cheapest.consider(*worker);
+    cheapest.consider(worker);
     return cheapest.best();
 }
 
