Count pressure by the urgent load of a worker

Workers that calls avoid are meant to be slow, yet their tasks were throttled, which cost batch work and relieved nobody. The slowdown now counts in proportion to the worker's urgent load.

--- a/bench/policy/BatchSide.h
+++ b/bench/policy/BatchSide.h
@@ -320,7 +320,7 @@
             learn(worker, *report, slowdown);
         }
         if (m_world.options.relief != Relief::None) {
-            relieve(worker, slowdown);
+            relieve(worker, slowdown, report->loadSum / double(report->calls));
         }
     }
 
@@ -335,13 +335,14 @@
         expectSlowdown(worker);
     }
 
-    void relieve(std::size_t worker, double slowdown)
+    void relieve(std::size_t worker, double slowdown, double load)
     {
         std::vector<EvictionCandidate> candidates;
         for (const auto &[number, task] : m_world.workers[worker].tasks()) {
             candidates.push_back(candidate(number, task));
         }
-        const auto action = m_planner.plan(WorkerIndex(worker), slowdown, candidates, m_world.now);
+        const auto action =
+            m_planner.plan(WorkerIndex(worker), slowdown, candidates, m_world.now, load);
         if (!action) {
             return;
         }
--- a/src/Placement/EvictionPlanner.cpp
+++ b/src/Placement/EvictionPlanner.cpp
@@ -22,10 +22,11 @@
 
 std::optional<EvictionAction> EvictionPlanner::plan(WorkerIndex worker, double urgentSlowdown,
                                                     std::span<const EvictionCandidate> tasks,
-                                                    TimePoint now)
+                                                    TimePoint now, double urgentLoad)
 {
     Row &row = at(worker);
-    updatePressure(row, urgentSlowdown, now);
+    const double weight = std::min(1.0, urgentLoad / m_settings.fullPressureLoad);
+    updatePressure(row, 1 + weight * (urgentSlowdown - 1), now);
     if (isSettling(row, now)) {
         return std::nullopt;
     }
--- a/src/Placement/EvictionPlanner.h
+++ b/src/Placement/EvictionPlanner.h
@@ -61,8 +61,11 @@
     {}
 
     /// Takes one reading of a worker's urgent slowdown and returns what to do there, if anything.
+    /// \a urgentLoad is the share of its urgent slots in use: a slow worker that calls avoid is
+    /// under little pressure.
     std::optional<EvictionAction> plan(WorkerIndex worker, double urgentSlowdown,
-                                       std::span<const EvictionCandidate> tasks, TimePoint now);
+                                       std::span<const EvictionCandidate> tasks, TimePoint now,
+                                       double urgentLoad = 1);
     /// Forgets a worker.
     void remove(WorkerIndex worker);
     /// Urgent slowdown that counts as pressure.
--- a/src/Placement/EvictionSettings.h
+++ b/src/Placement/EvictionSettings.h
@@ -14,6 +14,7 @@
     double highPressureAtOne = 1.5;  ///< Urgent slowdown that counts as pressure, urgentWeight 1.
     double highPressureAtZero = 4.0; ///< The same at urgentWeight 0.
     double lowPressureShare = 0.8;   ///< Of the high mark: below it throttled tasks are restored.
+    double fullPressureLoad = 0.5;   ///< Urgent load from which a slowdown counts in full.
     double minRelief = 0.1;          ///< Tasks that cause less slowdown are left alone.
     double throttledShare = 0.25;    ///< Share of its processors that a throttled task keeps.
     Duration throttleAfter = std::chrono::seconds(1);    ///< Under pressure for so long: throttle.
