--- a/bench/policy/Report.cpp
+++ b/bench/policy/Report.cpp
@@ -1,6 +1,7 @@
 #include "bench/policy/Report.h"
 
 #include "bench/policy/Arrivals.h"
+#include "bench/policy/HiddenEffects.h"
 
 #include <algorithm>
 #include <array>
@@ -86,6 +87,7 @@
     return shares;
 }
 
+/// \a load is the load offered, over the capacity.
 void checkOverload(Checker &check, double load)
 {
     constexpr double RefusalLimitMs = 10;
@@ -162,7 +164,7 @@
             lateTargets[scenario.site.name] = check.of("least-outstanding").lateShare() / 3;
         }
         if (scenario.batchLoad == 0) {
-            checkOverload(check, scenario.urgentLoad);
+            checkOverload(check, scenario.urgentLoad * FullWorkerSlowdown);
         }
         if (scenario.failingWorker.length() > Duration::zero()) {
             checkFailingWorker(check);
--- a/bench/policy/Scenario.cpp
+++ b/bench/policy/Scenario.cpp
@@ -1,5 +1,7 @@
 #include "bench/policy/Scenario.h"
 
+#include "bench/policy/HiddenEffects.h"
+
 namespace firefly::bench {
 namespace {
 
@@ -44,7 +46,7 @@
     Scenario it{.name = "overload", .site = site};
     it.length = seconds(40);
     it.warmUp = seconds(10);
-    it.urgentLoad = 2;
+    it.urgentLoad = 2 / FullWorkerSlowdown;
     it.batchLoad = 0;
     return it;
 }
