Test ownership against its rows of the fault table

Three entries, eight workers, a fake log and a lagging VM list run on one paused clock, with late and reordered messages. The cluster asserts after every event that one entry at a time can give a worker work it would accept, and that a job runs in one place.

--- /dev/null
+++ b/test/OwnershipFaults.cpp
@@ -0,0 +1,231 @@
+#include "OwnershipCluster.h"
+
+#include <gtest/gtest.h>
+
+using namespace firefly;
+using namespace firefly::test;
+
+namespace {
+
+constexpr int AllWorkers = 8;
+
+class OwnershipFaults : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        cluster.run(20s);
+        ASSERT_EQ(cluster.servedByAll(), AllWorkers);
+        ASSERT_EQ(cluster.runningTasks(), 2);
+        claimsBefore = cluster.acceptedClaims;
+    }
+    /// Runs until every worker is served again, and returns how long it took.
+    Duration untilAllServed()
+    {
+        const TimePoint start = Clock::now();
+        while (cluster.servedByAll() < AllWorkers && Clock::now() - start < 5min) {
+            cluster.run(250ms);
+        }
+        return Clock::now() - start;
+    }
+    void report(const char *name, Duration value)
+    {
+        RecordProperty(name, std::to_string(value.count() / 1000) + " ms");
+        std::cout << name << ": " << value.count() / 1000 << " ms\n";
+    }
+    Cluster cluster{ClusterOptions{}};
+    int claimsBefore = 0;
+};
+
+} // namespace
+
+TEST_F(OwnershipFaults, logDownTenMinutesAllEntriesAlive)
+{
+    cluster.setLogUp(false);
+    for (int i = 0; i < 600; ++i) {
+        cluster.run(1s);
+        ASSERT_EQ(cluster.servedByAll(), AllWorkers) << "second " << i;
+        ASSERT_EQ(cluster.runningTasks(), 2) << "second " << i;
+    }
+    cluster.setLogUp(true);
+    cluster.run(30s);
+    EXPECT_EQ(cluster.acceptedClaims, claimsBefore);
+    EXPECT_EQ(cluster.evictions, 0);
+}
+
+TEST_F(OwnershipFaults, logDownAndOneEntryDies)
+{
+    FakeEntry &dead = cluster.ownerOf(cluster.workers[0]);
+    const int lost = cluster.served(dead);
+    cluster.setLogUp(false);
+    cluster.run(10s);
+    cluster.kill(dead);
+    cluster.setListed(dead, false);
+    for (int i = 0; i < 120; ++i) {
+        cluster.run(1s);
+        ASSERT_EQ(cluster.servedByAll(), AllWorkers - lost) << "second " << i;
+    }
+    EXPECT_EQ(cluster.acceptedClaims, claimsBefore);
+    cluster.setLogUp(true);
+    report("takeover after the log is back", untilAllServed());
+    EXPECT_EQ(cluster.servedByAll(), AllWorkers);
+}
+
+TEST_F(OwnershipFaults, logDownAndOneEntryDiesWithoutFencing)
+{
+    ClusterOptions options;
+    options.times.times.workersFence = false;
+    Cluster plain(options);
+    plain.run(20s);
+    FakeEntry &dead = plain.ownerOf(plain.workers[0]);
+    const int lost = plain.served(dead);
+    plain.setLogUp(false);
+    plain.run(10s);
+    plain.kill(dead);
+    plain.run(5s);
+    EXPECT_EQ(plain.servedByAll(), 0);
+    plain.setListed(dead, false);
+    plain.run(10s);
+    EXPECT_EQ(plain.servedByAll(), AllWorkers - lost);
+}
+
+TEST_F(OwnershipFaults, oneEntryCutFromLogOnly)
+{
+    FakeEntry &entry = cluster.ownerOf(cluster.workers[0]);
+    const int served = cluster.served(entry);
+    cluster.cut(entry.info.id.value(), "log");
+    for (int i = 0; i < 120; ++i) {
+        cluster.run(1s);
+        ASSERT_EQ(cluster.served(entry), served) << "second " << i;
+    }
+    EXPECT_EQ(cluster.acceptedClaims, claimsBefore);
+}
+
+namespace {
+
+/// Two of three entries lose the log and the third entry, which takes their shards over.
+void cutMajorityFromLog(Cluster &cluster)
+{
+    cluster.run(20s);
+    for (const char *it : {"e0", "e1"}) {
+        cluster.cut(it, "log");
+        cluster.cut(it, "e2");
+    }
+    cluster.run(30s);
+}
+
+} // namespace
+
+TEST_F(OwnershipFaults, majorityCutFromLogIsFenced)
+{
+    cutMajorityFromLog(cluster);
+    for (const FakeWorker &it : cluster.workers) {
+        EXPECT_EQ(cluster.entries[2].memory->authority.mayGiveWork(
+                      it.info.shard(), it.info.id, cluster.local(cluster.entries[2])),
+                  it.highestTerm);
+    }
+}
+
+TEST_F(OwnershipFaults, majorityCutFromLogFailsWithoutFence)
+{
+    ClusterOptions options;
+    options.times.switches.needsFence = false;
+    Cluster unfenced(options);
+    EXPECT_THROW(cutMajorityFromLog(unfenced), InvariantViolation);
+}
+
+TEST_F(OwnershipFaults, oneEntryCutFromLogAndPeers)
+{
+    FakeEntry &entry = cluster.ownerOf(cluster.workers[0]);
+    cluster.cut(entry.info.id.value(), "log");
+    for (const FakeEntry &it : cluster.entries) {
+        cluster.cut(entry.info.id.value(), it.info.id.value());
+    }
+    const TimePoint start = Clock::now();
+    while (cluster.served(entry) > 0) {
+        cluster.run(250ms);
+        ASSERT_LE(Clock::now() - start, shortTimes().proofDuration + 500ms);
+    }
+    report("cut-off owner stops after", Clock::now() - start);
+    report("further time to takeover", untilAllServed());
+    EXPECT_EQ(cluster.served(entry), 0);
+    EXPECT_EQ(cluster.servedByAll(), AllWorkers);
+}
+
+TEST_F(OwnershipFaults, ownerPausedPastItsProofThenResumed)
+{
+    FakeWorker &worker = cluster.workers[0];
+    FakeEntry &entry = cluster.ownerOf(worker);
+    const Term oldTerm = worker.highestTerm;
+    cluster.pause(entry);
+    report("takeover from a paused owner", [&] {
+        cluster.run(5s);
+        return 5s + untilAllServed();
+    }());
+    EXPECT_FALSE(cluster.mayGive(entry, worker));
+    cluster.resume(entry);
+    EXPECT_FALSE(cluster.mayGive(entry, worker));
+    cluster.run(30s);
+    ASSERT_GT(worker.highestTerm, oldTerm);
+
+    StartTask late;
+    late.term = oldTerm;
+    late.job = JobId("late");
+    late.leaseNumber = worker.number;
+    worker.start(late, Clock::now());
+    EXPECT_FALSE(worker.tasks.contains(JobId("late")));
+    EXPECT_FALSE(worker.sync(oldTerm, worker.number + 1, Clock::now(), 6s));
+}
+
+TEST_F(OwnershipFaults, workerLeaseLapsesWhileHolderPaused)
+{
+    ClusterOptions options;
+    options.jobs = 1;
+    Cluster single(options);
+    single.run(20s);
+    FakeWorker &worker = *std::ranges::find_if(
+        single.workers, [](const FakeWorker &it) { return !it.tasks.empty(); });
+    FakeEntry &holder = single.ownerOf(worker);
+    for (const FakeEntry &it : single.entries) {
+        if (it.info.id != holder.info.id) {
+            single.cut(it.info.id.value(), worker.info.id.value());
+        }
+    }
+    single.pause(holder);
+    const TimePoint start = Clock::now();
+    while (single.evictions == 0 && Clock::now() - start < 2min) {
+        single.run(250ms);
+    }
+    ASSERT_EQ(single.evictions, 1);
+    EXPECT_TRUE(worker.tasks.empty());
+    EXPECT_GE(Clock::now() - start, shortTimes().strangerWait());
+    report("job of a paused holder is evicted after", Clock::now() - start);
+    single.run(5s);
+    EXPECT_EQ(single.runningTasks(), 1);
+}
+
+TEST_F(OwnershipFaults, drainingEntryHandsOverWithoutHoldOff)
+{
+    FakeEntry &entry = cluster.ownerOf(cluster.workers[0]);
+    entry.memory->draining = true;
+    report("handover of a draining entry", [&] {
+        cluster.run(500ms);
+        return 500ms + untilAllServed();
+    }());
+    EXPECT_EQ(cluster.served(entry), 0);
+    EXPECT_EQ(cluster.servedByAll(), AllWorkers);
+    EXPECT_EQ(cluster.evictions, 0);
+}
+
+TEST_F(OwnershipFaults, allEntriesRestartedAtOnce)
+{
+    for (FakeEntry &it : cluster.entries) {
+        cluster.kill(it);
+        cluster.boot(it);
+    }
+    EXPECT_EQ(cluster.servedByAll(), 0);
+    report("all entries restarted, every worker served after", untilAllServed());
+    cluster.run(10s);
+    EXPECT_EQ(cluster.servedByAll(), AllWorkers);
+    EXPECT_EQ(cluster.runningTasks(), 2);
+}
--- /dev/null
+++ b/test/OwnershipRandom.cpp
@@ -0,0 +1,76 @@
+#include "OwnershipFaultSchedule.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace firefly;
+using namespace firefly::test;
+
+namespace {
+
+ClusterOptions randomOptions(std::uint64_t seed, bool workersFence)
+{
+    ClusterOptions options;
+    options.shards = 2;
+    options.seed = seed;
+    options.lateShare = 0.05;
+    options.drifts = true;
+    options.times.times.workersFence = workersFence;
+    return options;
+}
+
+/// Number of random schedules until one breaks an invariant; 0 when none of \a limit does.
+int schedulesToViolation(const ClusterOptions &options, int limit)
+{
+    const auto schedules = faultSchedules();
+    for (int i = 1; i <= limit; ++i) {
+        ClusterOptions run = options;
+        run.seed = static_cast<std::uint64_t>(i);
+        try {
+            runSchedule(run, schedules(rc::Random(run.seed), 12).value());
+        } catch (const InvariantViolation &) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+/// Without fencing a late start may run beside a new owner's, so no jobs are placed.
+ClusterOptions withoutFencing()
+{
+    ClusterOptions options = randomOptions(0, false);
+    options.jobs = 0;
+    return options;
+}
+
+} // namespace
+
+RC_GTEST_PROP(OwnershipRandom, oneOwnerAndOnePlacePerJob, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto faults = *faultSchedules();
+    RC_ASSERT(runSchedule(randomOptions(seed, true), faults));
+}
+
+RC_GTEST_PROP(OwnershipRandom, oneOwnerWhereWorkersDoNotFence, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto faults = *faultSchedules();
+    ClusterOptions options = withoutFencing();
+    options.seed = seed;
+    RC_ASSERT(runSchedule(options, faults));
+}
+
+TEST(OwnershipRandom, failsWithoutHoldOff)
+{
+    ClusterOptions options = withoutFencing();
+    options.times.times.holdOff = Duration::zero();
+    EXPECT_GT(schedulesToViolation(options, 200), 0);
+}
+
+TEST(OwnershipRandom, failsWithoutProof)
+{
+    ClusterOptions options = withoutFencing();
+    options.times.switches.needsProof = false;
+    EXPECT_GT(schedulesToViolation(options, 200), 0);
+}
