Require an entry's listing for what rests on the others knowing it

Now such an entry is settled only while its own fresh readings list it without a gap, and the wait for an unreachable worker, and without fencing all authority, counts from then. Waiting at the claim's read-back alone was ruled out, because the listing can end after it.

--- a/src/Membership/PeerTable.cpp
+++ b/src/Membership/PeerTable.cpp
@@ -34,6 +34,7 @@
 
 void PeerTable::onVmList(const VmList &list, TimePoint now)
 {
+    const bool hadGap = !isListFresh(now);
     m_listReadAt = now;
     bool listsSelf = false;
     std::map<EntryId, EntryInfo> listed;
@@ -48,7 +49,7 @@
 
     if (!listsSelf) {
         m_selfListedAt.reset();
-    } else if (!m_selfListedAt) {
+    } else if (!m_selfListedAt || hadGap) {
         m_selfListedAt = now;
     }
     for (auto &[id, peer] : m_peers) {
@@ -135,8 +136,11 @@
 
     const Peer &peer = it->second;
     const bool quiet = isSilent(peer, now, m_times.suspectAfter);
+    if (!peer.info && quiet) {
+        return isReachedByOther(entry, now) ? EntryState::Suspected : EntryState::Dead;
+    }
     if (!peer.info) {
-        return quiet ? EntryState::Dead : EntryState::Leaving;
+        return EntryState::Leaving;
     }
     if (isDead(entry, peer, now)) {
         return EntryState::Dead;
@@ -190,11 +194,20 @@
 }
 
 bool PeerTable::isSettled(TimePoint now) const
+{
+    return settled(now).has_value();
+}
+
+std::optional<SettledSpan> PeerTable::settled(TimePoint now) const
 {
     if (!m_selfListedAt || !isListFresh(now)) {
-        return false;
+        return std::nullopt;
+    }
+    const TimePoint since = *m_selfListedAt + m_times.listLag + m_times.listMaxAge;
+    if (now < since) {
+        return std::nullopt;
     }
-    return now - *m_selfListedAt >= m_times.listLag + m_times.listMaxAge;
+    return SettledSpan{since, *m_listReadAt + m_times.listMaxAge};
 }
 
 std::optional<TimePoint> PeerTable::witnessedByAll(TimePoint now, bool caughtUpOnly) const
--- a/src/Membership/PeerTable.h
+++ b/src/Membership/PeerTable.h
@@ -23,6 +23,13 @@
     Dead       ///< Silent for long while the log was reachable, or gone from the VM list.
 };
 
+/// How long the VM list has shown this entry without a gap, as far as its readings tell.
+struct SettledSpan
+{
+    TimePoint since; ///< Every other entry knew this one from then on.
+    TimePoint until; ///< When the newest reading becomes too old to tell.
+};
+
 /// Room that a peer advertises for one of its shards.
 struct PeerRoom
 {
@@ -58,6 +65,8 @@
     std::vector<EntryId> reached(TimePoint now) const;
     /// True when the VM list has shown this entry for its whole lag, and still does.
     bool isSettled(TimePoint now) const;
+    /// None while the VM list has not shown this entry for its whole lag.
+    std::optional<SettledSpan> settled(TimePoint now) const;
     /// True when the VM list shows this entry as leaving.
     bool isSelfLeaving() const { return m_selfLeaving; }
 
--- a/src/Ownership/ShardAuthority.cpp
+++ b/src/Ownership/ShardAuthority.cpp
@@ -56,7 +56,7 @@
     if (it != m_shards.end()) {
         m_shards.erase(it);
     }
-    if (claim.record.entry != m_self || !claim.byThisIncarnation || !claim.settled) {
+    if (claim.record.entry != m_self || !claim.byThisIncarnation) {
         return;
     }
 
@@ -116,6 +116,7 @@
 
 void ShardAuthority::onWitnesses(const PeerTable &peers, TimePoint now)
 {
+    m_settled = peers.settled(now);
     const bool caughtUpOnly = !m_times.workersFence;
     const auto all = peers.witnessedByAll(now, caughtUpOnly);
     if (all) {
@@ -220,14 +221,14 @@
                                        TimePoint now) const
 {
     const auto at = lostWorkerStopsAt(shard, worker);
-    return at && now >= *at;
+    return at && now >= *at && isSettled(now);
 }
 
 std::optional<TimePoint> ShardAuthority::lostWorkerStopsAt(const ShardId &shard,
                                                            const WorkerId &worker) const
 {
     const auto it = m_shards.find(shard);
-    if (it == m_shards.end() || it->second.lost || it->second.finished) {
+    if (it == m_shards.end() || it->second.lost || it->second.finished || !m_settled) {
         return std::nullopt;
     }
     return stopsAt(it->second, worker);
@@ -347,6 +348,11 @@
     return json;
 }
 
+bool ShardAuthority::isSettled(TimePoint now) const
+{
+    return m_settled && now >= m_settled->since && now < m_settled->until;
+}
+
 bool ShardAuthority::hasStrictProof(TimePoint now) const
 {
     return !m_switches.needsProof || isCurrentProof(m_logProofAt, now)
@@ -371,9 +377,19 @@
     return fenced && worker.listed && !worker.refuses;
 }
 
-bool ShardAuthority::isUsable(const Shard &shard, TimePoint now)
+/// Where workers do not refuse older terms, an owner that the others do not know gives nothing.
+bool ShardAuthority::isUsable(const Shard &shard, TimePoint now) const
+{
+    if (shard.lost || shard.finished || now < shard.holdOffEnds) {
+        return false;
+    }
+    return m_times.workersFence || (isSettled(now) && now >= knownAt(shard) + m_times.holdOff);
+}
+
+/// Since when every other entry's proof depends on the word of this entry, which read the claim.
+TimePoint ShardAuthority::knownAt(const Shard &shard) const
 {
-    return !shard.lost && !shard.finished && now >= shard.holdOffEnds;
+    return m_settled ? std::max(shard.readBackAt, m_settled->since) : shard.readBackAt;
 }
 
 AuthorityState ShardAuthority::stateOf(const Shard &shard, TimePoint now)
@@ -399,7 +415,7 @@
     const Duration oneLess = m_switches.secondLease ? Duration::zero() : m_times.lease;
     const auto found = shard.workers.find(worker);
     if (found == shard.workers.end() || !found->second.renewal.answeredAt()) {
-        return shard.readBackAt + m_times.strangerWait() - oneLess;
+        return knownAt(shard) + m_times.strangerWait() - oneLess;
     }
     return *found->second.renewal.answeredAt() + m_times.silenceWait() - oneLess;
 }
--- a/src/Ownership/ShardAuthority.h
+++ b/src/Ownership/ShardAuthority.h
@@ -34,7 +34,6 @@
     ShardClaimed record;
     bool byThisIncarnation = false; ///< Its writer is this process.
     bool hadOwner = true;           ///< The shard had an owner when it was claimed.
-    bool settled = true;            ///< PeerTable::isSettled() when the claim was read.
 };
 
 /// A sync that should be sent now.
@@ -71,7 +70,8 @@
     void onTailRead(TimePoint sentAt, Offset tail, Offset appliedTo);
     /// A peer answered a heartbeat sent at \a sentAt: its own read of the tail is a proof too.
     void onPeerReply(TimePoint sentAt, const HeartbeatReply &reply);
-    /// What the peers together say about claims while the log is unreachable.
+    /// What the peers together say about claims while the log is unreachable, and whether they all
+    /// know this entry; call it after every change of \a peers and at least once a second.
     void onWitnesses(const PeerTable &peers, TimePoint now);
 
     /// Syncs to send now; each is counted as sent.
@@ -96,7 +96,8 @@
     std::uint64_t leaseNumber(const ShardId &shard, const WorkerId &worker) const;
     /// True when every task that \a worker ran has surely stopped, because its lease lapsed.
     ///
-    /// False for shards that this entry does not own.  A worker that never answered in this term is
+    /// False for shards that this entry does not own, and while the VM list does not show this
+    /// entry: the others then go on without its word.  A worker that never answered in this term is
     /// awaited for OwnershipTimes::strangerWait(), also when the VM list does not show it.
     bool lostWorkerStopped(const ShardId &shard, const WorkerId &worker, TimePoint now) const;
     /// When lostWorkerStopped() becomes true if the worker stays silent.
@@ -143,11 +144,13 @@
         std::map<WorkerId, Worker> workers;
     };
 
+    bool isSettled(TimePoint now) const;
     bool hasStrictProof(TimePoint now) const;
     bool hasWorkProof(TimePoint now) const;
     bool isCurrentProof(const std::optional<TimePoint> &at, TimePoint now) const;
     static AuthorityState stateOf(const Shard &shard, TimePoint now);
-    static bool isUsable(const Shard &shard, TimePoint now);
+    bool isUsable(const Shard &shard, TimePoint now) const;
+    TimePoint knownAt(const Shard &shard) const;
     TimePoint stopsAt(const Shard &shard, const WorkerId &worker) const;
     bool mayReceive(const Worker &worker) const;
     Worker *findWorker(const ShardId &shard, const WorkerId &worker, Term term);
@@ -160,6 +163,7 @@
     std::optional<TimePoint> m_logProofAt;      ///< From the log, read here or by a peer.
     std::optional<TimePoint> m_allWitnessedAt;  ///< From every entry that could claim.
     std::optional<TimePoint> m_mostWitnessedAt; ///< From a majority of the entries.
+    std::optional<SettledSpan> m_settled;       ///< None while some entry may not know this one.
 };
 
 } // namespace firefly
--- a/test/OwnershipCluster.h
+++ b/test/OwnershipCluster.h
@@ -389,8 +389,7 @@
                 return;
             }
             memory.planner.onClaimRead(claim->shard);
-            const bool settled = memory.peers.isSettled(local(entry));
-            memory.authority.onClaim({offset, *claim, writer == memory.writer, hadOwner, settled},
+            memory.authority.onClaim({offset, *claim, writer == memory.writer, hadOwner},
                                      local(entry));
             acceptedClaims += writer == memory.writer ? 1 : 0;
         } else if (const auto *release = std::get_if<ShardReleased>(&record)) {
--- a/test/OwnershipLeases.cpp
+++ b/test/OwnershipLeases.cpp
@@ -30,6 +30,12 @@
         const TimePoint proof(100s);
         owner.onClaim({1, {EntryId("a"), Shard, 0}, true, false}, proof - 30s);
         owner.onTailRead(proof, 1, 1);
+        PeerTable peers(EntryId("b"), shortMembership());
+        const EntryInfo self{EntryId("b")};
+        for (TimePoint it = proof - 30s; it <= proof; it += 1s) {
+            peers.onVmList({{}, {self}}, it);
+        }
+        claimant.onWitnesses(peers, proof);
         claimant.onClaim({2, {EntryId("b"), Shard, 1}, true, true}, proof);
 
         FakeWorker worker;
