Let a settled listing be the authority's own matter, and make the ownership fold load in place

Cause: OwnershipFold::load was a static that returned a new fold, so CompositeFold::restore discarded it and a restored entry would have known no owners; the Snapshotable concept accepted it. Ruled out: a wrapper in the entry. Now load() is a member, and the ownership test restores through it.

--- a/src/Entry/EntryCore.cpp
+++ b/src/Entry/EntryCore.cpp
@@ -185,7 +185,6 @@
         accepted.offset = logged.offset;
         accepted.record = *claim;
         accepted.byThisIncarnation = logged.envelope.writer == m_log.writer();
-        accepted.settled = m_peers.table().isSettled(now);
         m_workers.authority().onClaim(accepted, now);
         if (accepted.byThisIncarnation) {
             notice(false, "ownership", "shard claimed", claim->shard.value());
--- a/test/OwnershipClaims.cpp
+++ b/test/OwnershipClaims.cpp
@@ -24,7 +24,9 @@
         EXPECT_EQ(it->ownerOf(Shard), (ShardOwner{B, 5}));
     }
     EXPECT_EQ(fold.save(), other.save());
-    EXPECT_EQ(OwnershipFold::load(fold.save()).ownerOf(Shard), fold.ownerOf(Shard));
+    OwnershipFold restored;
+    restored.load(fold.save());
+    EXPECT_EQ(restored.ownerOf(Shard), fold.ownerOf(Shard));
 }
 
 TEST(OwnershipClaims, appendWhoseReplyWasLostTakesEffectOnce)
