--- a/models/leases.pml
+++ b/models/leases.pml
@@ -2,64 +2,67 @@
  * Leases of one worker, and when its job may be placed again.
  *
  * Entry A owns the worker by term 1; entry B claims the shard and cannot reach the worker, A can.
- * Every message may be late without bound, and either entry may stop between any two steps.
- * One step of `now` is one unit; durations stand for OwnershipTimes.
+ * Every message may be late without bound, either entry may stop between any two steps, and an
+ * outage of the log is a stretch in which no step of the log is taken.  Times are kept as what is
+ * left of them, so a run has no end; durations stand for OwnershipTimes.
  */
 #ifdef NO_HOLDOFF
 #define HOLDOFF 0
 #else
-#define HOLDOFF 2      /* OwnershipTimes::holdOff */
+#define HOLDOFF 3      /* OwnershipTimes::holdOff; a proof's last usable moment is PROOF - 1 */
 #endif
-#define PROOF 1        /* OwnershipTimes::proofDuration */
-#define LEASE 2        /* OwnershipTimes::lease */
+#define PROOF 3        /* OwnershipTimes::proofDuration */
+#define LEASE 4        /* OwnershipTimes::lease */
 #ifdef ONE_LEASE_WAIT
 #define WAITED 1
 #else
 #define WAITED 2       /* OwnershipTimes::strangerWait(), silenceWait(): leases awaited */
 #endif
-#ifndef END
-#define END 11         /* last moment of the run */
-#endif
 #define NUMBERS 3      /* syncs of A */
 #define NEVER 255
 
-byte now = 2;
-bool logUp = true;
-
 /* The log: what OwnershipFold and the job fold make of it. */
 bool claimed;          /* ShardClaimed by B was accepted: terms of A are stale */
 bool evicted;          /* JobEvicted of attempt 1 was accepted */
 byte resumed;          /* starts of attempt 2 on the other worker */
 
 /* Entry A: ShardAuthority. */
-byte aProof = 2;       /* m_logProofAt */
-byte aWitness = 0;     /* m_allWitnessedAt */
+byte aProofLeft;       /* of m_logProofAt or m_allWitnessedAt, whichever holds longer */
 bool aLost;            /* Shard::lost */
 byte aNumber;          /* LeaseRenewal::m_number */
 byte aGranted;         /* LeaseRenewal::granted() */
-byte aAnsweredAt = NEVER;
+byte aSilenceLeft = NEVER; /* until LeaseRenewal::answeredAt() + silenceWait() */
 bool aStarted;         /* StartTask was sent */
 bool aSawMissing;      /* a sync reply did not list the started job */
-byte readSentAt; byte readState;   /* 0 none, 1 sent, 2 read no claim, 3 read the claim */
-byte askSentAt; byte askState;     /* heartbeat exchange with B, likewise */
+/* A question for proof: 0 none, 1 sent, 2 no claim was seen, 3 the claim was seen. */
+byte askState; byte askAge;
 bool aEvicts; bool bEvicts;        /* JobEvicted in flight to the log */
 
 /* Entry B. */
-byte bReadBackAt = NEVER;          /* Shard::readBackAt */
+byte bWaitLeft = NEVER;            /* until Shard::readBackAt + strangerWait() */
 
 /* Messages in flight: a bit per sync number. */
 byte syncs; byte replies; byte repliesRunning;
 bool startInFlight; byte startLease;
 
 /* The workers. */
-byte wNumber; byte wLeaseEnds; bool wRuns;
+byte wNumber; byte wLeaseLeft; bool wRuns;
 bool otherRuns;
 
-#define PROVED (!aLost && (now < aProof + PROOF || now < aWitness + PROOF))
+#define PROVED (!aLost && aProofLeft > 0)
 #define BIT(n) (1 << (n))
 
 inline check() { assert(!(wRuns && otherRuns)); assert(resumed <= 1) }
 
+inline countDown(left) { if :: left > 0 && left != NEVER -> left-- :: else fi }
+inline countUp(state, age) { if :: state > 0 && age < PROOF -> age++ :: else fi }
+/* A proof counts from when its question was sent. */
+inline prove(age) { if :: PROOF - age > aProofLeft -> aProofLeft = PROOF - age :: else fi }
+
+/* A lost shard: what A still waits for has no effect any more. */
+inline lose() { aLost = true; aProofLeft = 0; aSilenceLeft = NEVER; aSawMissing = false; replies = 0;
+    repliesRunning = 0 }
+
 /* JobEvicted, then JobPlaced of the next attempt and its start on another worker. */
 inline resume() { evicted = true; resumed++; otherRuns = true }
 
@@ -68,37 +71,32 @@
     byte n;
     do
     /* Time; a lapsed lease ends the worker's task at once. */
-    :: atomic { now < END -> now++;
-        if :: now >= wLeaseEnds -> wRuns = false :: else fi }
-    :: atomic { logUp -> logUp = false }
-    :: atomic { !logUp -> logUp = true }
-
-    /* ShardAuthority::onTailRead: the proof counts from when the read was sent. */
-    :: atomic { readState == 0 && !aLost -> readState = 1; readSentAt = now }
-    :: atomic { readState == 1 && logUp ->
-        if :: claimed -> readState = 3 :: else -> readState = 2 fi }
-    :: atomic { readState >= 2 ->
-        if :: readState == 3 -> aLost = true :: else -> aProof = readSentAt fi;
-        readState = 0; readSentAt = 0 }
-    /* ShardAuthority::onWitnesses: B has read no claim. */
-    :: atomic { askState == 0 && !aLost -> askState = 1; askSentAt = now }
-    :: atomic { askState == 1 ->
-        if :: bReadBackAt != NEVER -> askState = 3 :: else -> askState = 2 fi }
+    :: atomic { true ->
+        countDown(aProofLeft); countDown(aSilenceLeft); countDown(bWaitLeft); countDown(wLeaseLeft);
+        countUp(askState, askAge);
+        if :: wLeaseLeft == 0 -> wRuns = false :: else fi }
+
+    /* The proof counts from when its question was sent: to the log, or in a heartbeat to B. */
+    :: atomic { askState == 0 && !aLost -> askState = 1 }
+    /* ShardAuthority::onTailRead: the read finds the claim or not. */
+    :: atomic { askState == 1 -> askState = (claimed -> 3 : 2) }
+    /* ShardAuthority::onWitnesses: B has read its claim back or not. */
+#ifdef NO_WITNESS
+    :: atomic { askState == 1 -> askState = 2 }
+#else
+    :: atomic { askState == 1 -> askState = (bWaitLeft != NEVER -> 3 : 2) }
+#endif
     :: atomic { askState >= 2 ->
-        if :: askState == 3 -> aLost = true :: else -> aWitness = askSentAt fi;
-        askState = 0; askSentAt = 0 }
+        if :: askState == 3 -> lose() :: else -> prove(askAge) fi;
+        askState = 0; askAge = 0 }
 #ifdef NO_PROOF
     /* Authority of A never expires. */
-    :: atomic { !aLost && aProof < now -> aProof = now }
-#endif
-#ifdef NO_WITNESS
-    /* A goes on during an outage of the log without asking B. */
-    :: atomic { !logUp && !aLost && aWitness < now -> aWitness = now }
+    :: atomic { !aLost -> aProofLeft = PROOF }
 #endif
 
     /* ClaimPlanner::planClaims, ShardAuthority::onClaim. */
-    :: atomic { logUp && !claimed -> claimed = true }
-    :: atomic { logUp && claimed && bReadBackAt == NEVER -> bReadBackAt = now }
+    :: atomic { !claimed -> claimed = true }
+    :: atomic { claimed && bWaitLeft == NEVER -> bWaitLeft = HOLDOFF + WAITED * LEASE }
 
     /* ShardAuthority::takeDueSyncs, LeaseRenewal::next. */
     :: atomic { PROVED && aNumber < NUMBERS && aNumber == aGranted ->
@@ -115,9 +113,9 @@
         :: syncs & BIT(n) ->
             syncs = syncs & ~BIT(n);
             if
-            :: n > wNumber -> wNumber = n; wLeaseEnds = now + LEASE;
-                replies = replies | BIT(n);
-                if :: wRuns -> repliesRunning = repliesRunning | BIT(n) :: else fi
+            :: n > wNumber -> wNumber = n; wLeaseLeft = LEASE;
+                if :: !aLost -> replies = replies | BIT(n) :: else fi;
+                if :: wRuns && !aLost -> repliesRunning = repliesRunning | BIT(n) :: else fi
             :: else
             fi
         :: else
@@ -129,7 +127,7 @@
         :: (replies & BIT(n)) ->
             replies = replies & ~BIT(n);
             if
-            :: n > aGranted -> aGranted = n; aAnsweredAt = now;
+            :: n > aGranted -> aGranted = n; aSilenceLeft = WAITED * LEASE;
                 if
                 :: aStarted && n > startLease && !(repliesRunning & BIT(n)) -> aSawMissing = true
                 :: else
@@ -146,29 +144,28 @@
     :: atomic { startInFlight -> startInFlight = false;
         if
 #ifdef START_WITHOUT_LEASE
-        :: now < wLeaseEnds -> wRuns = true
+        :: wLeaseLeft > 0 -> wRuns = true
 #else
-        :: now < wLeaseEnds && startLease == wNumber -> wRuns = true
+        :: wLeaseLeft > 0 && startLease == wNumber -> wRuns = true
 #endif
         :: else
         fi;
         check() }
 
     /* A gives its job up: the worker does not list it, or was silent for silenceWait(). */
-    :: atomic { aStarted && !aLost && !aEvicts && !evicted
-            && (aSawMissing || now >= aAnsweredAt + WAITED * LEASE) -> aEvicts = true }
+    :: atomic { aStarted && !aLost && !aEvicts && !evicted &&
+            (aSawMissing || aSilenceLeft == 0) -> aEvicts = true }
     /* B gives it up after strangerWait(): ShardAuthority::lostWorkerStopped. */
-    :: atomic { bReadBackAt != NEVER && !bEvicts && !evicted
-            && now >= bReadBackAt + HOLDOFF + WAITED * LEASE -> bEvicts = true }
+    :: atomic { bWaitLeft == 0 && !bEvicts && !evicted -> bEvicts = true }
     /* The fold takes an eviction of the current term and attempt. */
-    :: atomic { aEvicts && logUp -> aEvicts = false;
+    :: atomic { aEvicts -> aEvicts = false;
 #ifdef NO_ATTEMPT
         resume();
 #else
         if :: !claimed && !evicted -> resume() :: else fi;
 #endif
         check() }
-    :: atomic { bEvicts && logUp -> bEvicts = false;
+    :: atomic { bEvicts -> bEvicts = false;
 #ifdef NO_ATTEMPT
         resume();
 #else
@@ -176,6 +173,5 @@
 #endif
         check() }
 
-    :: now == END -> break
     od
 }
