--- a/src/Placement/PlacementPolicies.cpp
+++ b/src/Placement/PlacementPolicies.cpp
@@ -33,6 +33,8 @@
 
 /// Part of a worker's urgent slots that batch leaves free once calls avoid the worker.
 constexpr double SlotsKeptWhereAvoided = 0.25;
+/// Calm slots kept beyond the urgent calls now running, at urgentWeight 1, as a share of those.
+constexpr double BurstMargin = 0.3;
 /// Price of a job's own slowdown against a worker that calls have to avoid.
 constexpr double OwnSlowdownPrice = 0.25;
 /// Slowdown from which calls avoid a worker, so that more does no more harm.
@@ -93,6 +95,17 @@
     return {n * call.milliProcessors, n * call.memoryMiB, n * call.accelerators, 0};
 }
 
+bool LeastSlowdown::canBeDisturbed(const PlacementContext &context, WorkerIndex worker)
+{
+    if (context.pool.disturbance(worker) != Disturbance::Calm) {
+        return true;
+    }
+    const std::int64_t left =
+        context.pool.calmSlots() - context.pool.ledger().capacity(worker).slots;
+    const double wanted = 1 + BurstMargin * context.settings.urgentWeight;
+    return double(left) >= wanted * double(context.pool.urgentInUse());
+}
+
 double LeastSlowdown::costOf(const PlacementContext &context, const PlacementRequest &request,
                              WorkerIndex worker, TimePoint now)
 {
@@ -124,7 +137,8 @@
         wouldFit = true;
         const Resources &capacity = context.pool.ledger().capacity(worker);
         const Resources batch = context.pool.ledger().batchInUse(worker) + request.resources;
-        if (!(batch + keptForUrgent(context, worker)).fitsIn(capacity)) {
+        if (!(batch + keptForUrgent(context, worker)).fitsIn(capacity)
+            || !canBeDisturbed(context, worker)) {
             continue;
         }
         const auto cost = float(costOf(context, request, worker, now));
--- a/src/Placement/PlacementPolicies.h
+++ b/src/Placement/PlacementPolicies.h
@@ -42,6 +42,8 @@
     /// Expected harm of the job on \a worker: to urgent calls and to the job itself, by weight.
     static double costOf(const PlacementContext &context, const PlacementRequest &request,
                          WorkerIndex worker, TimePoint now);
+    /// Whether calls can spare \a worker as a calm one, should the job disturb it.
+    static bool canBeDisturbed(const PlacementContext &context, WorkerIndex worker);
     /// Resources of \a worker that batch tasks leave to urgent calls.
     static Resources keptForUrgent(const PlacementContext &context, WorkerIndex worker);
 };
--- a/src/Routing/WorkerPool.cpp
+++ b/src/Routing/WorkerPool.cpp
@@ -237,6 +237,7 @@
     FIREFLY_ASSERT(slowdown >= 1, "a slowdown below 1 was predicted");
     at(worker).view.expectedSlowdown = slowdown;
     refreshOpen(worker);
+    refreshCalmSlots(worker);
 }
 
 void WorkerPool::tick(TimePoint now)
@@ -279,6 +280,16 @@
 {
     refreshOpen(worker);
     refreshBatchRoom(worker);
+    refreshCalmSlots(worker);
+}
+
+void WorkerPool::refreshCalmSlots(WorkerIndex worker)
+{
+    Row &row = at(worker);
+    const bool counts = acceptsWork(worker) && disturbance(worker) == Disturbance::Calm;
+    const std::int64_t slots = counts ? row.view.info.capacity.slots : 0;
+    m_calmSlots += slots - row.calmSlots;
+    row.calmSlots = slots;
 }
 
 void WorkerPool::refreshBatchRoom(WorkerIndex worker)
--- a/src/Routing/WorkerPool.h
+++ b/src/Routing/WorkerPool.h
@@ -91,6 +91,8 @@
     std::span<const WorkerIndex> openWorkers(ZoneIndex zone, Disturbance disturbance) const;
     /// How much the batch tasks on \a worker are expected to slow its calls.
     Disturbance disturbance(WorkerIndex worker) const;
+    /// Urgent slots of the workers that accept work and are calm.
+    std::int64_t calmSlots() const { return m_calmSlots; }
     /// Workers that accept work, by the processors that batch tasks leave free.
     const BatchRoomIndex &batchRoom() const { return m_batchRoom; }
     /// Workers, of any zone, that can take one more urgent call.
@@ -111,6 +113,7 @@
         WorkerView view;
         std::uint32_t openPosition = NotOpen;   ///< Position in its list of open workers.
         Disturbance openAs = Disturbance::Calm; ///< Which list of its zone that is.
+        std::int64_t calmSlots = 0;             ///< Its part of the pool's.
         bool present = false;
         bool removed = false; ///< Gone from the VM list, but still has work.
     };
@@ -120,6 +123,7 @@
     void refresh(WorkerIndex worker);
     void refreshOpen(WorkerIndex worker);
     void refreshBatchRoom(WorkerIndex worker);
+    void refreshCalmSlots(WorkerIndex worker);
     void open(WorkerIndex worker);
     void close(WorkerIndex worker);
     void learn(WorkerIndex worker, const CallObservation &observation, TimePoint now);
@@ -138,6 +142,7 @@
     std::size_t m_openCount = 0;
     double m_meanLatencyUs;
     double m_undisturbedUs;
+    std::int64_t m_calmSlots = 0;
     std::int64_t m_urgentInUse = 0;
     std::int64_t m_urgentSlots = 0;
 };
