--- a/src/Placement/PlacementPolicies.cpp
+++ b/src/Placement/PlacementPolicies.cpp
@@ -106,8 +106,9 @@
     return double(left) >= wanted * double(context.pool.urgentInUse());
 }
 
-double LeastSlowdown::costOf(const PlacementContext &context, const PlacementRequest &request,
-                             WorkerIndex worker, TimePoint now)
+LeastSlowdown::Effect LeastSlowdown::effectOf(const PlacementContext &context,
+                                              const PlacementRequest &request, WorkerIndex worker,
+                                              TimePoint now)
 {
     const auto mix = context.mixes.of(worker);
     const double share = shareOf(context, request, worker);
@@ -116,7 +117,8 @@
     const auto own = context.slowdowns.predict(request.kind, mix, now);
     const double after = before.mean + alone.mean - 1;
     const double w = context.settings.urgentWeight;
-    return w * (harmOf(after) - harmOf(before.mean)) + (1 - w) * OwnSlowdownPrice * (own.mean - 1);
+    const double urgentCost = harmOf(after) - harmOf(before.mean);
+    return {after, w * urgentCost + (1 - w) * OwnSlowdownPrice * (own.mean - 1)};
 }
 
 Placement LeastSlowdown::choose(const PlacementContext &context, const PlacementRequest &request,
@@ -137,13 +139,16 @@
         wouldFit = true;
         const Resources &capacity = context.pool.ledger().capacity(worker);
         const Resources batch = context.pool.ledger().batchInUse(worker) + request.resources;
-        if (!(batch + keptForUrgent(context, worker)).fitsIn(capacity)
-            || !canBeDisturbed(context, worker)) {
+        if (!(batch + keptForUrgent(context, worker)).fitsIn(capacity)) {
             continue;
         }
-        const auto cost = float(costOf(context, request, worker, now));
-        if (!best || cost < best->cost) {
-            best = Placed{worker, PlacementReason::LowestSlowdown, cost};
+        const Effect effect = effectOf(context, request, worker, now);
+        const bool disturbs = effect.urgentSlowdown >= context.pool.settings().calmBelow;
+        if (disturbs && !canBeDisturbed(context, worker)) {
+            continue;
+        }
+        if (!best || effect.cost < double(best->cost)) {
+            best = Placed{worker, PlacementReason::LowestSlowdown, float(effect.cost)};
         }
     }
     if (best) {
