--- a/src/Placement/PlacementPolicies.cpp
+++ b/src/Placement/PlacementPolicies.cpp
@@ -106,9 +106,8 @@
     return double(left) >= wanted * double(context.pool.urgentInUse());
 }
 
-LeastSlowdown::Effect LeastSlowdown::effectOf(const PlacementContext &context,
-                                              const PlacementRequest &request, WorkerIndex worker,
-                                              TimePoint now)
+double LeastSlowdown::costOf(const PlacementContext &context, const PlacementRequest &request,
+                             WorkerIndex worker, TimePoint now)
 {
     const auto mix = context.mixes.of(worker);
     const double share = shareOf(context, request, worker);
@@ -117,8 +116,7 @@
     const auto own = context.slowdowns.predict(request.kind, mix, now);
     const double after = before.mean + alone.mean - 1;
     const double w = context.settings.urgentWeight;
-    const double urgentCost = harmOf(after) - harmOf(before.mean);
-    return {after, w * urgentCost + (1 - w) * OwnSlowdownPrice * (own.mean - 1)};
+    return w * (harmOf(after) - harmOf(before.mean)) + (1 - w) * OwnSlowdownPrice * (own.mean - 1);
 }
 
 Placement LeastSlowdown::choose(const PlacementContext &context, const PlacementRequest &request,
@@ -139,16 +137,13 @@
         wouldFit = true;
         const Resources &capacity = context.pool.ledger().capacity(worker);
         const Resources batch = context.pool.ledger().batchInUse(worker) + request.resources;
-        if (!(batch + keptForUrgent(context, worker)).fitsIn(capacity)) {
+        if (!(batch + keptForUrgent(context, worker)).fitsIn(capacity)
+            || !canBeDisturbed(context, worker)) {
             continue;
         }
-        const Effect effect = effectOf(context, request, worker, now);
-        const bool disturbs = effect.urgentSlowdown >= context.pool.settings().calmBelow;
-        if (disturbs && !canBeDisturbed(context, worker)) {
-            continue;
-        }
-        if (!best || effect.cost < double(best->cost)) {
-            best = Placed{worker, PlacementReason::LowestSlowdown, float(effect.cost)};
+        const auto cost = float(costOf(context, request, worker, now));
+        if (!best || cost < best->cost) {
+            best = Placed{worker, PlacementReason::LowestSlowdown, cost};
         }
     }
     if (best) {
--- a/src/Placement/PlacementPolicies.h
+++ b/src/Placement/PlacementPolicies.h
@@ -39,14 +39,9 @@
 {
     Placement choose(const PlacementContext &context, const PlacementRequest &request,
                      std::mt19937_64 &random, TimePoint now);
-    /// What the job on one worker is expected to do.
-    struct Effect
-    {
-        double urgentSlowdown = 1; ///< Of calls on the worker, with the job.
-        double cost = 0;           ///< Harm to urgent calls and to the job itself, by weight.
-    };
-    static Effect effectOf(const PlacementContext &context, const PlacementRequest &request,
-                           WorkerIndex worker, TimePoint now);
+    /// Expected harm of the job on \a worker: to urgent calls and to the job itself, by weight.
+    static double costOf(const PlacementContext &context, const PlacementRequest &request,
+                         WorkerIndex worker, TimePoint now);
     /// Whether calls can spare \a worker as a calm one, should the job disturb it.
     static bool canBeDisturbed(const PlacementContext &context, WorkerIndex worker);
     /// Resources of \a worker that batch tasks leave to urgent calls.
