--- a/bench/policy/UrgentSide.h
+++ b/bench/policy/UrgentSide.h
@@ -150,7 +150,9 @@
             return;
         }
         if (m_world.options.hedging && m_calls[number].arrival.idempotent) {
-            m_world.events.push(m_world.now + m_hedgeTimer.delay(), {EventType::Hedge, number});
+            const WorkerView &view = m_world.pool.view(m_calls[number].tried.front());
+            m_world.events.push(m_world.now + m_hedgeTimer.delay(view.expectedSlowdown),
+                                {EventType::Hedge, number});
         }
     }
 
