--- a/bench/policy/UrgentSide.h
+++ b/bench/policy/UrgentSide.h
@@ -150,9 +150,7 @@
             return;
         }
         if (m_world.options.hedging && m_calls[number].arrival.idempotent) {
-            const WorkerView &view = m_world.pool.view(m_calls[number].tried.front());
-            m_world.events.push(m_world.now + m_hedgeTimer.delay(view.expectedSlowdown),
-                                {EventType::Hedge, number});
+            m_world.events.push(m_world.now + m_hedgeTimer.delay(), {EventType::Hedge, number});
         }
     }
 
--- a/src/Routing/HedgeTimer.h
+++ b/src/Routing/HedgeTimer.h
@@ -19,8 +19,6 @@
     void record(Duration latency);
     /// Delay after which an idempotent call may be sent a second time.
     Duration delay() const { return Duration(Duration::rep(m_delayUs)); }
-    /// The same for a call on a worker with \a expectedSlowdown: sooner where more is to be gained.
-    Duration delay(double expectedSlowdown) const;
 
 private:
     double m_delayUs;
