Let the log decide whether the two lists fit together

Only faults of the list alone are now refused before the append; the fold's refusal is answered with all findings and their lines.

--- a/apps/ctl/OperatorClient.cpp
+++ b/apps/ctl/OperatorClient.cpp
@@ -95,13 +95,15 @@
 {
     std::string failure = "no address given";
     for (const std::string &it : m_addresses) {
-        const std::string url = "http://" + it + path;
+        std::string url = "http://";
+        url.append(it).append(path);
         ClientResponse response;
         const CURLcode code = perform({method, url, m_token, body}, response);
         if (code == CURLE_OK) {
             return response;
         }
-        failure = it + ": " + curl_easy_strerror(code);
+        failure = it;
+        failure.append(": ").append(curl_easy_strerror(code));
         if (code != CURLE_COULDNT_CONNECT) {
             throw NotReached(failure, method != "GET");
         }
--- a/apps/ctl/Screen.cpp
+++ b/apps/ctl/Screen.cpp
@@ -138,7 +138,8 @@
         if (theirText == yourText) {
             continue;
         }
-        text += it + "\n  theirs: " + theirText + "\n  yours: " + yourText + "\n";
+        text.append(it).append("\n  theirs: ").append(theirText);
+        text.append("\n  yours: ").append(yourText).append("\n");
     }
     return wrapped(text);
 }
--- a/apps/fireflyctl.cpp
+++ b/apps/fireflyctl.cpp
@@ -176,7 +176,7 @@
 /// The ID argument, safe to stand in a path.
 std::string pathId(const Options &options)
 {
-    const std::string id = text(options, "ID");
+    std::string id = text(options, "ID");
     if (id.empty() || id.find_first_of("/?#% ") != std::string::npos) {
         throw BadChange("\"" + id + "\" is not an id");
     }
--- a/src/Ops/OperatorApi.h
+++ b/src/Ops/OperatorApi.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 
 namespace firefly {
 
@@ -43,6 +44,9 @@
                   const OperatorReply &reply);
     void proposePlans(const std::string &body, const OperatorReply &reply);
     void proposeLimits(const std::string &body, const OperatorReply &reply);
+    /// Turns the result of the edit in \a body into its reply.
+    template <typename List>
+    EditDone<List> editReply(const std::string &body, const OperatorReply &reply);
     void submitJob(const std::string &body, const OperatorReply &reply);
     void switchPlannedWork(const std::string &body, const OperatorReply &reply);
 
@@ -113,8 +117,8 @@
 void OperatorApi<Backend>::proposePlans(const std::string &body, const OperatorReply &reply)
 {
     const ListsVersion &lists = m_backend.lists();
-    PlansEdited edit = internal::readPlansEdit(body, lists);
-    const EditDone<PlansList> done = internal::editReply<PlansList>(reply);
+    PlansEdited edit = internal::readEdit<PlansList>(body, lists);
+    const EditDone<PlansList> done = editReply<PlansList>(body, reply);
     if (edit.baseVersion < lists.plans.version) {
         done(EditConflict<PlansList>{edit.baseVersion, edit.list, lists.plans});
         return;
@@ -126,8 +130,8 @@
 void OperatorApi<Backend>::proposeLimits(const std::string &body, const OperatorReply &reply)
 {
     const ListsVersion &lists = m_backend.lists();
-    LimitsEdited edit = internal::readLimitsEdit(body, lists);
-    const EditDone<LimitsList> done = internal::editReply<LimitsList>(reply);
+    LimitsEdited edit = internal::readEdit<LimitsList>(body, lists);
+    const EditDone<LimitsList> done = editReply<LimitsList>(body, reply);
     if (edit.baseVersion < lists.limits.version) {
         done(EditConflict<LimitsList>{edit.baseVersion, edit.list, lists.limits});
         return;
@@ -135,6 +139,18 @@
     m_backend.proposeLimits(std::move(edit), done);
 }
 
+template <OperatorBackend Backend>
+template <typename List>
+EditDone<List> OperatorApi<Backend>::editReply(const std::string &body, const OperatorReply &reply)
+{
+    return [this, body, reply](EditResult<List> result) {
+        if (std::holds_alternative<EditInvalid>(result)) {
+            result = EditInvalid{internal::editFindings<List>(body, m_backend.lists())};
+        }
+        reply(internal::toResponse(result));
+    };
+}
+
 template <OperatorBackend Backend>
 void OperatorApi<Backend>::submitJob(const std::string &body, const OperatorReply &reply)
 {
--- a/src/Ops/OperatorReplies.h
+++ b/src/Ops/OperatorReplies.h
@@ -26,14 +26,6 @@
 OperatorResponse toResponse(const EditResult<LimitsList> &result);
 OperatorResponse toResponse(const CommandResult &result);
 
-/// Turns the result of an edit into the reply to its request.
-template <typename List>
-EditDone<List> editReply(OperatorReply reply)
-{
-    return
-        [reply = std::move(reply)](const EditResult<List> &result) { reply(toResponse(result)); };
-}
-
 /// Turns the result of a command into the reply to its request.
 CommandDoneCallback commandReply(OperatorReply reply);
 
--- a/src/Ops/OperatorRequests.cpp
+++ b/src/Ops/OperatorRequests.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <type_traits>
 
 namespace firefly::internal {
 namespace {
@@ -131,18 +132,39 @@
     std::string yaml;
 };
 
-EditBody readEdit(std::string_view body, const std::string &defaultFile)
+EditBody readEditBody(std::string_view body)
 {
     const nlohmann::json json = parseObject(body);
     refuseUnknownKeys(json, {"base", "author", "file", "yaml"});
     EditBody edit;
     edit.base = static_cast<Offset>(readCount(json, "base"));
     edit.author = readAuthor(json);
-    edit.file = json.contains("file") ? readText(json, "file") : defaultFile;
+    edit.file = json.contains("file") ? readText(json, "file") : "list.yaml";
     edit.yaml = readText(json, "yaml");
     return edit;
 }
 
+template <typename List>
+List parseAlone(const EditBody &edit)
+{
+    if constexpr (std::is_same_v<List, PlansList>) {
+        return parsePlans(edit.yaml, edit.file);
+    } else {
+        return parseLimits(edit.yaml, edit.file);
+    }
+}
+
+/// Checks the list of \a edit against the other one of \a lists.
+template <typename List>
+void parseAgainst(const EditBody &edit, const ListsVersion &lists)
+{
+    if constexpr (std::is_same_v<List, PlansList>) {
+        parsePlans(edit.yaml, edit.file, &lists.limits.list);
+    } else {
+        parseLimits(edit.yaml, edit.file, &lists.plans.list);
+    }
+}
+
 Resources readResources(const nlohmann::json &json)
 {
     const auto it = json.find("resources");
@@ -196,22 +218,35 @@
     return difference == 0;
 }
 
-PlansEdited readPlansEdit(std::string_view body, const ListsVersion &lists)
+template <typename List>
+typename EditedRecord<List>::Type readEdit(std::string_view body, const ListsVersion &lists)
 {
-    const EditBody edit = readEdit(body, "plans.yaml");
-    const bool isStale = edit.base < lists.plans.version;
-    const LimitsList *limits = isStale ? nullptr : &lists.limits.list;
-    return {edit.author, edit.base, parsePlans(edit.yaml, edit.file, limits)};
+    const EditBody edit = readEditBody(body);
+    try {
+        return {edit.author, edit.base, parseAlone<List>(edit)};
+    } catch (const ListError &) {
+        parseAgainst<List>(edit, lists); // Throws the findings against the other list too.
+        throw;
+    }
 }
 
-LimitsEdited readLimitsEdit(std::string_view body, const ListsVersion &lists)
+template <typename List>
+std::vector<Finding> editFindings(std::string_view body, const ListsVersion &lists)
 {
-    const EditBody edit = readEdit(body, "limits.yaml");
-    const bool isStale = edit.base < lists.limits.version;
-    const PlansList *plans = isStale ? nullptr : &lists.plans.list;
-    return {edit.author, edit.base, parseLimits(edit.yaml, edit.file, plans)};
+    const EditBody edit = readEditBody(body);
+    try {
+        parseAgainst<List>(edit, lists);
+    } catch (const ListError &e) {
+        return e.findings();
+    }
+    return {Finding{edit.file, 1, 1, "(file)", "the other list has changed meanwhile; try again"}};
 }
 
+template PlansEdited readEdit<PlansList>(std::string_view, const ListsVersion &);
+template LimitsEdited readEdit<LimitsList>(std::string_view, const ListsVersion &);
+template std::vector<Finding> editFindings<PlansList>(std::string_view, const ListsVersion &);
+template std::vector<Finding> editFindings<LimitsList>(std::string_view, const ListsVersion &);
+
 JobSubmission readJobSubmission(std::string_view body)
 {
     const nlohmann::json json = parseObject(body);
--- a/src/Ops/OperatorRequests.h
+++ b/src/Ops/OperatorRequests.h
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace firefly::internal {
 
@@ -48,14 +49,33 @@
 /// Compares the `Authorization` header with \a token in time that depends on lengths only.
 bool isAuthorised(std::string_view header, std::string_view token);
 
-/// Read `{"base": N, "author": "...", "yaml": "..."}`, with an optional "file" for findings to
+/// Record of an edit of \a List.
+template <typename List>
+struct EditedRecord;
+template <>
+struct EditedRecord<PlansList>
+{
+    using Type = PlansEdited;
+};
+template <>
+struct EditedRecord<LimitsList>
+{
+    using Type = LimitsEdited;
+};
+
+/// Reads `{"base": N, "author": "...", "yaml": "..."}`, with an optional "file" for findings to
 /// show.
 ///
-/// The list is checked against the other one in force, unless the base is stale: then the conflict
-/// is what the operator needs to see.
+/// A list that is valid alone is let through even if it does not fit the other list in force here:
+/// this entry may lag, and the fold decides.
 /// \throws BadRequest, ListError
-PlansEdited readPlansEdit(std::string_view body, const ListsVersion &lists);
-LimitsEdited readLimitsEdit(std::string_view body, const ListsVersion &lists);
+template <typename List>
+typename EditedRecord<List>::Type readEdit(std::string_view body, const ListsVersion &lists);
+
+/// All findings of the list in \a body, which the fold refused as invalid; at least one.
+/// \throws BadRequest
+template <typename List>
+std::vector<Finding> editFindings(std::string_view body, const ListsVersion &lists);
 
 /// Reads `{"job": "...", "customer": "...", "kind": "...", "resources": {...}, "runtimeMs": N,
 /// "payload": "..."}`; "job" and "payload" may be absent.
