--- a/apps/ctl/InForceWait.cpp
+++ b/apps/ctl/InForceWait.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollInterval(250);
+constexpr std::int64_t MsPerSecond = 1000;
 
 /// Time of day in UTC, "HH:MM:SS".
 std::string timeOfDay()
@@ -23,11 +24,18 @@
     return buf.data();
 }
 
+/// An entry that still has an older version.
+struct Behind
+{
+    Offset version = 0;
+    std::int64_t ageMs = 0; ///< Time since it was last heard from.
+};
+
 /// What one poll or more have shown.
 struct Progress
 {
     std::map<std::string, std::string> since; ///< Entry to the time it was first seen in force.
-    std::map<std::string, Offset> behind;     ///< Entry to the version that it still has.
+    std::map<std::string, Behind> behind;
 };
 
 /// Asks once; a reply that is missing or unusable changes nothing.
@@ -49,7 +57,7 @@
         const auto entry = it.at("entry").get<std::string>();
         const auto has = it.at(list).get<Offset>();
         if (has < version) {
-            progress.behind[entry] = has;
+            progress.behind[entry] = Behind{has, it.at("ageMs").get<std::int64_t>()};
             continue;
         }
         const bool isFirst = progress.since.emplace(entry, timeOfDay()).second;
@@ -62,15 +70,17 @@
 void showEnd(Offset version, const Progress &progress, bool isDone, Output output)
 {
     if (output.isJson) {
-        const nlohmann::json json = {{"version", version},
-                                     {"everywhere", isDone},
-                                     {"inForceSince", progress.since},
-                                     {"behind", progress.behind}};
+        nlohmann::json json = {
+            {"version", version}, {"everywhere", isDone}, {"inForceSince", progress.since}};
+        for (const auto &[entry, behind] : progress.behind) {
+            json["behind"][entry] = {{"version", behind.version}, {"ageMs", behind.ageMs}};
+        }
         output.out << json.dump() << "\n";
         return;
     }
-    for (const auto &[entry, has] : progress.behind) {
-        output.out << entry << ": still version " << has << "\n";
+    for (const auto &[entry, behind] : progress.behind) {
+        output.out << entry << ": still version " << behind.version << "\n  heard "
+                   << behind.ageMs / MsPerSecond << " s ago\n";
     }
     output.out << (isDone ? "in force everywhere\n" : "not in force everywhere yet\n");
 }
--- a/apps/ctl/Screen.cpp
+++ b/apps/ctl/Screen.cpp
@@ -52,7 +52,8 @@
 
 std::string scalarText(const nlohmann::json &json)
 {
-    return json.is_string() ? json.get<std::string>() : json.dump();
+    const bool isPlain = json.is_string() && !json.get_ref<const std::string &>().empty();
+    return isPlain ? json.get<std::string>() : json.dump();
 }
 
 void appendOutline(const nlohmann::json &json, std::size_t indent, std::string &text)
--- a/test/FakeOperatorBackend.h
+++ b/test/FakeOperatorBackend.h
@@ -20,6 +20,7 @@
     PlannedWorkFold planned;
     Offset tail = 0;
     bool isLogUp = true;
+    bool hasSilentPeer = false; ///< A peer that was cut off before the first edit.
     int drains = 0;
     bool isImmediate = false; ///< The log answers without readLog().
     std::optional<JobSubmission> submitted;
@@ -28,7 +29,12 @@
     const ListsVersion &lists() const { return fold.inForce(); }
     std::vector<EntryInForce> inForce() const
     {
-        return {{EntryId("kochi-1"), fold.plansVersion(), fold.limitsVersion(), 0}};
+        std::vector<EntryInForce> entries = {
+            {EntryId("kochi-1"), fold.plansVersion(), fold.limitsVersion(), 0}};
+        if (hasSilentPeer) {
+            entries.push_back({EntryId("kochi-2"), 0, 0, 12'000});
+        }
+        return entries;
     }
     std::string metrics() const { return "firefly_up 1\n"; }
     nlohmann::json dump() const { return {{"lists", fold.dump()}}; }
--- a/test/Fireflyctl.cpp
+++ b/test/Fireflyctl.cpp
@@ -126,6 +126,12 @@
     EXPECT_NE(findings.text.find(":2\n  limits.gold.memory"), std::string::npos) << findings.text;
     EXPECT_EQ(ctl("lists edit limits --set overnight.weight=2").code, 0);
     EXPECT_EQ(backend.fold.limits().limitsOfPlan.at("overnight").weight, 2);
+
+    backend.hasSilentPeer = true;
+    const CommandRun cut = ctl("lists edit limits --set overnight.weight=3 --wait --timeout 0");
+    EXPECT_EQ(cut.code, 4);
+    EXPECT_NE(cut.text.find("kochi-2: still version 0\n  heard 12 s ago\n"), std::string::npos)
+        << cut.text;
 }
 
 TEST_F(FireflyctlTest, exitCodesTellTheKindsOfFailureApart)
