Refuse to stop planned work of a customer that holds no plan

A mistyped customer was accepted and nothing stopped, which an operator would learn only from the jobs that went on. Starting stays open for any name, so that a stop outlives no customer.

--- a/src/Ops/OperatorApi.h
+++ b/src/Ops/OperatorApi.h
@@ -160,7 +160,13 @@
 template <OperatorBackend Backend>
 void OperatorApi<Backend>::switchPlannedWork(const std::string &body, const OperatorReply &reply)
 {
-    m_backend.switchPlannedWork(internal::readPlannedWork(body), internal::commandReply(reply));
+    PlannedWorkSwitched planned = internal::readPlannedWork(body);
+    const auto &planOfCustomer = m_backend.lists().plans.list.planOfCustomer;
+    if (!planned.running && !planOfCustomer.contains(planned.customer.value())) {
+        reply(internal::errorResponse(404, "no customer of this name holds a plan"));
+        return;
+    }
+    m_backend.switchPlannedWork(std::move(planned), internal::commandReply(reply));
 }
 
 } // namespace firefly
--- a/test/Fireflyctl.cpp
+++ b/test/Fireflyctl.cpp
@@ -156,6 +156,9 @@
     EXPECT_EQ(submit.code, 0) << submit.text;
     EXPECT_EQ(backend.submitted->spec.resources, (Resources{4000, 8192, 0, 0}));
     EXPECT_EQ(backend.submitted->spec.runtimeMs, 600'000);
+    EXPECT_EQ(ctl("lists edit limits --base 0 --file " FIREFLY_CONFIG_DIR "/limits.yaml").code, 0);
+    EXPECT_EQ(ctl("lists edit plans --set kayal=charter").code, 0);
+    EXPECT_EQ(ctl("planned stop kayl rebuild").code, 5);
     EXPECT_EQ(ctl("planned stop kayal rebuild").code, 0);
     EXPECT_FALSE(backend.planned.isRunning(CustomerId("kayal"), "rebuild"));
     EXPECT_EQ(ctl("job result j1").code, 4); // Placed, not finished.
--- a/test/OperatorApi.cpp
+++ b/test/OperatorApi.cpp
@@ -159,8 +159,14 @@
     EXPECT_EQ(backend.submitted->job, JobId("week-49"));
     EXPECT_EQ(backend.submitted->spec.resources, (Resources{4000, 1024, 0, 0}));
 
-    send("POST", "/ops/planned",
-         R"({"author":"ann","customer":"kayal","kind":"rebuild","running":false})");
+    const std::string stop =
+        R"({"author":"ann","customer":"kayal","kind":"rebuild","running":false})";
+    send("POST", "/ops/planned", stop);
+    EXPECT_EQ(status(), 404); // Nobody of this name: a mistyped customer must not pass.
+    backend.isImmediate = true;
+    edit("limits", 0, GoldYaml);
+    edit("plans", 0, "plans: {kayal: gold}");
+    send("POST", "/ops/planned", stop);
     EXPECT_EQ(status(), 200);
     EXPECT_FALSE(backend.planned.isRunning(CustomerId("kayal"), "rebuild"));
     send("DELETE", "/ops/jobs/j2");
