--- a/apps/ctl/OperatorClient.h
+++ b/apps/ctl/OperatorClient.h
@@ -42,6 +42,9 @@
     ClientResponse send(const std::string &method, const std::string &path,
                         const std::string &body = "") const;
 
+    /// True when exactly one entry can answer.
+    bool namesOneEntry() const { return m_addresses.size() == 1; }
+
 private:
     std::vector<std::string> m_addresses;
     std::string m_token;
--- a/apps/fireflyctl.cpp
+++ b/apps/fireflyctl.cpp
@@ -213,6 +213,9 @@
         return runJob(options, client, output);
     }
     if (isSet(options, "drain")) {
+        if (!client.namesOneEntry()) {
+            throw BadChange("give --ops with the one entry to drain");
+        }
         return simpleRequest(client, "POST", "/ops/drain", output);
     }
     for (const std::string name : {"inforce", "dump", "metrics"}) {
--- a/test/Fireflyctl.cpp
+++ b/test/Fireflyctl.cpp
@@ -139,8 +139,12 @@
     EXPECT_EQ(ctl("lists show nothing").code, 2);
     EXPECT_EQ(ctl("lists edit plans --file no-such-file").code, 2);
     EXPECT_EQ(ctl("job status unknown").code, 5);
-    EXPECT_EQ(ctl("drain", "wrong-token-0000").code, 6);
+    EXPECT_EQ(ctl("drain").code, 2); // Two addresses: which one is to leave?
+    const std::string one = "--ops 127.0.0.1:" + std::to_string(Port);
+    EXPECT_EQ(ctl(one + " drain", "wrong-token-0000").code, 6);
     EXPECT_EQ(backend.drains, 0);
+    EXPECT_EQ(ctl(one + " drain").code, 0);
+    EXPECT_EQ(backend.drains, 1);
     EXPECT_EQ(execute(FIREFLYCTL " --ops 127.0.0.1:1 --token x dump").code, 4);
     EXPECT_EQ(ctl("lists edit plans --set kayal=gold").code, 2); // No such limits.
     backend.isLogUp = false;
