--- a/apps/ctl/Screen.cpp
+++ b/apps/ctl/Screen.cpp
@@ -52,7 +52,8 @@
 
 std::string scalarText(const nlohmann::json &json)
 {
-    return json.is_string() ? json.get<std::string>() : json.dump();
+    const bool isPlain = json.is_string() && !json.get_ref<const std::string &>().empty();
+    return isPlain ? json.get<std::string>() : json.dump();
 }
 
 void appendOutline(const nlohmann::json &json, std::size_t indent, std::string &text)
@@ -138,7 +139,8 @@
         if (theirText == yourText) {
             continue;
         }
-        text += it + "\n  theirs: " + theirText + "\n  yours: " + yourText + "\n";
+        text.append(it).append("\n  theirs: ").append(theirText);
+        text.append("\n  yours: ").append(yourText).append("\n");
     }
     return wrapped(text);
 }
--- a/apps/fireflyctl.cpp
+++ b/apps/fireflyctl.cpp
@@ -176,7 +176,7 @@
 /// The ID argument, safe to stand in a path.
 std::string pathId(const Options &options)
 {
-    const std::string id = text(options, "ID");
+    std::string id = text(options, "ID");
     if (id.empty() || id.find_first_of("/?#% ") != std::string::npos) {
         throw BadChange("\"" + id + "\" is not an id");
     }
@@ -213,6 +213,9 @@
         return runJob(options, client, output);
     }
     if (isSet(options, "drain")) {
+        if (!client.namesOneEntry()) {
+            throw BadChange("give --ops with the one entry to drain");
+        }
         return simpleRequest(client, "POST", "/ops/drain", output);
     }
     for (const std::string name : {"inforce", "dump", "metrics"}) {
