--- a/bench/policy/BatchSide.h
+++ b/bench/policy/BatchSide.h
@@ -320,7 +320,7 @@
             learn(worker, *report, slowdown);
         }
         if (m_world.options.relief != Relief::None) {
-            relieve(worker, slowdown);
+            relieve(worker, slowdown, report->loadSum / double(report->calls));
         }
     }
 
@@ -330,17 +330,19 @@
         if (!history.isSteady(report.from, report.to)) {
             return;
         }
-        m_model.observe(m_service, history.at(report.to), slowdown, m_world.now);
+        const double load = report.loadSum / double(report.calls);
+        m_model.observe(m_service, history.at(report.to), slowdown, m_world.now, load);
         expectSlowdown(worker);
     }
 
-    void relieve(std::size_t worker, double slowdown)
+    void relieve(std::size_t worker, double slowdown, double load)
     {
         std::vector<EvictionCandidate> candidates;
         for (const auto &[number, task] : m_world.workers[worker].tasks()) {
             candidates.push_back(candidate(number, task));
         }
-        const auto action = m_planner.plan(WorkerIndex(worker), slowdown, candidates, m_world.now);
+        const auto action =
+            m_planner.plan(WorkerIndex(worker), slowdown, candidates, m_world.now, load);
         if (!action) {
             return;
         }
@@ -354,12 +356,12 @@
     EvictionCandidate candidate(std::size_t number, const FakeTask &task) const
     {
         const Job &job = m_jobs[number];
-        const WorkloadShare share{m_kinds[task.kind], job.mixShare};
         EvictionCandidate it{.job = JobId(std::to_string(number)), .attempt = job.attempt};
         it.started = task.started;
         it.unsavedWork = Duration(Duration::rep((task.doneSeconds - job.savedSeconds) * 1e6));
         it.canCheckpoint = canCheckpoint(task.kind);
-        it.urgentSlowdown = m_model.predict(m_service, {&share, 1}, m_world.now).mean - 1;
+        it.urgentSlowdown =
+            m_model.pair(m_service, m_kinds[task.kind], m_world.now, job.mixShare).mean - 1;
         it.share = task.throttle;
         return it;
     }
