--- a/test/fakes/LedgerWorld.h
+++ b/test/fakes/LedgerWorld.h
@@ -230,6 +230,7 @@
         for (const LoggedEnvelope &it :
              m_shared.log.read(m_reference.applied() + 1, m_shared.log.tail()).envelopes) {
             m_shared.audit.onFolded(it, m_reference.apply(it));
+            checkCancelled(it.envelope.record);
             if (const auto *part = std::get_if<SnapshotPart>(&it.envelope.record)) {
                 m_snapshots.add(*part);
             }
@@ -237,6 +238,20 @@
         m_shared.audit.onState(m_reference.applied(), m_reference.snapshot());
     }
 
+    void checkCancelled(const Record &record)
+    {
+        const auto *evicted = std::get_if<JobEvicted>(&record);
+        const auto *cancelled = std::get_if<JobCancelled>(&record);
+        if (evicted == nullptr && cancelled == nullptr) {
+            return;
+        }
+        const JobId &id = evicted != nullptr ? evicted->job : cancelled->job;
+        const Job *job = m_reference.get<JobLedger>().find(id);
+        if (job != nullptr && job->state == JobState::Cancelled) {
+            m_shared.audit.onCancelled(id);
+        }
+    }
+
     void settleRound(int round)
     {
         Clock::advance(std::chrono::milliseconds(600));
--- a/test/fakes/SoakAudit.h
+++ b/test/fakes/SoakAudit.h
@@ -22,6 +22,7 @@
         FIREFLY_ASSERT(m_running.insert(job).second, "a job executes in one place at a time");
         FIREFLY_ASSERT(m_started.emplace(job, attempt).second, "an attempt starts once");
         FIREFLY_ASSERT(!m_finished.contains(job), "a finished job does not start again");
+        FIREFLY_ASSERT(!m_ended.contains(job), "a cancelled job does not start again");
         ++m_counts["attempts started"];
     }
     /// A worker ends an attempt, or is lost with it.
@@ -80,6 +81,12 @@
         const auto [it, isNew] = m_states.try_emplace(applied, text);
         FIREFLY_ASSERT(isNew || it->second == text, "readers at one offset have one state");
     }
+    /// The ledger shows a job as cancelled.
+    void onCancelled(const JobId &job)
+    {
+        FIREFLY_ASSERT(!m_running.contains(job), "a cancelled job does not execute");
+        m_ended.insert(job);
+    }
     /// A reader replaced its state by a snapshot.
     void onRestored() { ++m_counts["restores"]; }
 
@@ -105,6 +112,7 @@
     std::set<std::pair<JobId, std::uint64_t>> m_started;
     std::set<JobId> m_submitted;
     std::set<JobId> m_cancelled;
+    std::set<JobId> m_ended; ///< Cancelled and shown as such.
     std::set<JobId> m_finished;
     std::set<RequestId> m_executed;
     std::set<RequestId> m_told;
