--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -1,5 +1,6 @@
-/// \file Long randomised runs of the ledgers, the call trackers and both sides of the log.
+/// \file Long randomised runs: of whole entries, or of the ledgers and both sides of the log.
 
+#include "fakes/ClusterWorld.h"
 #include "fakes/LedgerWorld.h"
 
 #include <docopt/docopt.h>
@@ -16,9 +17,10 @@
 constexpr char Usage[] = R"(Runs random schedules with faults and checks invariants.
 
 Usage:
-  soak [--seed=S] [--seconds=N] [--schedules=K]
+  soak [--world=NAME] [--seed=S] [--seconds=N] [--schedules=K]
 
 Options:
+  --world=NAME   cluster (whole entries) or ledger [default: cluster].
   --seed=S       Seed of the first schedule; the next ones count up [default: 1].
   --seconds=N    Stop after N seconds; 0 means no limit [default: 10].
   --schedules=K  Stop after K schedules; 0 means no limit [default: 0].
@@ -35,11 +37,12 @@
     }
 }
 
+template <typename World>
 int run(std::uint64_t seed, long seconds, std::uint64_t schedules)
 {
     using Clock = std::chrono::steady_clock;
     const auto start = Clock::now();
-    firefly::fakes::SoakRunner<firefly::fakes::LedgerWorld> runner;
+    firefly::fakes::SoakRunner<World> runner;
     int status = 0;
     while (status == 0) {
         const bool isOutOfTime =
@@ -65,8 +68,12 @@
     const auto options = docopt::docopt(Usage, {argv + 1, argv + argc});
     try {
         const long seconds = options.at("--seconds").asLong();
-        return run(static_cast<std::uint64_t>(options.at("--seed").asLong()), seconds,
-                   static_cast<std::uint64_t>(options.at("--schedules").asLong()));
+        const auto seed = static_cast<std::uint64_t>(options.at("--seed").asLong());
+        const auto schedules = static_cast<std::uint64_t>(options.at("--schedules").asLong());
+        if (options.at("--world").asString() == "ledger") {
+            return run<firefly::fakes::LedgerWorld>(seed, seconds, schedules);
+        }
+        return run<firefly::fakes::ClusterWorld>(seed, seconds, schedules);
     } catch (const std::exception &e) {
         std::cerr << e.what() << '\n';
         return ExitUsage;
