Bind a start to the boot of the worker that granted its lease

Numbers alone can't tell, since the restarted worker forgot them. StartTask now names the boot as well, ShardAuthority::lease() gives both, and the lease model has a restart with the mutant NO_BOOT.

--- a/models/leases.pml
+++ b/models/leases.pml
@@ -32,6 +32,7 @@
 byte aNumber;          /* LeaseRenewal::m_number */
 byte aGranted;         /* LeaseRenewal::granted() */
 byte aSilenceLeft = NEVER; /* until LeaseRenewal::answeredAt() + silenceWait() */
+bool aBoot;            /* WorkerLease::boot */
 bool aStarted;         /* StartTask was sent */
 bool aSawMissing;      /* a sync reply did not list the started job */
 /* A question for proof: 0 none, 1 sent, 2 no claim was seen, 3 the claim was seen. */
@@ -43,10 +44,10 @@
 
 /* Messages in flight: a bit per sync number. */
 byte syncs; byte replies; byte repliesRunning;
-bool startInFlight; byte startLease;
+byte repliesBoot; bool startInFlight; byte startLease; bool startBoot;
 
 /* The workers. */
-byte wNumber; byte wLeaseLeft; bool wRuns;
+byte wNumber; byte wLeaseLeft; bool wRuns; bool wBoot;
 bool otherRuns;
 
 #define PROVED (!aLost && aProofLeft > 0)
@@ -61,7 +62,7 @@
 
 /* A lost shard: what A still waits for has no effect any more. */
 inline lose() { aLost = true; aProofLeft = 0; aSilenceLeft = NEVER; aSawMissing = false; replies = 0;
-    repliesRunning = 0 }
+    repliesRunning = 0; repliesBoot = 0 }
 
 /* JobEvicted, then JobPlaced of the next attempt and its start on another worker. */
 inline resume() { evicted = true; resumed++; otherRuns = true }
@@ -114,7 +115,9 @@
             syncs = syncs & ~BIT(n);
             if
             :: n > wNumber -> wNumber = n; wLeaseLeft = LEASE;
-                if :: !aLost -> replies = replies | BIT(n) :: else fi;
+                if :: !aLost -> replies = replies | BIT(n);
+                    if :: wBoot -> repliesBoot = repliesBoot | BIT(n) :: else fi
+                :: else fi;
                 if :: wRuns && !aLost -> repliesRunning = repliesRunning | BIT(n) :: else fi
             :: else
             fi
@@ -127,26 +130,34 @@
         :: (replies & BIT(n)) ->
             replies = replies & ~BIT(n);
             if
-            :: n > aGranted -> aGranted = n; aSilenceLeft = WAITED * LEASE;
+            :: n > aGranted -> aGranted = n; aBoot = (repliesBoot & BIT(n) -> 1 : 0); aSilenceLeft = WAITED * LEASE;
                 if
                 :: aStarted && n > startLease && !(repliesRunning & BIT(n)) -> aSawMissing = true
                 :: else
                 fi
             :: else
             fi;
-            repliesRunning = repliesRunning & ~BIT(n)
+            repliesRunning = repliesRunning & ~BIT(n); repliesBoot = repliesBoot & ~BIT(n)
         :: else
         fi; n = 0 }
 
+    /* The worker restarts with empty memory. */
+    :: atomic { !wBoot -> wBoot = true; wNumber = 0; wLeaseLeft = 0; wRuns = false }
+
     /* StartTask under the granted lease. */
     :: atomic { PROVED && !aStarted && aGranted > 0 && !evicted ->
-        aStarted = true; startInFlight = true; startLease = aGranted }
+        aStarted = true; startInFlight = true; startLease = aGranted;
+        startBoot = aBoot }
     :: atomic { startInFlight -> startInFlight = false;
         if
 #ifdef START_WITHOUT_LEASE
         :: wLeaseLeft > 0 -> wRuns = true
 #else
+#ifdef NO_BOOT
         :: wLeaseLeft > 0 && startLease == wNumber -> wRuns = true
+#else
+        :: wLeaseLeft > 0 && startLease == wNumber && startBoot == wBoot -> wRuns = true
+#endif
 #endif
         :: else
         fi;
--- a/src/Ownership/ShardAuthority.cpp
+++ b/src/Ownership/ShardAuthority.cpp
@@ -145,22 +145,22 @@
     return due;
 }
 
-bool ShardAuthority::onSyncReply(const SyncDue &sync, bool accepted, Term highestTerm,
-                                 TimePoint now)
+bool ShardAuthority::onSyncReply(const SyncDue &sync, const SyncAnswer &answer, TimePoint now)
 {
     Worker *worker = findWorker(sync.shard, sync.worker, sync.term);
     if (worker == nullptr) {
         return false;
     }
-    if (highestTerm != sync.term) {
-        worker->refuses = worker->refuses || highestTerm > sync.term;
+    if (answer.highestTerm != sync.term) {
+        worker->refuses = worker->refuses || answer.highestTerm > sync.term;
         worker->renewal.onFailure(sync.number);
         return false;
     }
     if (!worker->renewal.onAnswer(sync.number, now)) {
         return false;
     }
-    worker->refuses = worker->refuses && !accepted;
+    worker->refuses = worker->refuses && !answer.accepted;
+    worker->boot = answer.boot;
     return true;
 }
 
@@ -207,14 +207,17 @@
     return it->second.term;
 }
 
-std::uint64_t ShardAuthority::leaseNumber(const ShardId &shard, const WorkerId &worker) const
+WorkerLease ShardAuthority::lease(const ShardId &shard, const WorkerId &worker) const
 {
     const auto it = m_shards.find(shard);
     if (it == m_shards.end()) {
-        return 0;
+        return {};
     }
     const auto found = it->second.workers.find(worker);
-    return found == it->second.workers.end() ? 0 : found->second.renewal.granted();
+    if (found == it->second.workers.end()) {
+        return {};
+    }
+    return {found->second.renewal.granted(), found->second.boot};
 }
 
 bool ShardAuthority::lostWorkerStopped(const ShardId &shard, const WorkerId &worker,
--- a/src/Ownership/ShardAuthority.h
+++ b/src/Ownership/ShardAuthority.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace firefly {
@@ -45,6 +46,21 @@
     std::uint64_t number = 0;
 };
 
+/// A worker's answer to a sync, as far as authority depends on it.
+struct SyncAnswer
+{
+    bool accepted = false;
+    Term highestTerm = 0;
+    std::string boot; ///< Changes when the worker restarted with empty memory.
+};
+
+/// The lease that a start names: a late copy is refused under any other.
+struct WorkerLease
+{
+    std::uint64_t number = 0; ///< Of the last answered sync; 0 when the worker granted none.
+    std::string boot;         ///< Of the worker that answered it.
+};
+
 /// This entry's own authority over the workers of the shards it claimed.
 ///
 /// Authority needs, besides the claim: the hold-off is over, the worker answered a sync with this
@@ -78,7 +94,7 @@
     std::vector<SyncDue> takeDueSyncs(TimePoint now);
     /// A worker answered a sync.
     /// \returns false when the answer is late, repeated or of another term: ignore its contents.
-    bool onSyncReply(const SyncDue &sync, bool accepted, Term highestTerm, TimePoint now);
+    bool onSyncReply(const SyncDue &sync, const SyncAnswer &answer, TimePoint now);
     /// A sync got no answer.
     void onSyncFailed(const SyncDue &sync);
     /// A worker refused a message because it knows \a highestTerm.
@@ -92,8 +108,8 @@
                                     TimePoint now) const;
     /// Term to sync the shard's workers with; none when this entry must not.
     std::optional<Term> maySync(const ShardId &shard, TimePoint now) const;
-    /// Number of the sync whose lease a start must name; 0 when the worker granted none.
-    std::uint64_t leaseNumber(const ShardId &shard, const WorkerId &worker) const;
+    /// The lease that a start on \a worker must name.
+    WorkerLease lease(const ShardId &shard, const WorkerId &worker) const;
     /// True when every task that \a worker ran has surely stopped, because its lease lapsed.
     ///
     /// False for shards that this entry does not own, and while the VM list does not show this
@@ -129,6 +145,7 @@
     struct Worker
     {
         LeaseRenewal renewal;
+        std::string boot; ///< In the last answer.
         bool listed = true;
         bool refuses = false; ///< It knows a later term, or says so.
     };
--- a/src/Platform/WorkerMessages.h
+++ b/src/Platform/WorkerMessages.h
@@ -69,9 +69,11 @@
     std::int64_t runtimeMs = 0;
     std::int64_t progressMs = 0; ///< Where to resume.
     std::string payload;
-    /// Number of the answered sync whose lease this start runs under.  The worker refuses the start
-    /// when the lease lapsed or a later sync was accepted, so a late copy starts nothing.
+    /// Number of the answered sync whose lease this start runs under, and the boot that answered.
+    /// The worker refuses the start when the lease lapsed, a later sync was accepted or it
+    /// restarted since, so a late copy starts nothing.
     std::uint64_t leaseNumber = 0;
+    std::string boot;
 };
 
 /// Stops an attempt; with \a checkpoint its progress is kept in the report.
--- a/test/OwnershipCluster.h
+++ b/test/OwnershipCluster.h
@@ -44,7 +44,19 @@
     std::uint64_t number = 0;
     TimePoint leaseEnds;
     std::set<JobId> tasks;
-    std::int64_t calls = 0;
+    int boot = 1;
+    bool checksBoot = true; ///< False to show what the check is for.
+
+    std::string bootName() const { return std::to_string(boot); }
+    /// Restarts it with empty memory.
+    void reset()
+    {
+        FakeWorker fresh;
+        fresh.info = info;
+        fresh.boot = boot + 1;
+        fresh.checksBoot = checksBoot;
+        *this = fresh;
+    }
 
     void expire(TimePoint now)
     {
@@ -68,7 +80,9 @@
     void start(const StartTask &message, TimePoint now)
     {
         expire(now);
-        if (message.term == highestTerm && message.leaseNumber == number && now < leaseEnds) {
+        const bool sameBoot = !checksBoot || message.boot == bootName();
+        if (sameBoot && message.term == highestTerm && message.leaseNumber == number
+            && now < leaseEnds) {
             tasks.insert(message.job);
         }
     }
@@ -340,7 +354,7 @@
         }
     }
 
-    void append(FakeEntry &entry, Record record)
+    void append(FakeEntry &entry, const Record &record)
     {
         schedule(delay(), [this, &entry, writer = entry.memory->writer, record] {
             if (reachesLog(entry)) {
@@ -423,7 +437,9 @@
         StartTask start;
         start.term = placed.term;
         start.job = placed.job;
-        start.leaseNumber = memory.authority.leaseNumber(placed.shard, placed.worker);
+        const WorkerLease lease = memory.authority.lease(placed.shard, placed.worker);
+        start.leaseNumber = lease.number;
+        start.boot = lease.boot;
         memory.startedUnder[placed.job] = start.leaseNumber;
         toWorker(entry, placed.worker, [start](FakeWorker &it) { it.start(start, Clock::now()); });
     }
@@ -452,14 +468,12 @@
                              || isCut(entry.info.id.value(), sync.worker.value())) {
                              return;
                          }
-                         deliver(entry, delay(),
-                                 [this, &entry, sync, accepted, term = it.highestTerm,
-                                  tasks = it.tasks] {
-                                     if (entry.memory->authority.onSyncReply(sync, accepted, term,
-                                                                             local(entry))) {
-                                         evictMissing(entry, sync, tasks);
-                                     }
-                                 });
+                         const SyncAnswer answer{accepted, it.highestTerm, it.bootName()};
+                         deliver(entry, delay(), [this, &entry, sync, answer, tasks = it.tasks] {
+                             if (entry.memory->authority.onSyncReply(sync, answer, local(entry))) {
+                                 evictMissing(entry, sync, tasks);
+                             }
+                         });
                      });
         }
     }
--- a/test/OwnershipFaultSchedule.h
+++ b/test/OwnershipFaultSchedule.h
@@ -73,7 +73,7 @@
         cluster.setLogUp(!on);
         break;
     case FaultKind::WorkerReset:
-        worker = FakeWorker{worker.info};
+        worker.reset();
         break;
     case FaultKind::Unlist:
         cluster.setListed(entry, !on);
--- a/test/OwnershipLeases.cpp
+++ b/test/OwnershipLeases.cpp
@@ -55,7 +55,7 @@
         for (const SyncDue &it : syncs) {
             const bool accepted = worker.sync(it.term, it.number, at, settings.lease);
             if (answer) {
-                owner.onSyncReply(it, accepted, worker.highestTerm, at);
+                owner.onSyncReply(it, {accepted, worker.highestTerm, worker.bootName()}, at);
             }
         }
     }
@@ -110,6 +110,30 @@
     EXPECT_GT(worstOverlap({shortTimes(), switches}), 60s);
 }
 
+TEST(OwnershipLeases, lateStartIsRefusedByARestartedWorker)
+{
+    for (const bool checksBoot : {true, false}) {
+        FakeWorker worker;
+        worker.checksBoot = checksBoot;
+        ShardAuthority owner(EntryId("a"), shortTimes());
+        owner.setWorkers(Shard, std::span(&Worker, 1));
+        owner.onClaim({1, {EntryId("a"), Shard, 0}, true, false}, TimePoint(1s));
+        owner.onTailRead(TimePoint(1s), 1, 1);
+        const SyncDue sync = owner.takeDueSyncs(TimePoint(1s)).at(0);
+        ASSERT_TRUE(worker.sync(sync.term, sync.number, TimePoint(1s), 6s));
+        owner.onSyncReply(sync, {true, sync.term, worker.bootName()}, TimePoint(1s));
+
+        StartTask start;
+        start.term = sync.term;
+        start.leaseNumber = owner.lease(Shard, Worker).number;
+        start.boot = owner.lease(Shard, Worker).boot;
+        worker.reset();
+        worker.sync(sync.term, sync.number, TimePoint(2s), 6s);
+        worker.start(start, TimePoint(2s));
+        EXPECT_EQ(worker.tasks.empty(), checksBoot);
+    }
+}
+
 TEST(OwnershipLeases, repeatedAndForeignAnswersAreIgnored)
 {
     LeaseRenewal renewal;
