--- a/models/leases.pml
+++ b/models/leases.pml
@@ -65,7 +65,12 @@
     repliesRunning = 0; repliesBoot = 0 }
 
 /* JobEvicted, then JobPlaced of the next attempt and its start on another worker. */
-inline resume() { evicted = true; resumed++; otherRuns = true }
+inline resume() {
+    evicted = true; resumed++; otherRuns = true;
+    /* No wait matters any more. */
+    aSilenceLeft = NEVER; aSawMissing = false;
+    if :: bWaitLeft != NEVER -> bWaitLeft = 0 :: else fi
+}
 
 active proctype system()
 {
@@ -97,7 +102,8 @@
 
     /* ClaimPlanner::planClaims, ShardAuthority::onClaim. */
     :: atomic { !claimed -> claimed = true }
-    :: atomic { claimed && bWaitLeft == NEVER -> bWaitLeft = HOLDOFF + WAITED * LEASE }
+    :: atomic { claimed && bWaitLeft == NEVER ->
+        bWaitLeft = (evicted -> 0 : HOLDOFF + WAITED * LEASE) }
 
     /* ShardAuthority::takeDueSyncs, LeaseRenewal::next. */
     :: atomic { PROVED && aNumber < NUMBERS && aNumber == aGranted ->
@@ -130,9 +136,9 @@
         :: (replies & BIT(n)) ->
             replies = replies & ~BIT(n);
             if
-            :: n > aGranted -> aGranted = n; aBoot = (repliesBoot & BIT(n) -> 1 : 0); aSilenceLeft = WAITED * LEASE;
+            :: n > aGranted -> aGranted = n; aBoot = (repliesBoot & BIT(n) -> 1 : 0); aSilenceLeft = (evicted -> NEVER : WAITED * LEASE);
                 if
-                :: aStarted && n > startLease && !(repliesRunning & BIT(n)) -> aSawMissing = true
+                :: aStarted && !evicted && n > startLease && !(repliesRunning & BIT(n)) -> aSawMissing = true
                 :: else
                 fi
             :: else
