--- a/src/Recovery/AppendQueue.h
+++ b/src/Recovery/AppendQueue.h
@@ -50,6 +50,7 @@
     /// The result of the append that poll() gave.
     void onReply(TimePoint now, AppendResult result);
     /// Notes a record that was read back; true when it is one of this writer's for the first time.
+    /// It confirms every record before it too, also those that a restored snapshot skipped.
     bool onRead(const LoggedEnvelope &logged);
     /// Notes that a snapshot was restored which contains records up to \a sequence of this writer.
     void onRestored(std::uint64_t sequence);
@@ -57,6 +58,8 @@
     const WriterId &writer() const { return m_writer; }
     /// Sequence number up to which every record was read back from the log.
     std::uint64_t readBack() const { return m_readBack; }
+    /// Sequence number of the last record that was queued.
+    std::uint64_t lastSequence() const { return m_lastSequence; }
     /// Records that are not known to be in the log.
     std::size_t pending() const { return m_pending.size(); }
     bool isInFlight() const { return m_inFlight > 0; }
