--- a/test/StandinServices.cpp
+++ b/test/StandinServices.cpp
@@ -32,7 +32,7 @@
     Endpoint serve(Service &service)
     {
         while (true) {
-            const Endpoint endpoint = freeEndpoint(context);
+            Endpoint endpoint = freeEndpoint(context);
             try {
                 server = std::make_unique<HttpServer>(
                     context, endpoint,
