--- a/bench/policy/Scenario.cpp
+++ b/bench/policy/Scenario.cpp
@@ -56,7 +56,7 @@
 std::vector<Scenario> scenarios(const std::string &filter)
 {
     const Site kayal{"kayal", 50, milliseconds(6), 0.8};
-    const Site steekproef{"steekproef", 65, milliseconds(10), 0.5};
+    const Site steekproef{"steekproef", 65, milliseconds(10), 0.7};
     std::vector<Scenario> all;
     for (const Site &site : {kayal, steekproef}) {
         for (const auto &make : {noise, failingWorker, slowLink, zoneLoss, overload}) {
