--- a/src/Placement/PlacementPolicies.cpp
+++ b/src/Placement/PlacementPolicies.cpp
@@ -34,7 +34,7 @@
 /// Part of a worker's urgent slots that batch leaves free once calls avoid the worker.
 constexpr double SlotsKeptWhereAvoided = 0.25;
 /// Calm slots kept beyond the urgent calls now running, at urgentWeight 1, as a share of those.
-constexpr double BurstMargin = 0.3;
+constexpr double BurstMargin = 0.5;
 /// Price of a job's own slowdown against a worker that calls have to avoid.
 constexpr double OwnSlowdownPrice = 0.25;
 /// Slowdown from which calls avoid a worker, so that more does no more harm.
