--- a/src/Placement/PlacementPolicies.cpp
+++ b/src/Placement/PlacementPolicies.cpp
@@ -31,8 +31,6 @@
     return request.resources.fitsIn(context.pool.ledger().room(worker));
 }
 
-/// Part of a worker's urgent slots that batch leaves free once calls avoid the worker.
-constexpr double SlotsKeptWhereAvoided = 0.25;
 /// Calm slots kept beyond the urgent calls now running, at urgentWeight 1, as a share of those.
 constexpr double BurstMargin = 0.5;
 /// Price of a job's own slowdown against a worker that calls have to avoid.
@@ -89,7 +87,7 @@
     const Resources &call = context.pool.settings().call;
     const auto slots = context.pool.ledger().capacity(worker).slots;
     const bool avoided = context.pool.disturbance(worker) == Disturbance::Slow;
-    const double share = avoided ? SlotsKeptWhereAvoided : context.settings.urgentWeight;
+    const double share = avoided ? 0 : context.settings.urgentWeight;
     const auto kept = std::int64_t(share * double(slots));
     const std::int64_t n = std::max(kept, context.pool.view(worker).outstanding);
     return {n * call.milliProcessors, n * call.memoryMiB, n * call.accelerators, 0};
