Sample no zone whose calls go unanswered

After a zone was lost its idle workers stayed the calmest of all, so the remote sample of a full zone kept landing there until the VM list dropped them: 5 to 9 % of calls still tried a lost worker 8 s later.

--- a/src/Routing/RoutingPolicies.cpp
+++ b/src/Routing/RoutingPolicies.cpp
@@ -4,10 +4,14 @@
 #include "Routing/UniformBelow.h"
 
 #include <algorithm>
+#include <span>
 
 namespace firefly {
 namespace {
 
+/// Share of unanswered calls from which another zone is not sampled; it is again as this fades.
+constexpr double LossLimit = 0.3;
+
 bool isExcluded(const RoutingRequest &request, WorkerIndex worker)
 {
     return std::find(request.exclude.begin(), request.exclude.end(), worker)
@@ -43,25 +47,30 @@
     return std::nullopt;
 }
 
-/// Any of the least disturbed open workers of all zones.
-std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, std::mt19937_64 &random)
+/// Any of the least disturbed open workers of all zones that answer calls from \a callerZone.
+std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, ZoneIndex callerZone,
+                                         TimePoint now, std::mt19937_64 &random)
 {
+    const auto openIn = [&](ZoneIndex zone, Disturbance disturbance) {
+        const bool answers = pool.links().lossShare(callerZone, zone, now) < LossLimit;
+        return answers ? pool.openWorkers(zone, disturbance) : std::span<const WorkerIndex>();
+    };
     const auto zones = ZoneIndex(pool.links().size());
     for (const Disturbance disturbance : AllDisturbances) {
         std::size_t n = 0;
         for (ZoneIndex zone = 0; zone < zones; ++zone) {
-            n += pool.openWorkers(zone, disturbance).size();
+            n += openIn(zone, disturbance).size();
         }
         if (n == 0) {
             continue;
         }
         std::size_t place = internal::uniformBelow(random, n);
         ZoneIndex zone = 0;
-        while (place >= pool.openWorkers(zone, disturbance).size()) {
-            place -= pool.openWorkers(zone, disturbance).size();
+        while (place >= openIn(zone, disturbance).size()) {
+            place -= openIn(zone, disturbance).size();
             ++zone;
         }
-        return pool.openWorkers(zone, disturbance)[place];
+        return openIn(zone, disturbance)[place];
     }
     return std::nullopt;
 }
@@ -172,7 +181,7 @@
         cheapest.consider(calmestWorker(pool, request.callerZone, random));
     }
     for (std::size_t i = 0; i < pool.settings().remoteSamples; ++i) {
-        cheapest.consider(calmestWorker(pool, random));
+        cheapest.consider(calmestWorker(pool, request.callerZone, now, random));
     }
     if (!cheapest.isEmpty()) {
         return cheapest.best();
