--- /dev/null
+++ b/examples/fold_the_log.cpp
@@ -0,0 +1,95 @@
+/// \file Folds records of the log into the state that every entry shares.
+
+#include "Entry/ClusterState.h"
+#include "Records.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <string_view>
+#include <utility>
+
+namespace {
+
+using namespace firefly;
+
+const ShardId Shard("kochi/rack-1");
+const JobId Rebuild("malabar-air~week-12");
+
+std::string_view toString(FoldVerdict verdict)
+{
+    switch (verdict) {
+    case FoldVerdict::Accepted:
+        return "accepted";
+    case FoldVerdict::Stale:
+        return "stale";
+    case FoldVerdict::Conflict:
+        return "conflict";
+    case FoldVerdict::Duplicate:
+        return "duplicate";
+    case FoldVerdict::Invalid:
+        break;
+    }
+    return "invalid";
+}
+
+/// A log of one writer, folded as it grows.
+class Log
+{
+public:
+    /// Appends a new record.
+    FoldVerdict append(Record record) { return fold({m_writer, ++m_sequence, std::move(record)}); }
+
+    /// Appends the last record again, as a writer does that lost the reply.
+    FoldVerdict appendAgain(Record record)
+    {
+        return fold({m_writer, m_sequence, std::move(record)});
+    }
+
+    const ClusterState &state() const { return m_state; }
+
+private:
+    FoldVerdict fold(Envelope envelope)
+    {
+        const LoggedEnvelope logged{m_state.applied() + 1, std::move(envelope)};
+        const FoldVerdict verdict = m_state.apply(logged);
+        std::cout << logged.offset << ' ' << typeName(logged.envelope.record) << ": "
+                  << toString(verdict) << '\n';
+        return verdict;
+    }
+
+    WriterId m_writer{"entry-1.a1"};
+    std::uint64_t m_sequence = 0;
+    ClusterState m_state;
+};
+
+JobSubmitted submission()
+{
+    JobSubmitted submitted{.job = Rebuild};
+    submitted.spec.customer = CustomerId("malabar-air");
+    submitted.spec.kind = "rebuild";
+    submitted.spec.resources = {.milliProcessors = 2000, .memoryMiB = 1024};
+    submitted.spec.runtimeMs = 60'000;
+    return submitted;
+}
+
+} // namespace
+
+int main()
+{
+    Log log;
+    log.append(ShardClaimed{EntryId("entry-1"), Shard, 0});
+    const Term term = log.state().currentTerm(Shard);
+    log.append(submission());
+    const JobPlaced placed{Rebuild, 1, WorkerId("kochi-w1"), Shard, term};
+    log.append(placed);
+    const bool isOnce = log.appendAgain(placed) == FoldVerdict::Duplicate;
+    log.append(ShardClaimed{EntryId("entry-2"), Shard, term});
+    const JobEvicted late{Rebuild, 1, term, EvictionReason::Pressure, 0};
+    const bool isFenced = log.append(late) == FoldVerdict::Stale;
+    log.append(JobFinished{Rebuild, 1, log.state().currentTerm(Shard), true, "42 pairings"});
+
+    const Job *job = log.state().get<JobLedger>().find(Rebuild);
+    std::cout << Rebuild.value() << " is " << toString(job->state) << ": " << job->result << '\n';
+    const bool isFinished = job->state == JobState::Finished;
+    return isOnce && isFenced && isFinished ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/examples/route_a_call.cpp
@@ -0,0 +1,63 @@
+/// \file Routes urgent calls over a pool of workers that holds only so many.
+
+#include "Routing.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace firefly;
+
+constexpr int Workers = 3;
+constexpr int SlotsPerWorker = 2;
+constexpr Duration CallTime = std::chrono::milliseconds(20);
+const ZoneId Kochi("kochi");
+
+WorkerInfo workerNamed(int n)
+{
+    WorkerInfo info;
+    info.id = WorkerId("kochi-w" + std::to_string(n));
+    info.zone = Kochi;
+    info.rack = "rack-1";
+    info.capacity = {.milliProcessors = 8000, .memoryMiB = 8192, .slots = SlotsPerWorker};
+    return info;
+}
+
+} // namespace
+
+int main()
+{
+    WorkerPool pool;
+    TimePoint now{};
+    for (int n = 1; n <= Workers; ++n) {
+        pool.update(workerNamed(n), now);
+    }
+    now += std::chrono::minutes(1); // past the slow start of newcomers
+
+    UrgentRouter<TwoChoice> router(pool);
+    std::mt19937_64 random(1);
+    RoutingRequest request;
+    request.callerZone = pool.links().index(Kochi);
+    request.idempotent = true;
+
+    std::vector<WorkerIndex> running;
+    while (const auto decision = router.route(request, random, now)) {
+        std::cout << "call " << running.size() + 1 << " goes to "
+                  << pool.view(decision->worker).info.id.value() << '\n';
+        running.push_back(decision->worker);
+    }
+    std::cout << "no worker has room for call " << running.size() + 1 << '\n';
+    const bool isFull = running.size() == std::size_t{Workers} * SlotsPerWorker;
+
+    now += CallTime;
+    for (const WorkerIndex worker : running) {
+        pool.releaseUrgent(worker, {CallResult::Succeeded, CallTime, Kochi}, now);
+    }
+    std::cout << "after the calls ended, " << pool.openCount() << " workers have room\n";
+    return isFull && pool.openCount() == Workers ? EXIT_SUCCESS : EXIT_FAILURE;
+}
