--- a/src/Adapters/WorkerJson.cpp
+++ b/src/Adapters/WorkerJson.cpp
@@ -34,7 +34,7 @@
 FIREFLY_JSON(WorkerSyncReply, accepted, highestTerm, boot, capacity, urgentRunning, urgentSlowdown,
              tasks)
 FIREFLY_JSON(StartTask, worker, term, job, attempt, kind, resources, runtimeMs, progressMs, payload,
-             leaseNumber)
+             leaseNumber, boot)
 FIREFLY_JSON(StopTask, worker, term, job, attempt, checkpoint)
 FIREFLY_JSON(ThrottleTask, worker, term, job, attempt, share)
 // NOLINTEND(readability-identifier-naming)
--- a/src/Entry/BatchRunner.cpp
+++ b/src/Entry/BatchRunner.cpp
@@ -72,7 +72,6 @@
 
 void BatchRunner::tick(TimePoint now, EntryActions &actions)
 {
-    dropLostShards();
     if (m_sessions.log.isCurrent() && m_sessions.log.hasRoom()) {
         placePending(now);
     }
@@ -163,6 +162,8 @@
     request.kind = m_slowdowns.batchKind(job.spec.kind);
     request.resources = need;
     request.zones = state.get<ListsFold>().limitsOf(job.spec.customer)->zones;
+    const std::vector<WorkerIndex> failed = workersThatFailed(job.id);
+    request.exclude = failed;
     const Placement placement =
         m_placer.place(context(), m_shapes, request, m_sessions.random, now);
     if (const auto *placed = std::get_if<Placed>(&placement)) {
@@ -231,10 +232,14 @@
 
 void BatchRunner::startReady(TimePoint now, EntryActions &actions)
 {
-    for (auto &[job, attempt] : m_attempts) {
-        if (attempt.phase == Phase::Ready) {
-            start(job, attempt, now, actions);
+    const std::set<JobId> ready = m_ready;
+    for (const JobId &job : ready) {
+        const auto it = m_attempts.find(job);
+        if (it == m_attempts.end() || it->second.phase != Phase::Ready) {
+            m_ready.erase(job);
+            continue;
         }
+        start(job, it->second, now, actions);
     }
 }
 
@@ -242,9 +247,8 @@
 {
     const Job *job = m_sessions.log.state().get<JobLedger>().find(id);
     const auto term = m_sessions.workers.mayGiveWork(attempt.worker, now);
-    const std::uint64_t lease =
-        m_sessions.workers.authority().leaseNumber(attempt.shard, attempt.worker);
-    if (job == nullptr || !term || *term != attempt.term || lease == 0) {
+    const WorkerLease lease = m_sessions.workers.authority().lease(attempt.shard, attempt.worker);
+    if (job == nullptr || !term || *term != attempt.term || lease.number == 0) {
         return;
     }
     if (job->state == JobState::Cancelling) {
@@ -253,13 +257,14 @@
         return;
     }
     attempt.phase = Phase::Starting;
-    attempt.startLease = lease;
+    attempt.startLease = lease.number;
     attempt.startInFlight = true;
     attempt.startedAt = now;
     StartTask task;
     task.worker = attempt.worker;
     task.term = attempt.term;
-    task.leaseNumber = lease;
+    task.leaseNumber = lease.number;
+    task.boot = lease.boot;
     task.job = id;
     task.attempt = attempt.number;
     task.kind = job->spec.kind;
@@ -284,6 +289,7 @@
     }
     if (result == WorkerResult::NotSent) {
         attempt.phase = Phase::Ready;
+        m_ready.insert(task.job);
     } else if (result == WorkerResult::Refused) {
         pushOnce(task.job, JobEvicted{task.job, task.attempt, attempt.term, EvictionReason::Refused,
                                       task.progressMs});
@@ -332,9 +338,10 @@
         onRunning(now, *job, sync, report, actions);
         break;
     case TaskState::Finished:
+        pushOnce(job->id, JobFinished{job->id, report.attempt, sync.term, true, report.result});
+        break;
     case TaskState::Failed:
-        pushOnce(job->id, JobFinished{job->id, report.attempt, sync.term,
-                                      report.state == TaskState::Finished, report.result});
+        onFailed(*job, sync, report);
         break;
     case TaskState::Stopped: {
         const auto it = m_attempts.find(job->id);
@@ -347,6 +354,32 @@
     }
 }
 
+void BatchRunner::onFailed(const Job &job, const WorkerSync &sync, const TaskReport &report)
+{
+    if (job.failures + 1 >= MaxFailedAttempts) {
+        pushOnce(job.id, JobFinished{job.id, report.attempt, sync.term, false, report.result});
+        return;
+    }
+    m_failedOn[job.id].insert(sync.worker);
+    pushOnce(job.id, JobEvicted{job.id, report.attempt, sync.term, EvictionReason::TaskFailed,
+                                job.progressMs});
+}
+
+std::vector<WorkerIndex> BatchRunner::workersThatFailed(const JobId &job) const
+{
+    std::vector<WorkerIndex> failed;
+    const auto it = m_failedOn.find(job);
+    if (it == m_failedOn.end()) {
+        return failed;
+    }
+    for (const WorkerId &worker : it->second) {
+        if (const auto index = m_sessions.workers.pool().find(worker)) {
+            failed.push_back(*index);
+        }
+    }
+    return failed;
+}
+
 void BatchRunner::onForeignReport(const WorkerSync &sync, const TaskReport &report, const Job *job,
                                   EntryActions &actions)
 {
@@ -512,7 +545,7 @@
     }
 }
 
-void BatchRunner::onRecord(TimePoint now, const LoggedEnvelope &logged, FoldVerdict verdict)
+void BatchRunner::onRecord(const LoggedEnvelope &logged, FoldVerdict verdict)
 {
     const bool isOwn = logged.envelope.writer == m_sessions.log.writer();
     const bool isAccepted = verdict == FoldVerdict::Accepted;
@@ -533,6 +566,7 @@
         }
         if (isMine && isAccepted) {
             it->second.phase = Phase::Ready;
+            m_ready.insert(placed->job);
         } else if (it != m_attempts.end() && it->second.phase == Phase::Placing
                    && (isMine || isAccepted)) {
             release(placed->job);
@@ -548,11 +582,18 @@
         if (isAccepted) {
             const Job &job = *ledger.find(finished->job);
             m_usage.subtract(job);
-            m_reasons.erase(job.id);
+            forget(job.id);
             release(job.id);
         }
+    } else if (const auto *cancelled = std::get_if<JobCancelled>(&logged.envelope.record)) {
+        forget(cancelled->job);
     }
-    static_cast<void>(now);
+}
+
+void BatchRunner::forget(const JobId &job)
+{
+    m_reasons.erase(job);
+    m_failedOn.erase(job);
 }
 
 void BatchRunner::onRestored()
--- a/src/Entry/BatchRunner.h
+++ b/src/Entry/BatchRunner.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,16 +45,20 @@
     static constexpr std::size_t MaxPlacementsPerTick = 64;
     /// Pending jobs looked at in one tick.
     static constexpr std::size_t MaxScannedPerTick = 512;
+    /// Attempts that may fail, each on another worker if there is one, before the job has failed.
+    static constexpr std::uint64_t MaxFailedAttempts = 3;
 
     BatchRunner(EntryId self, const Settings &settings, EntrySessions sessions);
 
     void onVmList(const VmList &list);
     /// Places pending jobs and starts placed ones.
     void tick(TimePoint now, EntryActions &actions);
+    /// Forgets attempts of shards that this entry lost.  Linear in the attempts.
+    void dropLostShards();
     /// Declares jobs of silent workers evicted once their leases surely lapsed.
     void evictLost(TimePoint now);
     /// A record was folded.
-    void onRecord(TimePoint now, const LoggedEnvelope &logged, FoldVerdict verdict);
+    void onRecord(const LoggedEnvelope &logged, FoldVerdict verdict);
     /// A snapshot replaced the folded state.
     void onRestored();
 
@@ -109,10 +114,11 @@
     PlacementContext context() const;
     void startReady(TimePoint now, EntryActions &actions);
     void start(const JobId &id, Attempt &attempt, TimePoint now, EntryActions &actions);
-    void dropLostShards();
-
     void onReport(TimePoint now, const WorkerSync &sync, const TaskReport &report,
                   EntryActions &actions);
+    void onFailed(const Job &job, const WorkerSync &sync, const TaskReport &report);
+    std::vector<WorkerIndex> workersThatFailed(const JobId &job) const;
+    void forget(const JobId &job);
     void onForeignReport(const WorkerSync &sync, const TaskReport &report, const Job *job,
                          EntryActions &actions);
     void onRunning(TimePoint now, const Job &job, const WorkerSync &sync, const TaskReport &report,
@@ -144,9 +150,11 @@
     PlanUsage m_usage;
     std::vector<WorkerInfo> m_shaped; ///< Workers counted in m_shapes.
     std::map<JobId, Attempt> m_attempts;
+    std::set<JobId> m_ready; ///< Attempts whose start is to be sent, and some that were just sent.
     std::map<JobId, std::uint64_t> m_pushed; ///< Own record on its way about a job, by sequence.
     std::map<JobId, std::string> m_reasons;  ///< Last placement decision, for jobs not ended.
-    Offset m_cursor = 0;                     ///< Where the next scan of pending jobs goes on.
+    std::map<JobId, std::set<WorkerId>> m_failedOn; ///< Where attempts of live jobs failed.
+    Offset m_cursor = 0; ///< Where the next scan of pending jobs goes on.
 };
 
 } // namespace firefly
--- a/src/Entry/EntryCore.cpp
+++ b/src/Entry/EntryCore.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration ClaimInterval = std::chrono::milliseconds(200);
+/// Between two walks over everything this entry owns.
+constexpr Duration RefreshInterval = std::chrono::milliseconds(100);
 constexpr Duration VmListInterval = std::chrono::milliseconds(500);
 constexpr Duration ListsInterval = std::chrono::milliseconds(500);
 constexpr std::chrono::seconds ComeBackAfter{2};
@@ -57,6 +59,7 @@
     , m_nextVmListAt(start)
     , m_nextClaimsAt(start)
     , m_nextListsAt(start)
+    , m_nextRefreshAt(start)
 {}
 
 EntryActions EntryCore::takeActions()
@@ -79,7 +82,12 @@
     }
     releaseShards();
     m_workers.sendSyncs(now, m_actions);
-    m_workers.refreshPool(now);
+    if (now >= m_nextRefreshAt) {
+        m_nextRefreshAt = now + RefreshInterval;
+        m_workers.refreshPool(now);
+        m_peers.refreshRooms(now);
+        m_batch.dropLostShards();
+    }
     m_batch.tick(now, m_actions);
     m_calls.tick(now, m_actions);
     m_proposals.expire(now);
@@ -162,7 +170,7 @@
 {
     m_metrics.add("firefly_records_total");
     onOwnershipRecord(now, logged, verdict);
-    m_batch.onRecord(now, logged, verdict);
+    m_batch.onRecord(logged, verdict);
     m_calls.onRecord(now, logged, m_actions);
     if (logged.envelope.writer == m_log.writer()) {
         m_proposals.onRead(logged.envelope.sequence, {logged.offset, verdict});
@@ -269,8 +277,7 @@
 void EntryCore::onHeartbeatReply(TimePoint now, const EntryId &peer, const HeartbeatAnswer &answer)
 {
     m_now = now;
-    m_peers.onReply(peer, answer.reply);
-    const auto sentAt = m_peers.lastSentAt(peer);
+    const TimePoint sentAt = m_peers.onReply(peer, answer.reply);
     m_workers.authority().onPeerReply(sentAt, answer.reply);
     if (answer.lists && m_log.adoptLists(*answer.lists)) {
         notice(false, "config", "lists taken from a peer", peer.value());
@@ -348,7 +355,6 @@
     if (!m_workers.onSyncReply(sent, reply, now)) {
         return;
     }
-    m_workers.refreshPool(now);
     m_batch.onSyncReply(now, sent.sync, reply, m_actions);
 }
 
@@ -394,12 +400,12 @@
     entries.push_back({m_settings.entry.id, lists().plans.version, lists().limits.version, 0});
     for (const EntryInfo &peer : m_peers.table().peers()) {
         const Heartbeat *heartbeat = m_peers.table().lastHeartbeat(peer.id);
-        if (heartbeat == nullptr) {
+        const auto answeredAt = m_peers.answeredAt(peer.id);
+        if (heartbeat == nullptr || !answeredAt) {
             entries.push_back({peer.id, 0, 0, -1});
             continue;
         }
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_now - m_peers.lastSentAt(peer.id));
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - *answeredAt);
         entries.push_back(
             {peer.id, heartbeat->plansVersion, heartbeat->limitsVersion, age.count()});
     }
@@ -423,7 +429,7 @@
 }
 
 template <typename Edit, typename List>
-void EntryCore::proposeEdit(Edit edit, EditDone<List> done)
+void EntryCore::proposeEdit(Edit edit, const EditDone<List> &done)
 {
     const bool wasReachable = m_log.isReachable();
     propose(edit, [this, edit, done, wasReachable](std::optional<ProposalResult> result) {
@@ -439,14 +445,14 @@
     });
 }
 
-void EntryCore::proposePlans(PlansEdited edit, EditDone<PlansList> done)
+void EntryCore::proposePlans(PlansEdited edit, const EditDone<PlansList> &done)
 {
-    proposeEdit<PlansEdited, PlansList>(std::move(edit), std::move(done));
+    proposeEdit<PlansEdited, PlansList>(std::move(edit), done);
 }
 
-void EntryCore::proposeLimits(LimitsEdited edit, EditDone<LimitsList> done)
+void EntryCore::proposeLimits(LimitsEdited edit, const EditDone<LimitsList> &done)
 {
-    proposeEdit<LimitsEdited, LimitsList>(std::move(edit), std::move(done));
+    proposeEdit<LimitsEdited, LimitsList>(std::move(edit), done);
 }
 
 void EntryCore::drain()
--- a/src/Entry/EntryCore.h
+++ b/src/Entry/EntryCore.h
@@ -80,8 +80,8 @@
     nlohmann::json jobStatus(const JobId &job) const;
     nlohmann::json explainJob(const JobId &job) const;
     nlohmann::json explainWorker(const WorkerId &worker) const;
-    void proposePlans(PlansEdited edit, EditDone<PlansList> done);
-    void proposeLimits(LimitsEdited edit, EditDone<LimitsList> done);
+    void proposePlans(PlansEdited edit, const EditDone<PlansList> &done);
+    void proposeLimits(LimitsEdited edit, const EditDone<LimitsList> &done);
     void drain();
     void submitJob(JobSubmission submission, const CommandDoneCallback &done);
     void cancelJob(const JobId &job, const CommandDoneCallback &done);
@@ -114,7 +114,7 @@
     template <typename Record>
     void propose(Record record, Proposals::Done done);
     template <typename Edit, typename List>
-    void proposeEdit(Edit edit, EditDone<List> done);
+    void proposeEdit(Edit edit, const EditDone<List> &done);
 
     Settings m_settings;
     std::mt19937_64 m_random;
@@ -133,6 +133,7 @@
     TimePoint m_nextVmListAt;
     TimePoint m_nextClaimsAt;
     TimePoint m_nextListsAt;
+    TimePoint m_nextRefreshAt;
     std::uint64_t m_lastJob = 0;
 };
 
--- a/src/Entry/LogSession.cpp
+++ b/src/Entry/LogSession.cpp
@@ -62,6 +62,12 @@
     }
 }
 
+void LogSession::noteRestored(TimePoint now)
+{
+    m_appends.onRestored(m_state.writers().last(writer()));
+    m_snapshots.onRestored(now, m_state.applied());
+}
+
 void LogSession::onReadFailed(TimePoint now)
 {
     m_readInFlight = false;
--- a/src/Entry/LogSession.h
+++ b/src/Entry/LogSession.h
@@ -43,7 +43,11 @@
             noteRecord(now, logged);
             visit(logged, verdict);
         });
-        return m_catchUp.restores() != restores;
+        if (m_catchUp.restores() == restores) {
+            return false;
+        }
+        noteRestored(now);
+        return true;
     }
     void onReadFailed(TimePoint now);
     void onAppendReply(TimePoint now, AppendResult result);
@@ -73,6 +77,7 @@
 private:
     void noteRead(TimePoint now, const LogRead &read);
     void noteRecord(TimePoint now, const LoggedEnvelope &logged);
+    void noteRestored(TimePoint now);
 
     ClusterState m_state;
     CatchUp m_catchUp;
--- a/src/Entry/PeerSession.cpp
+++ b/src/Entry/PeerSession.cpp
@@ -18,17 +18,21 @@
         if (exchange.inFlight || now < exchange.nextAt) {
             continue;
         }
-        exchange = {true, now, now + m_interval};
+        exchange.inFlight = true;
+        exchange.sentAt = now;
+        exchange.nextAt = now + m_interval;
         due.push_back(peer);
     }
     return due;
 }
 
-void PeerSession::onReply(const EntryId &peer, const HeartbeatReply &reply)
+TimePoint PeerSession::onReply(const EntryId &peer, const HeartbeatReply &reply)
 {
     Exchange &exchange = m_exchanges[peer];
     exchange.inFlight = false;
+    exchange.answeredAt = exchange.sentAt;
     m_table.onExchange(exchange.sentAt, reply);
+    return exchange.sentAt;
 }
 
 void PeerSession::onFailed(const EntryId &peer)
@@ -37,32 +41,32 @@
     m_table.onExchangeFailed(peer);
 }
 
-TimePoint PeerSession::lastSentAt(const EntryId &peer) const
+std::optional<TimePoint> PeerSession::answeredAt(const EntryId &peer) const
 {
     const auto it = m_exchanges.find(peer);
-    return it != m_exchanges.end() ? it->second.sentAt : TimePoint{};
+    return it != m_exchanges.end() ? it->second.answeredAt : std::nullopt;
 }
 
-std::map<EntryId, std::int64_t> PeerSession::roomOfPeers(TimePoint now) const
+void PeerSession::refreshRooms(TimePoint now)
 {
-    std::map<EntryId, std::int64_t> rooms;
+    m_rooms.clear();
     for (const PeerRoom &room : m_table.rooms(now)) {
-        rooms[room.entry] += room.freeSlots;
+        m_rooms[room.entry] += room.freeSlots;
     }
-    for (const auto &[peer, calls] : m_forwarded) {
-        const auto it = rooms.find(peer);
-        if (it != rooms.end()) {
-            it->second -= calls;
-        }
-    }
-    return rooms;
 }
 
-std::optional<EntryInfo> PeerSession::chooseForCall(TimePoint now, std::uint64_t salt,
+std::int64_t PeerSession::roomOf(const EntryId &peer, std::int64_t advertised) const
+{
+    const auto it = m_forwarded.find(peer);
+    return it != m_forwarded.end() ? advertised - it->second : advertised;
+}
+
+std::optional<EntryInfo> PeerSession::chooseForCall(std::uint64_t salt,
                                                     std::span<const EntryId> tried) const
 {
     std::vector<std::pair<EntryId, std::int64_t>> open;
-    for (const auto &[peer, room] : roomOfPeers(now)) {
+    for (const auto &[peer, advertised] : m_rooms) {
+        const std::int64_t room = roomOf(peer, advertised);
         const bool isTried = std::find(tried.begin(), tried.end(), peer) != tried.end();
         if (room <= 0 || isTried || !m_infos.contains(peer)) {
             continue;
@@ -77,11 +81,11 @@
     return m_infos.at(first.second >= second.second ? first.first : second.first);
 }
 
-std::int64_t PeerSession::freeSlots(TimePoint now) const
+std::int64_t PeerSession::freeSlots() const
 {
     std::int64_t sum = 0;
-    for (const auto &[peer, room] : roomOfPeers(now)) {
-        sum += std::max<std::int64_t>(0, room);
+    for (const auto &[peer, advertised] : m_rooms) {
+        sum += std::max<std::int64_t>(0, roomOf(peer, advertised));
     }
     return sum;
 }
--- a/src/Entry/PeerSession.h
+++ b/src/Entry/PeerSession.h
@@ -24,37 +24,42 @@
 
     /// Peers to send a heartbeat to now; each is counted as sent.
     std::vector<EntryInfo> takeDue(TimePoint now);
-    void onReply(const EntryId &peer, const HeartbeatReply &reply);
+    /// Notes a reply; \returns when its heartbeat was sent.
+    TimePoint onReply(const EntryId &peer, const HeartbeatReply &reply);
     void onFailed(const EntryId &peer);
 
-    /// When the last heartbeat to \a peer was sent; the epoch when none was.
-    TimePoint lastSentAt(const EntryId &peer) const;
+    /// When the last heartbeat that \a peer answered was sent; none when it answered none.
+    std::optional<TimePoint> answeredAt(const EntryId &peer) const;
 
+    /// Takes over what peers advertise.  Linear in the peers' shards.
+    void refreshRooms(TimePoint now);
     /// The peer to hand a call to: the one with more room of two spread by \a salt, if any has
     /// room.
-    std::optional<EntryInfo> chooseForCall(TimePoint now, std::uint64_t salt,
+    std::optional<EntryInfo> chooseForCall(std::uint64_t salt,
                                            std::span<const EntryId> tried) const;
     /// Urgent calls that peers say they can take, less those on their way.
-    std::int64_t freeSlots(TimePoint now) const;
+    std::int64_t freeSlots() const;
     void noteForwarded(const EntryId &peer) { ++m_forwarded[peer]; }
     void noteReturned(const EntryId &peer) { --m_forwarded[peer]; }
 
     const EntryInfo *find(const EntryId &peer) const;
 
 private:
+    std::int64_t roomOf(const EntryId &peer, std::int64_t advertised) const;
+
     struct Exchange
     {
         bool inFlight = false;
         TimePoint sentAt;
+        std::optional<TimePoint> answeredAt;
         TimePoint nextAt;
     };
 
-    std::map<EntryId, std::int64_t> roomOfPeers(TimePoint now) const;
-
     PeerTable m_table;
     Duration m_interval;
     std::map<EntryId, EntryInfo> m_infos;
     std::map<EntryId, Exchange> m_exchanges;
+    std::map<EntryId, std::int64_t> m_rooms;     ///< Urgent calls that each live peer can take.
     std::map<EntryId, std::int64_t> m_forwarded; ///< Calls on their way, by peer.
 };
 
--- a/src/Entry/UrgentCalls.cpp
+++ b/src/Entry/UrgentCalls.cpp
@@ -46,6 +46,15 @@
     return CallResult::ServiceFailed;
 }
 
+/// \a reply, or an uncertain one in its place when it answers another request than \a request.
+WorkerCallReply ownReply(const RequestId &request, const WorkerCallReply &reply)
+{
+    if (reply.request != request) {
+        return {request, WorkerResult::Uncertain, {}};
+    }
+    return reply;
+}
+
 } // namespace
 
 /// What a CallTracker sees of the entry.
@@ -125,11 +134,11 @@
     m_admission.setShare(1.0 / entries, now);
 }
 
-UrgentRoom UrgentCalls::room(TimePoint now) const
+UrgentRoom UrgentCalls::room() const
 {
     const WorkerPool &pool = m_sessions.workers.pool();
     const std::int64_t own = std::max<std::int64_t>(0, pool.urgentSlots() - pool.urgentInUse());
-    const std::int64_t peers = m_sessions.peers.freeSlots(now);
+    const std::int64_t peers = m_sessions.peers.freeSlots();
     return {own + peers};
 }
 
@@ -156,7 +165,7 @@
     auto tracker = CallTracker(std::move(call), m_self, m_sessions.log.writer());
     m_calls.emplace(id, ActiveCall{std::move(tracker), std::move(done), {}, now});
     std::vector<Refused> displaced;
-    const Admission admission = m_admission.admit(asked, room(now), now, displaced);
+    const Admission admission = m_admission.admit(asked, room(), now, displaced);
     if (const auto *admitted = std::get_if<Admitted>(&admission)) {
         begin(now, *admitted, actions);
     } else if (const auto *refused = std::get_if<Refused>(&admission)) {
@@ -303,7 +312,7 @@
             triedPeers.push_back(std::move(*peer));
         }
     }
-    const auto peer = m_sessions.peers.chooseForCall(now, m_sessions.random(), triedPeers);
+    const auto peer = m_sessions.peers.chooseForCall(m_sessions.random(), triedPeers);
     if (peer) {
         return asTarget(peer->id);
     }
@@ -389,14 +398,7 @@
         settleForwardedHere(now, *target, reply);
         return;
     }
-    const auto it = m_calls.find(target->request);
-    if (it == m_calls.end()) {
-        return;
-    }
-    Context context(*this, now, it->second.tracker.request().service);
-    perform(now, target->request,
-            it->second.tracker.onReply(now, target->trackerNumber, reply, context), actions);
-    pumpQueue(now, actions);
+    conclude(now, *target, reply, actions);
 }
 
 void UrgentCalls::settleForwardedHere(TimePoint now, const Target &target,
@@ -406,10 +408,23 @@
     FIREFLY_ASSERT(it != m_forwarded.end(), "a forwarded call is answered once");
     const ForwardDone done = std::move(it->second);
     m_forwarded.erase(it);
-    const bool isForeign = reply.request != target.request && reply.result == WorkerResult::Done;
-    const WorkerResult result = isForeign ? WorkerResult::Uncertain : reply.result;
     m_metrics.record("firefly_forwarded_call_seconds", now - target.sentAt);
-    done({target.request, result, isForeign ? std::string() : reply.body, RetryAfterNoWorker});
+    const WorkerCallReply own = ownReply(target.request, reply);
+    done({own.request, own.result, own.body, RetryAfterNoWorker});
+}
+
+void UrgentCalls::conclude(TimePoint now, const Target &target, const WorkerCallReply &reply,
+                           EntryActions &actions)
+{
+    const auto it = m_calls.find(target.request);
+    if (it == m_calls.end()) {
+        return;
+    }
+    Context context(*this, now, it->second.tracker.request().service);
+    const WorkerCallReply own = ownReply(target.request, reply);
+    perform(now, target.request,
+            it->second.tracker.onReply(now, target.trackerNumber, own, context), actions);
+    pumpQueue(now, actions);
 }
 
 void UrgentCalls::onForwardReply(TimePoint now, std::uint64_t number, const ForwardedResult &result,
@@ -420,15 +435,7 @@
         return;
     }
     m_sessions.peers.noteReturned(target->peer);
-    const auto it = m_calls.find(target->request);
-    if (it == m_calls.end()) {
-        return;
-    }
-    const WorkerCallReply reply{result.request, result.result, result.body};
-    Context context(*this, now, it->second.tracker.request().service);
-    perform(now, target->request,
-            it->second.tracker.onReply(now, target->trackerNumber, reply, context), actions);
-    pumpQueue(now, actions);
+    conclude(now, *target, {result.request, result.result, result.body}, actions);
 }
 
 void UrgentCalls::onRecord(TimePoint now, const LoggedEnvelope &logged, EntryActions &actions)
@@ -505,7 +512,7 @@
     for (const Refused &refused : m_admission.expire(now)) {
         refuse(refused.request, refused);
     }
-    std::int64_t free = room(now).free;
+    std::int64_t free = room().free;
     while (free-- > 0) {
         const auto next = m_admission.next();
         if (!next) {
--- a/src/Entry/UrgentCalls.h
+++ b/src/Entry/UrgentCalls.h
@@ -103,7 +103,7 @@
     class Context;
 
     RequestId nextRequestId();
-    UrgentRoom room(TimePoint now) const;
+    UrgentRoom room() const;
     void begin(TimePoint now, const Admitted &admitted, EntryActions &actions);
     void refuse(const RequestId &request, const Refused &refused);
     void perform(TimePoint now, const RequestId &request, const CallActions &calls,
@@ -121,6 +121,8 @@
     std::optional<Target> takeTarget(std::uint64_t number);
     void settleWorker(TimePoint now, const Target &target, WorkerResult result);
     void settleForwardedHere(TimePoint now, const Target &target, const WorkerCallReply &reply);
+    void conclude(TimePoint now, const Target &target, const WorkerCallReply &reply,
+                  EntryActions &actions);
     void pumpQueue(TimePoint now, EntryActions &actions);
     ServiceState *findService(const ServiceId &service);
     Duration retryAfter() const;
--- a/src/Entry/WorkerSession.cpp
+++ b/src/Entry/WorkerSession.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-WorkerSession::WorkerSession(EntryId self, const OwnershipTimes &times,
+WorkerSession::WorkerSession(const EntryId &self, const OwnershipTimes &times,
                              const RoutingSettings &routing)
     : m_authority(self, times)
     , m_planner(self, ClaimSettings{})
@@ -64,26 +64,30 @@
 
 void WorkerSession::refreshPool(TimePoint now)
 {
-    std::map<WorkerId, Term> held;
-    m_open.clear();
+    std::set<WorkerId> held;
     for (const ShardTerm &owned : m_authority.shards()) {
         for (const WorkerId &worker : m_table.workers(owned.shard)) {
-            if (!m_foreignCalls.contains(worker)) {
-                continue;
+            if (m_foreignCalls.contains(worker)) {
+                held.insert(worker);
+                refreshWorker(worker, now);
             }
-            held.emplace(worker, owned.term);
-            const bool isOpen = m_table.acceptsWork(worker)
-                                && m_authority.mayGiveWork(owned.shard, worker, now).has_value();
-            if (isOpen) {
-                m_open.insert(worker);
-            }
-            updatePool(worker, isOpen, now);
         }
     }
-    removeLost(held);
+    removeLost(std::move(held));
     m_pool.tick(now);
 }
 
+void WorkerSession::refreshWorker(const WorkerId &worker, TimePoint now)
+{
+    const bool isOpen = mayGiveWork(worker, now).has_value();
+    if (isOpen) {
+        m_open.insert(worker);
+    } else {
+        m_open.erase(worker);
+    }
+    updatePool(worker, isOpen, now);
+}
+
 void WorkerSession::updatePool(const WorkerId &worker, bool isOpen, TimePoint now)
 {
     WorkerInfo info = *m_table.find(worker);
@@ -99,29 +103,29 @@
     m_pool.update(info, now);
 }
 
-void WorkerSession::removeLost(const std::map<WorkerId, Term> &held)
+void WorkerSession::removeLost(std::set<WorkerId> held)
 {
     for (const WorkerId &worker : m_inPool) {
         if (!held.contains(worker)) {
             m_pool.remove(worker);
             m_foreignCalls.erase(worker);
+            m_open.erase(worker);
         }
     }
-    m_inPool.clear();
-    for (const auto &[worker, term] : held) {
-        m_inPool.insert(worker);
-    }
+    m_inPool = std::move(held);
 }
 
 bool WorkerSession::onSyncReply(const SendSync &sent, const WorkerSyncReply &reply, TimePoint now)
 {
     const WorkerSync &sync = sent.sync;
-    const bool isCurrent =
-        m_authority.onSyncReply(toDue(sent), reply.accepted, reply.highestTerm, now);
+    const SyncAnswer answer{reply.accepted, reply.highestTerm, reply.boot};
+    const bool isCurrent = m_authority.onSyncReply(toDue(sent), answer, now);
     if (!isCurrent) {
         return false;
     }
     noteForeignCalls(sync.worker, reply);
+    m_inPool.insert(sync.worker);
+    refreshWorker(sync.worker, now);
     const auto it = m_acknowledged.find(sync.worker);
     if (it == m_acknowledged.end()) {
         return true;
--- a/src/Entry/WorkerSession.h
+++ b/src/Entry/WorkerSession.h
@@ -26,12 +26,15 @@
 class WorkerSession
 {
 public:
-    WorkerSession(EntryId self, const OwnershipTimes &times, const RoutingSettings &routing);
+    WorkerSession(const EntryId &self, const OwnershipTimes &times, const RoutingSettings &routing);
 
     void onVmList(const VmList &list, TimePoint now);
     /// Sends the syncs that are due.
     void sendSyncs(TimePoint now, EntryActions &actions);
     /// Takes workers into the pool and out of it as the authority over them comes and goes.
+    ///
+    /// Linear in the workers owned; between two calls mayGiveWork() is what decides, and a worker
+    /// that answers a sync is refreshed alone.
     void refreshPool(TimePoint now);
 
     /// A worker answered a sync; false when the reply is to be ignored.
@@ -64,7 +67,8 @@
     std::vector<std::string> takeAcknowledged(const WorkerId &worker);
     void noteForeignCalls(const WorkerId &worker, const WorkerSyncReply &reply);
     void updatePool(const WorkerId &worker, bool isOpen, TimePoint now);
-    void removeLost(const std::map<WorkerId, Term> &held);
+    void removeLost(std::set<WorkerId> held);
+    void refreshWorker(const WorkerId &worker, TimePoint now);
 
     WorkerTable m_table;
     ShardAuthority m_authority;
--- a/src/Jobs/Job.h
+++ b/src/Jobs/Job.h
@@ -43,8 +43,9 @@
     std::optional<JobPlacement> placement; ///< Set while Placed or Cancelling.
     std::int64_t progressMs = 0;           ///< Where the next attempt resumes.
     std::uint64_t evictions = 0;
-    Offset endedAt = 0;     ///< Offset of the record that ended the job; 0 before.
-    bool succeeded = false; ///< Meaningful once Finished.
+    std::uint64_t failures = 0; ///< Attempts that ended by failing, and were tried elsewhere.
+    Offset endedAt = 0;         ///< Offset of the record that ended the job; 0 before.
+    bool succeeded = false;     ///< Meaningful once Finished.
     std::string result;
 
     bool isEnded() const { return state == JobState::Finished || state == JobState::Cancelled; }
--- a/src/Jobs/JobJson.cpp
+++ b/src/Jobs/JobJson.cpp
@@ -65,6 +65,7 @@
     put(json, "attempt", job.attempt);
     put(json, "progressMs", job.progressMs);
     put(json, "evictions", job.evictions);
+    put(json, "failures", job.failures);
     put(json, "endedAt", job.endedAt);
     put(json, "succeeded", job.succeeded);
     put(json, "result", job.result);
@@ -85,6 +86,7 @@
     take(json, "attempt", job.attempt);
     take(json, "progressMs", job.progressMs);
     take(json, "evictions", job.evictions);
+    take(json, "failures", job.failures);
     take(json, "endedAt", job.endedAt);
     take(json, "succeeded", job.succeeded);
     take(json, "result", job.result);
--- a/src/Jobs/JobLedger.cpp
+++ b/src/Jobs/JobLedger.cpp
@@ -86,6 +86,7 @@
         changed.placement.reset();
         changed.progressMs = std::max(changed.progressMs, record.progressMs);
         ++changed.evictions;
+        changed.failures += record.reason == EvictionReason::TaskFailed ? 1 : 0;
     });
     if (wasCancelled) {
         end(job, offset, JobState::Cancelled);
--- a/src/Peers/PeerNode.cpp
+++ b/src/Peers/PeerNode.cpp
@@ -88,22 +88,28 @@
 } // namespace
 
 /// All members but the io_context and the thread belong to the kj thread.
-struct PeerNode::Private
+struct PeerNode::Private : kj::TaskSet::ErrorHandler
 {
     explicit Private(asio::io_context &contextIn)
         : context(contextIn)
     {}
 
+    /// Every exchange handles its own errors.
+    void taskFailed(kj::Exception && /*exception*/) override {}
+
     void setUp(kj::AsyncIoContext &io, const Endpoint &listen, kj::Own<PeerServer> peerServer)
     {
         auto address = io.provider->getNetwork().parseAddress(addressOf(listen)).wait(io.waitScope);
         receiver = address->listen();
+        exchanges = kj::heap<kj::TaskSet>(*this);
         server = kj::heap<capnp::TwoPartyServer>(kj::mv(peerServer));
         listening = server->listen(*receiver).eagerlyEvaluate([](kj::Exception &&) {});
     }
 
+    /// Drops the exchanges in flight first: they hold connections, which need the event loop.
     void tearDown()
     {
+        exchanges = nullptr;
         listening = nullptr;
         server = nullptr;
         receiver = nullptr;
@@ -139,17 +145,17 @@
             *used = connection;
             return exchange(connection->peer).attach(kj::mv(connection));
         });
-        io.provider->getTimer()
-            .timeoutAfter(toKj(timeout), kj::mv(work))
-            .then([this, succeed](Result &&result) {
-                asio::post(context, [succeed, result = kj::mv(result)]() mutable {
-                    succeed(kj::mv(result));
-                });
-            })
-            .detach([this, address, fail, used](kj::Exception &&) {
-                drop(address, *used);
-                asio::post(context, [fail, sent = *used != nullptr] { fail(sent); });
-            });
+        const auto onResult = [this, succeed](Result &&result) {
+            asio::post(context,
+                       [succeed, result = kj::mv(result)]() mutable { succeed(kj::mv(result)); });
+        };
+        const auto onError = [this, address, fail, used](kj::Exception &&) {
+            drop(address, *used);
+            asio::post(context, [fail, sent = *used != nullptr] { fail(sent); });
+        };
+        exchanges->add(io.provider->getTimer()
+                           .timeoutAfter(toKj(timeout), kj::mv(work))
+                           .then(onResult, onError));
     }
 
     /// Keeps new exchanges off \a connection; a newer one to the same address stays.
@@ -166,6 +172,7 @@
     kj::Own<capnp::TwoPartyServer> server;
     kj::Promise<void> listening = nullptr;
     std::map<std::string, ConnectionPtr> connections;
+    kj::Own<kj::TaskSet> exchanges;
     std::unique_ptr<KjThread> thread;
 };
 
--- a/src/Records/Codec.cpp
+++ b/src/Records/Codec.cpp
@@ -17,7 +17,8 @@
                                               {EvictionReason::WorkerLost, "worker-lost"},
                                               {EvictionReason::LeaseLapsed, "lease-lapsed"},
                                               {EvictionReason::Refused, "refused"},
-                                              {EvictionReason::PlannedStop, "planned-stop"}})
+                                              {EvictionReason::PlannedStop, "planned-stop"},
+                                              {EvictionReason::TaskFailed, "task-failed"}})
 
 // NOLINTBEGIN(readability-identifier-naming)
 #define FIREFLY_JSON(Type, ...)                                                                    \
--- a/src/Records/Record.h
+++ b/src/Records/Record.h
@@ -110,7 +110,7 @@
 };
 
 /// Why an attempt ended without finishing.
-enum class EvictionReason { Pressure, WorkerLost, LeaseLapsed, Refused, PlannedStop };
+enum class EvictionReason { Pressure, WorkerLost, LeaseLapsed, Refused, PlannedStop, TaskFailed };
 
 /// An attempt surely stopped; the job may be placed again.
 struct JobEvicted
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -63,6 +63,11 @@
     return true;
 }
 
+std::string StandinWorker::boot() const
+{
+    return m_bootPrefix + "." + std::to_string(m_boots);
+}
+
 WorkerSyncReply StandinWorker::sync(const WorkerSync &message, TimePoint now)
 {
     settle(now);
@@ -83,7 +88,7 @@
         ++m_records.staleMessages;
     }
     reply.highestTerm = m_fence.highestTerm;
-    reply.boot = m_bootPrefix + "." + std::to_string(m_boots);
+    reply.boot = boot();
     reply.capacity = m_capacity;
     reply.urgentRunning = static_cast<std::int64_t>(m_calls.size());
     reply.urgentSlowdown = laggedSlowdown(now);
@@ -107,7 +112,7 @@
         ++m_records.staleMessages;
         return Verdict::LapsedLease;
     }
-    if (message.leaseNumber != m_fence.lastNumber) {
+    if (message.leaseNumber != m_fence.lastNumber || message.boot != boot()) {
         ++m_records.staleMessages;
         return Verdict::Fenced;
     }
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -129,6 +129,8 @@
     };
 
     bool acceptTerm(Term term);
+    /// Name of this incarnation.
+    std::string boot() const;
     bool hasLease(TimePoint now) const { return now < m_fence.leaseEnd; }
     Resources used() const;
     void noteUse();
--- a/test/StandinWorker.cpp
+++ b/test/StandinWorker.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 using namespace firefly;
 using namespace firefly::standins;
 
@@ -19,7 +21,10 @@
     WorkerSyncReply sync(Term term, std::uint64_t number, std::int64_t ms,
                          std::vector<std::string> acknowledged = {})
     {
-        return worker.sync({WorkerId("w"), term, number, LeaseMs, std::move(acknowledged)}, at(ms));
+        const WorkerSync message{WorkerId("w"), term, number, LeaseMs, std::move(acknowledged)};
+        const WorkerSyncReply reply = worker.sync(message, at(ms));
+        boot = reply.boot;
+        return reply;
     }
 
     Verdict start(const char *job, std::uint64_t lease, std::int64_t ms, Term term = 5,
@@ -33,6 +38,7 @@
         task.resources = resources;
         task.runtimeMs = 10'000;
         task.leaseNumber = lease;
+        task.boot = boot;
         return worker.start(task, at(ms));
     }
 
@@ -45,6 +51,7 @@
     }
 
     WorkerProfile profile{{}, {{"rebuild", {{"rebuild", 1.0}}}}};
+    std::string boot; ///< As the last sync told.
     StandinWorker worker{WorkerId("w"), Capacity, profile, "boot", 1};
 };
 
--- a/test/fakes/ClusterAudit.h
+++ b/test/fakes/ClusterAudit.h
@@ -48,6 +48,15 @@
         }
     }
 
+    std::map<std::string, std::uint64_t> outcomes() const
+    {
+        std::map<std::string, std::uint64_t> counts;
+        for (const auto &[id, call] : m_calls) {
+            counts[call.outcome ? std::string(toString(*call.outcome)) : "entry died"] += 1;
+        }
+        return counts;
+    }
+
     std::size_t openCalls() const
     {
         std::size_t n = 0;
--- a/test/fakes/ClusterWorld.h
+++ b/test/fakes/ClusterWorld.h
@@ -3,10 +3,10 @@
 #include "Entry.h"
 #include "fakes/ClusterAudit.h"
 #include "fakes/EventTimeline.h"
+#include "fakes/FakeLog.h"
 #include "fakes/SoakRunner.h"
 #include "Platform.h"
 #include "Records.h"
-#include "StandinLog.h"
 #include "StandinWorker.h"
 
 #include <algorithm>
@@ -31,9 +31,8 @@
     static constexpr std::size_t Workers = 4;
 
     ClusterWorld()
-        : m_log(standins::LogRetention{400, std::chrono::hours(24)})
     {
-        m_profile.services["swap"].duration = std::chrono::milliseconds(40);
+        m_profile.services["swap"].durationUs = 40'000;
         for (std::size_t i = 0; i < Workers; ++i) {
             m_infos.push_back({workerId(i),
                                ZoneId("z"),
@@ -100,6 +99,17 @@
     }
 
     const std::vector<std::string> &trace() const { return m_trace; }
+    /// How often each thing happened.
+    std::map<std::string, std::uint64_t> counts() const
+    {
+        auto counts = m_audit.outcomes();
+        for (const auto &worker : m_workers) {
+            counts["calls executed"] += worker->records().calls.size();
+            counts["attempts executed"] += worker->records().tasks.size();
+        }
+        counts["jobs accepted"] = m_accepted.size();
+        return counts;
+    }
 
 private:
     using Act = void (ClusterWorld::*)(std::uint32_t);
@@ -122,6 +132,8 @@
     static constexpr Resources Capacity{4000, 4096, 0, 3};
     /// Target for a change of configuration to be in force everywhere.
     static constexpr Duration ListsInForceWithin = std::chrono::seconds(6);
+    /// Records that the log keeps: its retention.
+    static constexpr Offset KeptRecords = 400;
     static constexpr Duration Tick = std::chrono::milliseconds(25);
     static constexpr Duration VmListLag = std::chrono::milliseconds(400);
 
@@ -265,9 +277,9 @@
 
     void send(std::size_t i, const SendAppend &action)
     {
-        std::vector<std::string> batch;
+        std::vector<Envelope> batch;
         for (const Envelope &envelope : action.append.envelopes) {
-            batch.push_back(encode(envelope));
+            batch.push_back(decode(encode(envelope)));
         }
         const auto reply = [this](AppendResult result) {
             return [this, result](EntryCore &core) { core.onAppendReply(m_time.now(), result); };
@@ -278,7 +290,8 @@
                 if (m_logOut) {
                     return nullptr;
                 }
-                m_log.append(batch, m_time.now());
+                m_log.append(batch);
+                m_log.trim(m_log.tail() < KeptRecords ? 1 : m_log.tail() - KeptRecords);
                 return reply(AppendResult::Done);
             },
             reply(AppendResult::Uncertain));
@@ -298,25 +311,13 @@
                     if (m_logOut) {
                         return nullptr;
                     }
-                    return [this, read = readLog(action)](EntryCore &core) {
-                        core.onLogRead(m_time.now(), read);
-                    };
+                    return [this, read = m_log.read(action.from, action.maxRecords)](
+                               EntryCore &core) { core.onLogRead(m_time.now(), read); };
                 },
                 fail);
         });
     }
 
-    LogRead readLog(const SendLogRead &action)
-    {
-        const auto slice = m_log.read(action.from, action.maxRecords, m_time.now());
-        LogRead read{slice.head, slice.tail, {}};
-        Offset offset = slice.first;
-        for (const std::string &text : slice.records) {
-            read.envelopes.push_back({offset++, decode(text)});
-        }
-        return read;
-    }
-
     void send(std::size_t i, const SendVmListRead & /*action*/)
     {
         exchange(
@@ -411,7 +412,7 @@
                 return;
             }
             m_time.after(ticket.duration, [this, i, node, action, settle, ticket, &target] {
-                const bool isGood = target.endCall(ticket.call, m_time.now());
+                const bool isGood = target.endCall(ticket.call, m_time.now()) == "answered";
                 if (isCut(node, nodeOf(i))) {
                     return;
                 }
@@ -721,7 +722,7 @@
     }
 
     EventTimeline m_time;
-    standins::StandinLog m_log;
+    FakeLog m_log;
     standins::WorkerProfile m_profile;
     std::vector<WorkerInfo> m_infos;
     std::vector<std::unique_ptr<standins::StandinWorker>> m_workers;
