--- a/bench/policy/UrgentSide.h
+++ b/bench/policy/UrgentSide.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -336,7 +337,7 @@
     RetryBudget m_budget;
     HedgeTimer m_hedgeTimer;
     UrgentArrival m_next;
-    std::vector<Call> m_calls;
+    std::deque<Call> m_calls; ///< Never copied as it grows.
     std::vector<Attempt> m_attempts;
     std::vector<std::uint32_t> m_unused;
 };
--- a/src/Routing/RoutingPolicies.cpp
+++ b/src/Routing/RoutingPolicies.cpp
@@ -21,7 +21,8 @@
 /// The open worker at position \a n of all lists put end to end.
 WorkerIndex openWorkerAt(const WorkerPool &pool, std::size_t n)
 {
-    for (ZoneIndex zone = 0; zone < pool.links().size(); ++zone) {
+    const auto zones = ZoneIndex(pool.links().size());
+    for (ZoneIndex zone = 0; zone < zones; ++zone) {
         for (const Disturbance disturbance : AllDisturbances) {
             const auto open = pool.openWorkers(zone, disturbance);
             if (n < open.size()) {
--- a/src/Routing/ZoneLinks.cpp
+++ b/src/Routing/ZoneLinks.cpp
@@ -81,8 +81,9 @@
 nlohmann::json ZoneLinks::dump(TimePoint now) const
 {
     nlohmann::json links = nlohmann::json::array();
-    for (ZoneIndex from = 0; from < size(); ++from) {
-        for (ZoneIndex to = 0; to < size(); ++to) {
+    const auto zones = ZoneIndex(size());
+    for (ZoneIndex from = 0; from < zones; ++from) {
+        for (ZoneIndex to = 0; to < zones; ++to) {
             links.push_back({{"from", m_zones[from].value()},
                              {"to", m_zones[to].value()},
                              {"roundTripUs", roundTrip(from, to, now).count()},
