Mend the linter's findings in the policy modules

Loop variables narrower than their bound in the slowdown model and a product in int in the bench; the memory of the fake workers is the same 128000 MiB.

--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -56,7 +56,7 @@
 
 constexpr std::size_t KindCount = 20;
 constexpr std::size_t ZoneCount = 30;
-constexpr Resources WorkerCapacity{32000, 125 * 1024, 0, 8};
+constexpr Resources WorkerCapacity{32000, 128000, 0, 8};
 constexpr Resources TaskSize{2000, 4000, 0, 0};
 
 /// A fleet of one owner with a third of the processors given to batch.
--- a/bench/policy/Arrivals.h
+++ b/bench/policy/Arrivals.h
@@ -19,7 +19,7 @@
 /// An urgent call answered later than this after its arrival is late.
 constexpr Duration LateAfter = std::chrono::milliseconds(500);
 /// Size of a worker.
-constexpr Resources WorkerCapacity{32000, 125 * 1024, 0, 8};
+constexpr Resources WorkerCapacity{32000, 128000, 0, 8};
 
 /// Mean time of an undisturbed urgent call, in seconds.
 double meanCallSeconds();
--- a/src/Interference/SlowdownModel.cpp
+++ b/src/Interference/SlowdownModel.cpp
@@ -166,7 +166,8 @@
 {
     nlohmann::json pairs = nlohmann::json::array();
     for (const auto &[victim, learned] : m_victims) {
-        for (WorkloadIndex other = 0; other < learned.placeOf.size(); ++other) {
+        const auto known = WorkloadIndex(learned.placeOf.size());
+        for (WorkloadIndex other = 0; other < known; ++other) {
             if (learned.placeOf[other] == NoPlace) {
                 continue;
             }
