Measure one entry that owns a whole fleet

The new bench drives the real EntryCore with the stand-ins' state machines at 50 to 29,000 workers, without sockets, and counts processor time per operation, heap per worker, task and call, and bytes per message. Wall time was ruled out as a measure because the machine is shared; thread processor time is used.

--- /dev/null
+++ b/bench/entry/Platform.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Core/VmInfo.h"
+#include "Entry/EntryActions.h"
+#include "StandinLog.h"
+#include "StandinWorker.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace firefly::bench {
+
+/// Bytes of the messages that went through a Platform, as their adapters encode them.
+struct WireBytes
+{
+    std::int64_t syncs = 0;
+    std::int64_t syncBytes = 0;       ///< Bodies of request and reply.
+    std::int64_t syncNanoseconds = 0; ///< Of the worker: its state machine and both encodings.
+    std::int64_t reports = 0;         ///< Tasks in the replies.
+    std::int64_t starts = 0;
+    std::int64_t startBytes = 0;
+    std::int64_t records = 0;
+    std::int64_t recordBytes = 0;
+};
+
+/// The platform around one entry: a log, a VM list and workers, without sockets.
+class Platform
+{
+public:
+    /// A fleet of \a workers in racks of eight, and the entry \a self.
+    Platform(std::size_t workers, const EntryId &self);
+
+    WorkerSyncReply sync(const SendSync &send, TimePoint now);
+    WorkerResult start(const SendStart &send, TimePoint now);
+    void stop(const SendStop &send, TimePoint now);
+    void throttle(const SendThrottle &send, TimePoint now);
+    WorkerCallReply call(const SendCall &send, TimePoint now);
+    void append(std::span<const Envelope> envelopes, TimePoint now);
+    LogRead read(const SendLogRead &send, TimePoint now);
+
+    void addEntry(EntryInfo entry) { m_list.entries.push_back(std::move(entry)); }
+    const VmList &vmList() const { return m_list; }
+    WireBytes &wire() { return m_wire; }
+    std::size_t shards() const { return m_shards; }
+
+private:
+    standins::WorkerProfile m_profile;
+    VmList m_list;
+    std::size_t m_shards = 0;
+    std::map<WorkerId, standins::StandinWorker> m_workers;
+    standins::StandinLog m_log;
+    WireBytes m_wire;
+};
+
+} // namespace firefly::bench
