--- a/bench/entry/EntryRun.cpp
+++ b/bench/entry/EntryRun.cpp
@@ -85,7 +85,7 @@
     if (!sent) {
         return;
     }
-    const LogRead read = m_platform.read(*sent, m_now);
+    const LogRead read = m_platform.read(*sent);
     m_meter.measure(Operation::LogRead, [&] { m_core.onLogRead(m_now, read); });
     settle();
 }
@@ -110,7 +110,7 @@
     if (const auto *read = std::get_if<SendLogRead>(&action)) {
         m_read = *read;
     } else if (const auto *append = std::get_if<SendAppend>(&action)) {
-        m_platform.append(append->append.envelopes, m_now);
+        m_platform.append(append->append.envelopes);
         m_meter.measure(Operation::AppendReply,
                         [&] { m_core.onAppendReply(m_now, AppendResult::Done); });
     } else if (std::holds_alternative<SendVmListRead>(action)) {
@@ -206,7 +206,7 @@
     for (std::size_t i = 0; i < n / 2; ++i) {
         envelopes.push_back({writer, ++sequence, JobCancelled{name(i)}});
     }
-    m_platform.append(envelopes, m_now);
+    m_platform.append(envelopes);
 }
 
 void EntryRun::addPeer()
--- a/bench/entry/Platform.cpp
+++ b/bench/entry/Platform.cpp
@@ -85,28 +85,21 @@
     return {send.call.request, WorkerResult::Done, send.call.body};
 }
 
-void Platform::append(std::span<const Envelope> envelopes, TimePoint now)
+void Platform::append(std::span<const Envelope> envelopes)
 {
-    std::vector<std::string> batch;
+    std::vector<Envelope> batch;
     for (const Envelope &it : envelopes) {
-        batch.push_back(encode(it));
+        const std::string text = encode(it);
         ++m_wire.records;
-        m_wire.recordBytes += static_cast<std::int64_t>(batch.back().size());
+        m_wire.recordBytes += static_cast<std::int64_t>(text.size());
+        batch.push_back(decode(text));
     }
-    m_log.append(std::move(batch), now);
+    m_log.append(batch);
 }
 
-LogRead Platform::read(const SendLogRead &send, TimePoint now)
+LogRead Platform::read(const SendLogRead &send) const
 {
-    const auto slice = m_log.read(send.from, send.maxRecords, now);
-    LogRead read;
-    read.head = slice.head;
-    read.tail = slice.tail;
-    Offset offset = slice.first;
-    for (const std::string &it : slice.records) {
-        read.envelopes.push_back({offset++, decode(it)});
-    }
-    return read;
+    return m_log.read(send.from, send.maxRecords);
 }
 
 } // namespace firefly::bench
--- a/bench/entry/Platform.h
+++ b/bench/entry/Platform.h
@@ -2,7 +2,7 @@
 
 #include "Core/VmInfo.h"
 #include "Entry/EntryActions.h"
-#include "StandinLog.h"
+#include "fakes/FakeLog.h"
 #include "StandinWorker.h"
 
 #include <cstdint>
@@ -38,8 +38,8 @@
     void stop(const SendStop &send, TimePoint now);
     void throttle(const SendThrottle &send, TimePoint now);
     WorkerCallReply call(const SendCall &send, TimePoint now);
-    void append(std::span<const Envelope> envelopes, TimePoint now);
-    LogRead read(const SendLogRead &send, TimePoint now);
+    void append(std::span<const Envelope> envelopes);
+    LogRead read(const SendLogRead &send) const;
 
     void addEntry(EntryInfo entry) { m_list.entries.push_back(std::move(entry)); }
     const VmList &vmList() const { return m_list; }
@@ -51,7 +51,7 @@
     VmList m_list;
     std::size_t m_shards = 0;
     std::map<WorkerId, standins::StandinWorker> m_workers;
-    standins::StandinLog m_log;
+    fakes::FakeLog m_log;
     WireBytes m_wire;
 };
 
--- a/test/fakes/FakeLog.h
+++ b/test/fakes/FakeLog.h
@@ -2,6 +2,7 @@
 
 #include "Platform/LogMessages.h"
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 #include <vector>
@@ -30,14 +31,9 @@
         LogRead reading;
         reading.head = head();
         reading.tail = m_tail;
-        for (const LoggedEnvelope &it : m_kept) {
-            if (it.offset < from) {
-                continue;
-            }
-            if (reading.envelopes.size() == limit) {
-                break;
-            }
-            reading.envelopes.push_back(it);
+        const Offset first = std::max(from, head());
+        for (Offset offset = first; offset <= m_tail && offset - first < limit; ++offset) {
+            reading.envelopes.push_back(m_kept[offset - head()]);
         }
         return reading;
     }
