--- a/src/Peers/PeerNode.cpp
+++ b/src/Peers/PeerNode.cpp
@@ -145,17 +145,17 @@
             *used = connection;
             return exchange(connection->peer).attach(kj::mv(connection));
         });
-        const auto onResult = [this, succeed](Result &&result) {
+        auto onResult = [this, succeed](Result &&result) {
             asio::post(context,
                        [succeed, result = kj::mv(result)]() mutable { succeed(kj::mv(result)); });
         };
-        const auto onError = [this, address, fail, used](kj::Exception &&) {
+        auto onError = [this, address, fail, used](kj::Exception &&) {
             drop(address, *used);
             asio::post(context, [fail, sent = *used != nullptr] { fail(sent); });
         };
         exchanges->add(io.provider->getTimer()
                            .timeoutAfter(toKj(timeout), kj::mv(work))
-                           .then(onResult, onError));
+                           .then(kj::mv(onResult), kj::mv(onError)));
     }
 
     /// Keeps new exchanges off \a connection; a newer one to the same address stays.
--- a/test/fakes/ClusterWorld.h
+++ b/test/fakes/ClusterWorld.h
@@ -139,7 +139,7 @@
 
     static const std::vector<Kind> &kinds()
     {
-        static const std::vector<Kind> kinds = {
+        static const std::vector<Kind> Kinds = {
             {"advance", 40, &ClusterWorld::advanceSome},
             {"legality check", 12, &ClusterWorld::callIdempotent},
             {"swap", 12, &ClusterWorld::callSwap},
@@ -160,7 +160,7 @@
             {"failing worker", 1, &ClusterWorld::failWorker},
             {"leaving worker", 1, &ClusterWorld::leaveWorker},
         };
-        return kinds;
+        return Kinds;
     }
 
     static WorkerId workerId(std::size_t i) { return WorkerId("w" + std::to_string(i)); }
