Mend the linter's findings in the sockets' modules and the stand-ins

Callbacks are now moved or passed by reference; the lagged slowdown is taken from the visible end of the samples, which are in time order, so the value is the same.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -113,7 +113,7 @@
         , server(restinio::external_io_context(context), settings(endpoint, limits))
     {}
 
-    restinio::request_handling_status_t handle(restinio::request_handle_t source)
+    restinio::request_handling_status_t handle(const restinio::request_handle_t &source)
     {
         const std::size_t size = source->body().size();
         if (buffered + size > bufferedLimit) {
@@ -139,14 +139,16 @@
                        const HttpLimits &limits, Handler handler)
     : m_private(std::make_unique<Private>(context, endpoint, limits, std::move(handler)))
 {
-    m_private->server.open_async([] {}, [](std::exception_ptr e) { std::rethrow_exception(e); });
+    m_private->server.open_async(
+        [] {}, [](std::exception_ptr e) { std::rethrow_exception(std::move(e)); });
 }
 
 HttpServer::~HttpServer() = default;
 
 void HttpServer::stop()
 {
-    m_private->server.close_async([] {}, [](std::exception_ptr e) { std::rethrow_exception(e); });
+    m_private->server.close_async(
+        [] {}, [](std::exception_ptr e) { std::rethrow_exception(std::move(e)); });
 }
 
 } // namespace firefly
--- a/src/Peers/PeerNode.cpp
+++ b/src/Peers/PeerNode.cpp
@@ -59,7 +59,7 @@
                                fulfiller = kj::mv(pair.fulfiller)]() mutable {
             fulfiller->fulfill(m_onHeartbeat(asked));
         });
-        return pair.promise.then([context](HeartbeatAnswer reply) mutable {
+        return pair.promise.then([context](const HeartbeatAnswer &reply) mutable {
             internal::writeReply(reply, context.getResults());
         });
     }
@@ -74,7 +74,7 @@
                            (*fulfiller)->fulfill(std::move(result));
                        });
                    });
-        return pair.promise.then([context](ForwardedResult result) mutable {
+        return pair.promise.then([context](const ForwardedResult &result) mutable {
             internal::writeResult(result, context.getResults().initResult());
         });
     }
@@ -174,11 +174,12 @@
     : m_private(std::make_shared<Private>(context))
 {
     Private *state = m_private.get();
-    auto setUp = [state, listen, onHeartbeat, onForward](kj::AsyncIoContext &io) {
+    auto setUp = [state, listen, onHeartbeat = std::move(onHeartbeat),
+                  onForward = std::move(onForward)](kj::AsyncIoContext &io) {
         state->setUp(io, listen, kj::heap<PeerServer>(state->context, onHeartbeat, onForward));
     };
     auto tearDown = [state](kj::AsyncIoContext &) { state->tearDown(); };
-    m_private->thread = std::make_unique<KjThread>(setUp, tearDown);
+    m_private->thread = std::make_unique<KjThread>(std::move(setUp), std::move(tearDown));
 }
 
 PeerNode::~PeerNode() = default;
@@ -192,7 +193,7 @@
         return request.send().then([](auto &&response) { return internal::readReply(response); });
     };
     auto succeed = [done](HeartbeatAnswer reply) { done(std::move(reply)); };
-    auto fail = [done](bool) { done(std::nullopt); };
+    auto fail = [done = std::move(done)](bool) { done(std::nullopt); };
     Private *state = m_private.get();
     state->thread->post([state, address = addressOf(peer), timeout, exchange, succeed,
                          fail](kj::AsyncIoContext &io) {
@@ -213,10 +214,10 @@
             [](auto &&response) { return internal::readResult(response.getResult()); });
     };
     Private *state = m_private.get();
-    state->thread->post(
-        [state, address = addressOf(peer), timeout, exchange, done, fail](kj::AsyncIoContext &io) {
-            state->run<ForwardedResult>(io, address, timeout, exchange, done, fail);
-        });
+    state->thread->post([state, address = addressOf(peer), timeout, exchange,
+                         done = std::move(done), fail](kj::AsyncIoContext &io) {
+        state->run<ForwardedResult>(io, address, timeout, exchange, done, fail);
+    });
 }
 
 } // namespace firefly
--- a/src/Runtime/ActionRunner.cpp
+++ b/src/Runtime/ActionRunner.cpp
@@ -42,7 +42,7 @@
     std::visit([this](auto &&it) { perform(std::forward<decltype(it)>(it)); }, std::move(action));
 }
 
-void ActionRunner::perform(SendAppend action)
+void ActionRunner::perform(const SendAppend &action)
 {
     m_logClient.append(action.append, [this](AppendResult result) {
         feed([&](TimePoint now) { m_core.onAppendReply(now, result); });
--- a/src/Runtime/ActionRunner.h
+++ b/src/Runtime/ActionRunner.h
@@ -29,7 +29,7 @@
 
 private:
     void run(EntryAction action);
-    void perform(SendAppend action);
+    void perform(const SendAppend &action);
     void perform(const SendLogRead &action);
     void perform(const SendVmListRead &action);
     void perform(SendSync action);
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -5,7 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <ranges>
+#include <cstddef>
+#include <numeric>
 
 namespace firefly::standins {
 namespace {
@@ -13,7 +14,7 @@
 constexpr double MicrosecondsPerMillisecond = 1000.0;
 constexpr std::size_t MaxSamples = 64;
 constexpr std::size_t MaxCallSlowdowns = 512;
-constexpr int SlowdownWindow = 32;
+constexpr std::ptrdiff_t SlowdownWindow = 32;
 constexpr double FailureProgress = 1000.0; ///< Microseconds until a failing task ends.
 
 std::int64_t toMicroseconds(TimePoint at)
@@ -430,18 +431,15 @@
 
 double StandinWorker::laggedSlowdown(TimePoint now) const
 {
-    double sum = 0;
-    int n = 0;
-    for (const auto &[at, slowdown] : m_callSlowdowns | std::views::reverse) {
-        if (at + m_profile.usageLag > now) {
-            continue;
-        }
-        sum += slowdown;
-        if (++n == SlowdownWindow) {
-            break;
-        }
-    }
-    return n == 0 ? 1.0 : sum / n;
+    const auto isVisible = [&](const auto &sample) {
+        return sample.first + m_profile.usageLag <= now;
+    };
+    const auto begin = m_callSlowdowns.begin();
+    const auto end = std::partition_point(begin, m_callSlowdowns.end(), isVisible);
+    const auto n = std::min(SlowdownWindow, end - begin);
+    const double sum = std::accumulate(
+        end - n, end, 0.0, [](double total, const auto &sample) { return total + sample.second; });
+    return n == 0 ? 1.0 : sum / static_cast<double>(n);
 }
 
 const ServiceProfile &StandinWorker::profileOf(const std::string &service) const
