--- a/src/Peers/PeerNode.cpp
+++ b/src/Peers/PeerNode.cpp
@@ -41,6 +41,13 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+/// Exchanges report their failures themselves.
+class IgnoredFailures final : public kj::TaskSet::ErrorHandler
+{
+public:
+    void taskFailed(kj::Exception && /*exception*/) override {}
+};
+
 /// Serves the calls of other entries; lives on the kj thread.
 class PeerServer final : public wire::Peer::Server
 {
@@ -98,12 +105,15 @@
     {
         auto address = io.provider->getNetwork().parseAddress(addressOf(listen)).wait(io.waitScope);
         receiver = address->listen();
+        exchanges = kj::heap<kj::TaskSet>(failures);
         server = kj::heap<capnp::TwoPartyServer>(kj::mv(peerServer));
         listening = server->listen(*receiver).eagerlyEvaluate([](kj::Exception &&) {});
     }
 
+    /// Cancels what is in flight while its connections and the event loop still exist.
     void tearDown()
     {
+        exchanges = nullptr;
         listening = nullptr;
         server = nullptr;
         receiver = nullptr;
@@ -139,17 +149,19 @@
             *used = connection;
             return exchange(connection->peer).attach(kj::mv(connection));
         });
-        io.provider->getTimer()
-            .timeoutAfter(toKj(timeout), kj::mv(work))
-            .then([this, succeed](Result &&result) {
-                asio::post(context, [succeed, result = kj::mv(result)]() mutable {
-                    succeed(kj::mv(result));
+        auto exchanged =
+            io.provider->getTimer()
+                .timeoutAfter(toKj(timeout), kj::mv(work))
+                .then([this, succeed](Result &&result) {
+                    asio::post(context, [succeed, result = kj::mv(result)]() mutable {
+                        succeed(kj::mv(result));
+                    });
+                })
+                .catch_([this, address, fail, used](kj::Exception &&) {
+                    drop(address, *used);
+                    asio::post(context, [fail, sent = *used != nullptr] { fail(sent); });
                 });
-            })
-            .detach([this, address, fail, used](kj::Exception &&) {
-                drop(address, *used);
-                asio::post(context, [fail, sent = *used != nullptr] { fail(sent); });
-            });
+        exchanges->add(kj::mv(exchanged));
     }
 
     /// Keeps new exchanges off \a connection; a newer one to the same address stays.
@@ -166,6 +178,8 @@
     kj::Own<capnp::TwoPartyServer> server;
     kj::Promise<void> listening = nullptr;
     std::map<std::string, ConnectionPtr> connections;
+    IgnoredFailures failures;
+    kj::Own<kj::TaskSet> exchanges;
     std::unique_ptr<KjThread> thread;
 };
 
