--- a/src/Config/Settings.cpp
+++ b/src/Config/Settings.cpp
@@ -147,7 +147,6 @@
     section.integer("maxInFlight", limits.maxInFlight, Count);
     section.integer("maxBufferedBytes", limits.maxBufferedBytes, Bytes);
     section.integer("maxConnections", limits.maxConnections, Count);
-    section.milliseconds("headerTimeoutMs", limits.headerTimeout, ShortTimeMs);
     section.milliseconds("bodyTimeoutMs", limits.bodyTimeout, ShortTimeMs);
     section.finish();
     if (limits.maxBufferedBytes < limits.maxBodyBytes) {
--- a/src/Config/Settings.h
+++ b/src/Config/Settings.h
@@ -68,8 +68,7 @@
     std::int64_t maxInFlight = 4096;           ///< Requests between arrival and reply.
     std::int64_t maxBufferedBytes = 256 << 20; ///< All bodies held at one time.
     std::int64_t maxConnections = 8192;        ///< Callers' connections.
-    Duration headerTimeout{5'000'000};         ///< From accept or keep-alive to the whole header.
-    Duration bodyTimeout{15'000'000};          ///< From the header to the whole body.
+    Duration bodyTimeout{15'000'000};          ///< For one whole request to arrive.
 };
 
 /// `ownership`: times of shard ownership and worker leases.
--- a/src/Entry/UrgentCalls.cpp
+++ b/src/Entry/UrgentCalls.cpp
@@ -46,6 +46,14 @@
     return CallResult::ServiceFailed;
 }
 
+/// Tells a key reused for another request: another service or another body.
+std::uint64_t hashOf(const CallerRequest &request)
+{
+    const std::string &service = request.service.value();
+    const auto seed = XXH3_64bits(service.data(), service.size());
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), seed);
+}
+
 /// \a reply, or an uncertain one in its place when it answers another request than \a request.
 WorkerCallReply ownReply(const RequestId &request, const WorkerCallReply &reply)
 {
@@ -153,7 +161,7 @@
     call.service = request.service;
     call.isIdempotent = service->settings.idempotent;
     call.key = std::move(request.key);
-    call.bodyHash = XXH3_64bits(request.body.data(), request.body.size());
+    call.bodyHash = hashOf(request);
     call.body = std::move(request.body);
     const Duration timeout =
         request.timeout > Duration::zero() ? request.timeout : service->settings.timeout;
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -8,6 +8,10 @@
 namespace firefly {
 namespace {
 
+/// Bodies up to this many times the limit are read to the end and answered 413; for larger ones
+/// the connection is closed.
+constexpr std::size_t OversizeFactor = 2;
+
 struct ServerTraits : restinio::default_single_thread_traits_t
 {
     static constexpr bool use_connection_count_limiter = true; // NOLINT
@@ -58,6 +62,15 @@
     return response;
 }
 
+HttpResponse tooLarge()
+{
+    HttpResponse response;
+    response.status = 413;
+    response.body = R"({"error":"the body is too large"})";
+    response.headers.emplace_back("Firefly-Outcome", "not-run");
+    return response;
+}
+
 } // namespace
 
 std::string_view HttpRequest::header(std::string_view name) const
@@ -100,8 +113,8 @@
                 .max_parallel_connections(limits.maxConnections)
                 .read_next_http_message_timelimit(limits.readTimeout)
                 .handle_request_timeout(limits.handleTimeout)
-                .incoming_http_msg_limits(
-                    restinio::incoming_http_msg_limits_t().max_body_size(limits.maxBodyBytes))
+                .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t().max_body_size(
+                    OversizeFactor * limits.maxBodyBytes))
                 .request_handler([this](auto request) { return handle(std::move(request)); });
         };
     }
@@ -109,6 +122,7 @@
     Private(asio::io_context &context, const Endpoint &endpoint, const HttpLimits &limits,
             Handler handlerIn)
         : handler(std::move(handlerIn))
+        , bodyLimit(limits.maxBodyBytes)
         , bufferedLimit(limits.maxBufferedBytes)
         , server(restinio::external_io_context(context), settings(endpoint, limits))
     {}
@@ -116,6 +130,10 @@
     restinio::request_handling_status_t handle(const restinio::request_handle_t &source)
     {
         const std::size_t size = source->body().size();
+        if (size > bodyLimit) {
+            send(source, tooLarge());
+            return restinio::request_accepted();
+        }
         if (buffered + size > bufferedLimit) {
             send(source, overloaded());
             return restinio::request_accepted();
@@ -130,6 +148,7 @@
     }
 
     Handler handler;
+    std::size_t bodyLimit;
     std::size_t bufferedLimit;
     std::size_t buffered = 0;
     Server server;
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -51,8 +51,9 @@
 
 /// HTTP server on an io_context; callbacks run on it, one at a time.
 ///
-/// A request over a limit is answered 413 or 503, or its connection is closed when it arrives too
-/// slowly.  The memory held is at most maxBufferedBytes plus a fixed amount for each connection.
+/// A body over its limit is answered 413, and one over twice the limit closes its connection, as
+/// does a request that arrives too slowly.  The memory held is at most maxBufferedBytes for
+/// unanswered requests, plus twice maxBodyBytes for each connection on which a request is arriving.
 class HttpServer
 {
 public:
--- a/src/Peers/PeerNode.cpp
+++ b/src/Peers/PeerNode.cpp
@@ -41,13 +41,6 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-/// Exchanges report their failures themselves.
-class IgnoredFailures final : public kj::TaskSet::ErrorHandler
-{
-public:
-    void taskFailed(kj::Exception && /*exception*/) override {}
-};
-
 /// Serves the calls of other entries; lives on the kj thread.
 class PeerServer final : public wire::Peer::Server
 {
