Do not start an attempt whose eviction is on its way to the log

An owner frozen past two leases declared a silent worker's job evicted, then the worker answered a sync, and the start that had waited was sent before the eviction was read back. Ruled out: the lost worker's wait, which had held for every attempt that was started. A start now waits while a record about its job is on its way. The run also asserts that a leaving worker gets no new work after 3 s.

--- a/src/Entry/BatchRunner.cpp
+++ b/src/Entry/BatchRunner.cpp
@@ -248,7 +248,8 @@
     const Job *job = m_sessions.log.state().get<JobLedger>().find(id);
     const auto term = m_sessions.workers.mayGiveWork(attempt.worker, now);
     const WorkerLease lease = m_sessions.workers.authority().lease(attempt.shard, attempt.worker);
-    if (job == nullptr || !term || *term != attempt.term || lease.number == 0) {
+    const bool isRecordOnItsWay = m_pushed.contains(id);
+    if (job == nullptr || isRecordOnItsWay || !term || *term != attempt.term || lease.number == 0) {
         return;
     }
     if (job->state == JobState::Cancelling) {
--- a/src/Entry/EntryCore.cpp
+++ b/src/Entry/EntryCore.cpp
@@ -413,7 +413,7 @@
 }
 
 template <typename Record>
-void EntryCore::propose(Record record, Proposals::Done done)
+void EntryCore::propose(Record record, const Proposals::Done &done)
 {
     if (!m_log.isReachable()) {
         done(std::nullopt);
@@ -424,7 +424,7 @@
         done(std::nullopt);
         return;
     }
-    m_proposals.add(*sequence, m_now + ProposalTimeout, std::move(done));
+    m_proposals.add(*sequence, m_now + ProposalTimeout, done);
     m_log.tick(m_now, m_actions);
 }
 
--- a/src/Entry/EntryCore.h
+++ b/src/Entry/EntryCore.h
@@ -112,7 +112,7 @@
     void notice(bool isWarning, std::string component, std::string message, std::string detail);
     void noteHealth();
     template <typename Record>
-    void propose(Record record, Proposals::Done done);
+    void propose(Record record, const Proposals::Done &done);
     template <typename Edit, typename List>
     void proposeEdit(Edit edit, const EditDone<List> &done);
 
--- a/test/ClusterFixedSeeds.cpp
+++ b/test/ClusterFixedSeeds.cpp
@@ -7,10 +7,17 @@
 namespace {
 
 constexpr std::uint64_t FirstSeed = 20261203;
-constexpr std::uint64_t Schedules = 40;
+constexpr std::uint64_t Schedules = 400;
 
 } // namespace
 
+/// A start was sent while the eviction of its attempt was on its way to the log.
+TEST(ClusterFixedSeeds, evictionOnItsWayBlocksTheStart)
+{
+    fakes::SoakRunner<fakes::ClusterWorld> runner;
+    EXPECT_FALSE(runner.run(1081));
+}
+
 TEST(ClusterFixedSeeds, noScheduleBreaksAnInvariant)
 {
     fakes::SoakRunner<fakes::ClusterWorld> runner;
--- a/test/SoakFixedSeeds.cpp
+++ b/test/SoakFixedSeeds.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::uint64_t FirstSeed = 20261203;
-constexpr std::uint64_t Schedules = 300;
+constexpr std::uint64_t Schedules = 1600;
 
 } // namespace
 
--- a/test/StandinWorker.cpp
+++ b/test/StandinWorker.cpp
@@ -22,7 +22,7 @@
                          std::vector<std::string> acknowledged = {})
     {
         const WorkerSync message{WorkerId("w"), term, number, LeaseMs, std::move(acknowledged)};
-        const WorkerSyncReply reply = worker.sync(message, at(ms));
+        WorkerSyncReply reply = worker.sync(message, at(ms));
         boot = reply.boot;
         return reply;
     }
--- a/test/fakes/ClusterWorld.h
+++ b/test/fakes/ClusterWorld.h
@@ -68,6 +68,7 @@
         m_trace.push_back(std::to_string(m_time.now().time_since_epoch().count() / 1000) + " ms "
                           + kind.name + " " + std::to_string(step.value % 1000));
         (this->*kind.act)(step.value);
+        checkLeaving();
         m_audit.checkRunning(m_workers, m_time.now());
     }
 
@@ -88,6 +89,7 @@
             m_workers[i]->setFailsEverything(false);
             m_infos[i].state = VmState::Live;
         }
+        m_leftAt.clear();
         publish();
         advance(ListsInForceWithin);
         checkLists();
@@ -134,6 +136,9 @@
     static constexpr Duration ListsInForceWithin = std::chrono::seconds(6);
     /// Records that the log keeps: its retention.
     static constexpr Offset KeptRecords = 400;
+    /// Target for a leaving worker to get no new work.
+    static constexpr Duration NoWorkAfter = std::chrono::seconds(3);
+    static constexpr Duration LongestDelay = std::chrono::seconds(8);
     static constexpr Duration Tick = std::chrono::milliseconds(25);
     static constexpr Duration VmListLag = std::chrono::milliseconds(400);
 
@@ -240,7 +245,7 @@
     Duration delay()
     {
         if (m_lossy > 0 && m_random() % 16 == 0) {
-            return std::chrono::milliseconds(m_random() % 8000);
+            return Duration(m_random() % LongestDelay.count());
         }
         return std::chrono::milliseconds(1 + m_random() % 8);
     }
@@ -673,11 +678,36 @@
 
     void leaveWorker(std::uint32_t value)
     {
-        VmState &state = m_infos[value % Workers].state;
+        const std::size_t i = value % Workers;
+        VmState &state = m_infos[i].state;
         state = state == VmState::Live ? VmState::Leaving : VmState::Live;
+        m_leftAt.erase(i);
+        if (state == VmState::Leaving) {
+            m_leftAt[i] = m_time.now();
+        }
         publish();
     }
 
+    /// A leaving worker gets no new work after a few seconds, but for messages that were late.
+    void checkLeaving()
+    {
+        if (m_lossy > 0) {
+            m_lossyAt = m_time.now();
+        }
+        for (const auto &[i, leftAt] : m_leftAt) {
+            if (leftAt - m_lossyAt <= LongestDelay) {
+                continue;
+            }
+            const auto end = (leftAt + NoWorkAfter).time_since_epoch().count();
+            for (const auto &call : m_workers[i]->records().calls) {
+                FIREFLY_ASSERT(call.beginUs <= end, "a leaving worker gets no new call");
+            }
+            for (const auto &task : m_workers[i]->records().tasks) {
+                FIREFLY_ASSERT(task.beginUs <= end, "a leaving worker gets no new task");
+            }
+        }
+    }
+
     bool isAtRest() const
     {
         const bool isCaughtUp = std::all_of(m_entries.begin(), m_entries.end(),
@@ -733,6 +763,8 @@
     bool m_logOut = false;
     std::uint64_t m_lossy = 0; ///< Percent of messages lost, when positive also some late.
     std::mt19937_64 m_random{20261203};
+    std::map<std::size_t, TimePoint> m_leftAt; ///< Leaving workers.
+    TimePoint m_lossyAt{-LongestDelay};        ///< When messages were last late.
     ClusterAudit m_audit;
     std::set<JobId> m_accepted;
     std::uint64_t m_jobs = 0;
