Keep urgent calls in the zones of their plan, and mend a test of the peers' RPC

Cause: a plan's places bound batch placement only; an urgent call could run in any zone. Ruled out: a check after routing, which would waste the choice. RoutingRequest carries the allowed zones, the policies and probes skip others, and peers' room is counted by zone. The new test fails when every zone is allowed and passes now.

--- a/src/Entry/PeerSession.cpp
+++ b/src/Entry/PeerSession.cpp
@@ -3,6 +3,15 @@
 #include <algorithm>
 
 namespace firefly {
+namespace {
+
+/// The zone of a shard's workers, as WorkerInfo::shard() names it.
+ZoneId zoneOf(const ShardId &shard)
+{
+    return ZoneId(shard.value().substr(0, shard.value().rfind('/')));
+}
+
+} // namespace
 
 PeerSession::PeerSession(EntryId self, const MembershipTimes &times, Duration interval)
     : m_table(std::move(self), times)
@@ -51,22 +60,29 @@
 {
     m_rooms.clear();
     for (const PeerRoom &room : m_table.rooms(now)) {
-        m_rooms[room.entry] += room.freeSlots;
+        m_rooms[room.entry][zoneOf(room.shard)] += room.freeSlots;
     }
 }
 
-std::int64_t PeerSession::roomOf(const EntryId &peer, std::int64_t advertised) const
+std::int64_t PeerSession::roomOf(const EntryId &peer, std::span<const std::string> zones) const
 {
+    std::int64_t room = 0;
+    for (const auto &[zone, advertised] : m_rooms.at(peer)) {
+        if (zones.empty() || std::ranges::find(zones, zone.value()) != zones.end()) {
+            room += advertised;
+        }
+    }
     const auto it = m_forwarded.find(peer);
-    return it != m_forwarded.end() ? advertised - it->second : advertised;
+    return it != m_forwarded.end() ? room - it->second : room;
 }
 
 std::optional<EntryInfo> PeerSession::chooseForCall(std::uint64_t salt,
-                                                    std::span<const EntryId> tried) const
+                                                    std::span<const EntryId> tried,
+                                                    std::span<const std::string> zones) const
 {
     std::vector<std::pair<EntryId, std::int64_t>> open;
-    for (const auto &[peer, advertised] : m_rooms) {
-        const std::int64_t room = roomOf(peer, advertised);
+    for (const auto &[peer, rooms] : m_rooms) {
+        const std::int64_t room = roomOf(peer, zones);
         const bool isTried = std::find(tried.begin(), tried.end(), peer) != tried.end();
         if (room <= 0 || isTried || !m_infos.contains(peer)) {
             continue;
@@ -84,8 +100,8 @@
 std::int64_t PeerSession::freeSlots() const
 {
     std::int64_t sum = 0;
-    for (const auto &[peer, advertised] : m_rooms) {
-        sum += std::max<std::int64_t>(0, roomOf(peer, advertised));
+    for (const auto &[peer, rooms] : m_rooms) {
+        sum += std::max<std::int64_t>(0, roomOf(peer, {}));
     }
     return sum;
 }
--- a/src/Entry/PeerSession.h
+++ b/src/Entry/PeerSession.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace firefly {
@@ -33,10 +34,10 @@
 
     /// Takes over what peers advertise.  Linear in the peers' shards.
     void refreshRooms(TimePoint now);
-    /// The peer to hand a call to: the one with more room of two spread by \a salt, if any has
-    /// room.
-    std::optional<EntryInfo> chooseForCall(std::uint64_t salt,
-                                           std::span<const EntryId> tried) const;
+    /// The peer to hand a call to: the one with more room in \a zones (empty: in all) of two
+    /// spread by \a salt, if any has room.
+    std::optional<EntryInfo> chooseForCall(std::uint64_t salt, std::span<const EntryId> tried,
+                                           std::span<const std::string> zones) const;
     /// Urgent calls that peers say they can take, less those on their way.
     std::int64_t freeSlots() const;
     void noteForwarded(const EntryId &peer) { ++m_forwarded[peer]; }
@@ -45,7 +46,7 @@
     const EntryInfo *find(const EntryId &peer) const;
 
 private:
-    std::int64_t roomOf(const EntryId &peer, std::int64_t advertised) const;
+    std::int64_t roomOf(const EntryId &peer, std::span<const std::string> zones) const;
 
     struct Exchange
     {
@@ -59,7 +60,8 @@
     Duration m_interval;
     std::map<EntryId, EntryInfo> m_infos;
     std::map<EntryId, Exchange> m_exchanges;
-    std::map<EntryId, std::int64_t> m_rooms;     ///< Urgent calls that each live peer can take.
+    /// Urgent calls that each live peer can take, by zone of its workers.
+    std::map<EntryId, std::map<ZoneId, std::int64_t>> m_rooms;
     std::map<EntryId, std::int64_t> m_forwarded; ///< Calls on their way, by peer.
 };
 
--- a/src/Entry/UrgentCalls.cpp
+++ b/src/Entry/UrgentCalls.cpp
@@ -310,7 +310,7 @@
     const auto free = static_cast<double>(pool.urgentSlots() - pool.urgentInUse());
     const bool hasOwnRoom = free > KeepLocalShare * static_cast<double>(pool.urgentSlots());
     if (hasOwnRoom) {
-        if (auto worker = routeLocally(now, request.isIdempotent, tried)) {
+        if (auto worker = routeLocally(now, request.customer, request.isIdempotent, tried)) {
             return worker;
         }
     }
@@ -320,14 +320,23 @@
             triedPeers.push_back(std::move(*peer));
         }
     }
-    const auto peer = m_sessions.peers.chooseForCall(m_sessions.random(), triedPeers);
+    const auto peer =
+        m_sessions.peers.chooseForCall(m_sessions.random(), triedPeers, zonesOf(request.customer));
     if (peer) {
         return asTarget(peer->id);
     }
-    return routeLocally(now, request.isIdempotent, tried);
+    return routeLocally(now, request.customer, request.isIdempotent, tried);
 }
 
-std::optional<WorkerId> UrgentCalls::routeLocally(TimePoint now, bool isIdempotent,
+std::span<const std::string> UrgentCalls::zonesOf(const CustomerId &customer) const
+{
+    const PlanLimits *limits = m_sessions.log.state().get<ListsFold>().limitsOf(customer);
+    return limits != nullptr ? std::span<const std::string>(limits->zones)
+                             : std::span<const std::string>();
+}
+
+std::optional<WorkerId> UrgentCalls::routeLocally(TimePoint now, const CustomerId &customer,
+                                                  bool isIdempotent,
                                                   std::span<const WorkerId> tried)
 {
     WorkerPool &pool = m_sessions.workers.pool();
@@ -341,6 +350,11 @@
     request.callerZone = pool.links().index(m_zone);
     request.idempotent = isIdempotent;
     request.exclude = exclude;
+    std::vector<ZoneIndex> zones;
+    for (const std::string &zone : zonesOf(customer)) {
+        zones.push_back(pool.links().index(ZoneId(zone)));
+    }
+    request.zones = zones;
     const auto decision = m_router.route(request, m_sessions.random, now);
     if (!decision) {
         return std::nullopt;
@@ -356,7 +370,7 @@
 void UrgentCalls::onForwarded(TimePoint now, ForwardedCall call, ForwardDone done,
                               EntryActions &actions)
 {
-    const auto worker = routeLocally(now, call.key.empty(), {});
+    const auto worker = routeLocally(now, call.customer, call.key.empty(), {});
     if (!worker || m_forwarded.contains(call.request)) {
         done({call.request, WorkerResult::Refused, {}, RetryAfterNoWorker});
         return;
--- a/src/Entry/UrgentCalls.h
+++ b/src/Entry/UrgentCalls.h
@@ -116,8 +116,10 @@
     void forgetIfOver(const RequestId &request);
     std::optional<WorkerId> chooseTarget(TimePoint now, const CallRequest &request,
                                          std::span<const WorkerId> tried);
-    std::optional<WorkerId> routeLocally(TimePoint now, bool isIdempotent,
-                                         std::span<const WorkerId> tried);
+    /// Zones that the plan of \a customer may use; empty means all.
+    std::span<const std::string> zonesOf(const CustomerId &customer) const;
+    std::optional<WorkerId> routeLocally(TimePoint now, const CustomerId &customer,
+                                         bool isIdempotent, std::span<const WorkerId> tried);
     std::optional<Target> takeTarget(std::uint64_t number);
     void settleWorker(TimePoint now, const Target &target, WorkerResult result);
     void settleForwardedHere(TimePoint now, const Target &target, const WorkerCallReply &reply);
--- a/src/Routing/RoutingPolicies.cpp
+++ b/src/Routing/RoutingPolicies.cpp
@@ -18,13 +18,39 @@
            != request.exclude.end();
 }
 
-/// The open worker at position \a n of all lists put end to end.
-WorkerIndex openWorkerAt(const WorkerPool &pool, std::size_t n)
+/// The open workers of \a zone that \a request may use.
+std::span<const WorkerIndex> openFor(const WorkerPool &pool, const RoutingRequest &request,
+                                     ZoneIndex zone, Disturbance disturbance)
+{
+    if (!request.allows(zone)) {
+        return {};
+    }
+    return pool.openWorkers(zone, disturbance);
+}
+
+/// Number of open workers that \a request may use.
+std::size_t openCount(const WorkerPool &pool, const RoutingRequest &request)
+{
+    if (request.zones.empty()) {
+        return pool.openCount();
+    }
+    std::size_t n = 0;
+    const auto zones = ZoneIndex(pool.links().size());
+    for (ZoneIndex zone = 0; zone < zones; ++zone) {
+        for (const Disturbance disturbance : AllDisturbances) {
+            n += openFor(pool, request, zone, disturbance).size();
+        }
+    }
+    return n;
+}
+
+/// The open worker at position \a n of all lists that \a request may use put end to end.
+WorkerIndex openWorkerAt(const WorkerPool &pool, const RoutingRequest &request, std::size_t n)
 {
     const auto zones = ZoneIndex(pool.links().size());
     for (ZoneIndex zone = 0; zone < zones; ++zone) {
         for (const Disturbance disturbance : AllDisturbances) {
-            const auto open = pool.openWorkers(zone, disturbance);
+            const auto open = openFor(pool, request, zone, disturbance);
             if (n < open.size()) {
                 return open[n];
             }
@@ -35,12 +61,12 @@
     return {};
 }
 
-/// Any of the least disturbed open workers of \a zone.
-std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, ZoneIndex zone,
-                                         std::mt19937_64 &random)
+/// Any of the least disturbed open workers of the caller's zone.
+std::optional<WorkerIndex> calmestLocalWorker(const WorkerPool &pool, const RoutingRequest &request,
+                                              std::mt19937_64 &random)
 {
     for (const Disturbance disturbance : AllDisturbances) {
-        const auto open = pool.openWorkers(zone, disturbance);
+        const auto open = openFor(pool, request, request.callerZone, disturbance);
         if (!open.empty()) {
             return open[internal::uniformBelow(random, open.size())];
         }
@@ -48,13 +74,14 @@
     return std::nullopt;
 }
 
-/// Any of the least disturbed open workers of all zones that answer calls from \a callerZone.
-std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, ZoneIndex callerZone,
+/// Any of the least disturbed open workers of all zones that answer calls from the caller's.
+std::optional<WorkerIndex> calmestWorker(const WorkerPool &pool, const RoutingRequest &request,
                                          TimePoint now, std::mt19937_64 &random)
 {
     const auto openIn = [&](ZoneIndex zone, Disturbance disturbance) {
-        const bool answers = pool.links().lossShare(callerZone, zone, now) < LossLimit;
-        return answers ? pool.openWorkers(zone, disturbance) : std::span<const WorkerIndex>();
+        const double loss = pool.links().lossShare(request.callerZone, zone, now);
+        return loss < LossLimit ? openFor(pool, request, zone, disturbance)
+                                : std::span<const WorkerIndex>();
     };
     const auto zones = ZoneIndex(pool.links().size());
     for (const Disturbance disturbance : AllDisturbances) {
@@ -80,14 +107,14 @@
 std::optional<WorkerIndex> anyOpenWorker(const WorkerPool &pool, const RoutingRequest &request,
                                          std::mt19937_64 &random)
 {
-    const std::size_t n = pool.openCount();
+    const std::size_t n = openCount(pool, request);
     if (n == 0) {
         return std::nullopt;
     }
     const std::size_t start = internal::uniformBelow(random, n);
     const std::size_t tries = std::min(n, request.exclude.size() + 1);
     for (std::size_t i = 0; i < tries; ++i) {
-        const WorkerIndex worker = openWorkerAt(pool, (start + i) % n);
+        const WorkerIndex worker = openWorkerAt(pool, request, (start + i) % n);
         if (!isExcluded(request, worker)) {
             return worker;
         }
@@ -155,11 +182,11 @@
                                                         const RoutingRequest &request,
                                                         std::mt19937_64 &random, TimePoint)
 {
-    const std::size_t n = pool.openCount();
+    const std::size_t n = openCount(pool, request);
     std::optional<WorkerIndex> best;
     const std::size_t start = n == 0 ? 0 : internal::uniformBelow(random, n);
     for (std::size_t i = 0; i < n; ++i) {
-        const WorkerIndex worker = openWorkerAt(pool, (start + i) % n);
+        const WorkerIndex worker = openWorkerAt(pool, request, (start + i) % n);
         if (isExcluded(request, worker)) {
             continue;
         }
@@ -179,10 +206,10 @@
 {
     CheapestCandidate cheapest(pool, request, now);
     for (std::size_t i = 0; i < pool.settings().localSamples; ++i) {
-        cheapest.consider(calmestWorker(pool, request.callerZone, random));
+        cheapest.consider(calmestLocalWorker(pool, request, random));
     }
     for (std::size_t i = 0; i < pool.settings().remoteSamples; ++i) {
-        cheapest.consider(calmestWorker(pool, request.callerZone, now, random));
+        cheapest.consider(calmestWorker(pool, request, now, random));
     }
     if (!cheapest.isEmpty()) {
         return cheapest.best();
--- a/src/Routing/RoutingRequest.h
+++ b/src/Routing/RoutingRequest.h
@@ -4,6 +4,7 @@
 #include "Routing/WorkerIndex.h"
 #include "Routing/ZoneLinks.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <span>
 
@@ -15,6 +16,12 @@
     ZoneIndex callerZone = 0;
     bool idempotent = false;                ///< May be used as a probe.
     std::span<const WorkerIndex> exclude{}; ///< Workers that this request already tried.
+    std::span<const ZoneIndex> zones{};     ///< Zones its plan may use; empty means all.
+
+    bool allows(ZoneIndex zone) const
+    {
+        return zones.empty() || std::ranges::find(zones, zone) != zones.end();
+    }
 };
 
 /// Why a worker was chosen.
--- a/src/Routing/UrgentRouter.h
+++ b/src/Routing/UrgentRouter.h
@@ -46,7 +46,7 @@
             return std::nullopt;
         }
         const auto worker = m_pool.takeProbe(now);
-        if (!worker) {
+        if (!worker || !request.allows(m_pool.view(*worker).zone)) {
             return std::nullopt;
         }
         return RoutingDecision{.worker = *worker, .reason = RoutingReason::Probe, .candidates = 1};
--- a/test/PeersRpc.cpp
+++ b/test/PeersRpc.cpp
@@ -56,8 +56,11 @@
                                             const PeerNode::ForwardDone &done) {
         done({call.request, WorkerResult::Done, call.key + call.body, {}});
     };
+    std::vector<PeerNode::ForwardDone> heldHere; ///< The first entry never answers a call.
     PeerNode here{context, Here, answer,
-                  [](const ForwardedCall &, const PeerNode::ForwardDone &) {}};
+                  [this](const ForwardedCall &, const PeerNode::ForwardDone &done) {
+                      heldHere.push_back(done);
+                  }};
     std::optional<PeerNode> there{
         std::in_place, context, There, answer,
         [this](const ForwardedCall &call, const PeerNode::ForwardDone &done) {
@@ -122,7 +125,7 @@
     bool isAnswered = false;
     here.forward(There, call, Soon, [&](const ForwardedResult &) { isAnswered = true; });
     there->forward(Here, call, Soon, [&](const ForwardedResult &) { isAnswered = true; });
-    while (held.empty()) {
+    while (held.empty() || heldHere.empty()) {
         context.run_one_for(std::chrono::seconds(10));
     }
     there.reset();
--- a/test/UrgentRouting.cpp
+++ b/test/UrgentRouting.cpp
@@ -118,6 +118,23 @@
     EXPECT_LT(early, later);
 }
 
+TEST(UrgentRouting, ACallStaysInTheZonesOfItsPlan)
+{
+    Fixture fixture(3);
+    WorkerInfo there = workerNamed(3);
+    there.zone = ZoneId("there");
+    const WorkerIndex only = fixture.pool.update(there, fixture.now);
+    const std::vector<ZoneIndex> zones{fixture.pool.links().index(ZoneId("there"))};
+    UrgentRouter<TwoChoice> router(fixture.pool);
+    const RoutingRequest request{.zones = zones};
+    for (int i = 0; i < 4; ++i) {
+        const auto decision = router.route(request, fixture.random, fixture.now);
+        ASSERT_TRUE(decision);
+        EXPECT_EQ(decision->worker, only);
+    }
+    EXPECT_FALSE(router.route(request, fixture.random, fixture.now));
+}
+
 TEST(UrgentRouting, ARetryNeverGoesToAWorkerItTried)
 {
     Fixture fixture(2);
