Let both codecs share one macro for JSON fields

Cause: the same macro stood in Records/Codec.cpp and Adapters/WorkerJson.cpp. Ruled out: nlohmann's own, which is inline and would pull json.hpp into the headers. Records/JsonFields.h holds it; behaviour is unchanged.

--- a/src/Adapters/WorkerJson.cpp
+++ b/src/Adapters/WorkerJson.cpp
@@ -2,6 +2,7 @@
 
 #include "Records/Codec.h"
 #include "Records/IdJson.h"
+#include "Records/JsonFields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,16 +15,6 @@
                                          {TaskState::Stopped, "stopped"}})
 
 // NOLINTBEGIN(readability-identifier-naming)
-#define FIREFLY_JSON(Type, ...)                                                                    \
-    void to_json(nlohmann::json &nlohmann_json_j, const Type &nlohmann_json_t)                     \
-    {                                                                                              \
-        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, __VA_ARGS__))                   \
-    }                                                                                              \
-    void from_json(const nlohmann::json &nlohmann_json_j, Type &nlohmann_json_t)                   \
-    {                                                                                              \
-        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                 \
-    }
-
 FIREFLY_JSON(Endpoint, address, port)
 FIREFLY_JSON(WorkerInfo, id, zone, rack, endpoint, capacity, state)
 FIREFLY_JSON(EntryInfo, id, zone, peerEndpoint, state)
--- a/src/Records/Codec.cpp
+++ b/src/Records/Codec.cpp
@@ -1,6 +1,7 @@
 #include "Records/Codec.h"
 
 #include "Records/IdJson.h"
+#include "Records/JsonFields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -21,16 +22,6 @@
                                               {EvictionReason::TaskFailed, "task-failed"}})
 
 // NOLINTBEGIN(readability-identifier-naming)
-#define FIREFLY_JSON(Type, ...)                                                                    \
-    void to_json(nlohmann::json &nlohmann_json_j, const Type &nlohmann_json_t)                     \
-    {                                                                                              \
-        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_TO, __VA_ARGS__))                   \
-    }                                                                                              \
-    void from_json(const nlohmann::json &nlohmann_json_j, Type &nlohmann_json_t)                   \
-    {                                                                                              \
-        NLOHMANN_JSON_EXPAND(NLOHMANN_JSON_PASTE(NLOHMANN_JSON_FROM, __VA_ARGS__))                 \
-    }
-
 FIREFLY_JSON(Resources, milliProcessors, memoryMiB, accelerators, slots)
 FIREFLY_JSON(PlansList, planOfCustomer)
 FIREFLY_JSON(PlanLimits, resources, zones, urgentPerSecond, weight)
