--- /dev/null
+++ b/src/Cell/CellScheduler.cpp
@@ -0,0 +1,384 @@
+#include "Cell/CellScheduler.h"
+
+#include "Cell/TaskLedger.h"
+#include "Core/Assert.h"
+#include "Workload/JobRecords.h"
+
+#include <algorithm>
+
+namespace firefly {
+namespace {
+
+/// Placement runs at most this often; several ends and submits share one pass.
+constexpr Duration PlacementInterval = std::chrono::milliseconds(10);
+constexpr Duration CleanupInterval = std::chrono::seconds(1);
+/// A job this many objectives after its submission earns its client nothing any more.
+constexpr int LateObjectives = 3;
+/// Kept longer than the platform asks, for requests under way.
+constexpr Duration StatusMargin = std::chrono::seconds(10);
+
+Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+/// Longest chain of estimated work, in ms.
+double longestChainMs(const JobSpec &spec)
+{
+    std::vector<double> endOf(spec.steps.size(), 0.0);
+    double longest = 0.0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        double begin = 0.0;
+        for (const std::uint32_t it : spec.steps[i].after) {
+            begin = std::max(begin, endOf[it]);
+        }
+        endOf[i] = begin + static_cast<double>(spec.steps[i].estimateMs);
+        longest = std::max(longest, endOf[i]);
+    }
+    return longest;
+}
+
+void setObjective(CellJob &job, TimePoint submittedAt)
+{
+    const QueuePolicy &policy = job.spec.policy;
+    const double objectiveMs = policy.stretch * longestChainMs(job.spec)
+                               + static_cast<double>(policy.targetLatencyMs);
+    job.objective = submittedAt + fromMs(objectiveMs);
+    job.giveUpOrder = submittedAt + fromMs(LateObjectives * objectiveMs);
+}
+
+} // namespace
+
+CellScheduler::CellScheduler(const CellBounds &bounds)
+{
+    m_state.bounds = bounds;
+}
+
+void CellScheduler::beginOwnership(Epoch epoch, TimePoint now, TimePoint locateUntil)
+{
+    endOwnership();
+    m_now = now;
+    m_state.locateUntil = locateUntil;
+    m_state.epoch = epoch;
+    m_state.ownedSince = now;
+    m_state.isFenced = false;
+    m_state.isLocating = true;
+}
+
+void CellScheduler::endOwnership()
+{
+    m_state.journal.abandon();
+    m_state.jobs.clear();
+    m_state.workers.clear();
+    m_state.actions.clear();
+    m_state.epoch = 0;
+}
+
+void CellScheduler::restore(std::string_view key, std::string_view value)
+{
+    const JobRecords::ParsedKey parsed = JobRecords::parseKey(key);
+    switch (parsed.kind) {
+    case JobRecords::KeyKind::Worker: {
+        auto &worker = m_state.workers[parsed.name];
+        if (!worker) {
+            worker = std::make_unique<CellWorker>();
+            worker->info.id = WorkerId(parsed.name);
+            const auto colon = value.rfind(':');
+            worker->info.endpoint.address = std::string(value.substr(0, colon));
+            worker->info.endpoint.port =
+                static_cast<std::uint16_t>(std::stoi(std::string(value.substr(colon + 1))));
+        }
+        worker->isRecorded = true;
+        return;
+    }
+    case JobRecords::KeyKind::Spec: {
+        std::int64_t submittedAt = 0;
+        JobSpec spec = JobRecords::decodeSpec(value, submittedAt);
+        auto &job = m_state.jobs[parsed.name];
+        if (!job) {
+            job = std::make_unique<CellJob>();
+        }
+        job->id = JobId(parsed.name);
+        job->spec = std::move(spec);
+        job->submittedAtUnixMs = submittedAt;
+        job->isDurable = true;
+        job->isFromEarlierOwner = true;
+        return;
+    }
+    case JobRecords::KeyKind::Progress: {
+        JobProgress progress = JobRecords::decodeProgress(value);
+        m_restoredProgress[parsed.name] = std::move(progress);
+        return;
+    }
+    case JobRecords::KeyKind::Unknown:
+        throw JobRecordError("record with an unknown key");
+    }
+}
+
+void CellScheduler::restored(TimePoint now, std::int64_t nowUnixMs)
+{
+    for (auto &[id, job] : m_state.jobs) {
+        const auto ageMs = static_cast<double>(nowUnixMs - job->submittedAtUnixMs);
+        setObjective(*job, now - fromMs(ageMs));
+        const auto it = m_restoredProgress.find(id);
+        if (it != m_restoredProgress.end()) {
+            job->state = it->second.state;
+            job->finalAtUnixMs = it->second.finalAtUnixMs;
+            job->isStarted = it->second.isStarted;
+        }
+        job->shownState = job->state;
+        if (isFinal(job->state)) {
+            continue;
+        }
+        openDueOccurrences(*job, nowUnixMs);
+        if (it != m_restoredProgress.end()) {
+            restoreTasks(*job, it->second);
+        }
+    }
+    m_restoredProgress.clear();
+    m_state.wantsPlacement = true;
+}
+
+void CellScheduler::restoreTasks(CellJob &job, const JobProgress &progress)
+{
+    for (const TaskProgress &it : progress.tasks) {
+        const auto ref = m_state.findTask({job.id, it.occurrence, it.step, it.index});
+        if (!ref) {
+            continue;
+        }
+        CellTask &task = ref->task();
+        task.failures = it.failures;
+        task.lastFailedRun = it.lastFailedRun;
+        task.run = it.lastFailedRun;
+        task.checkpoint = it.checkpoint;
+        if (it.isDone && task.state != TaskState::Done) {
+            TaskLedger::finish(*ref);
+        }
+    }
+}
+
+void CellScheduler::submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
+                           OnVerdict onVerdict)
+{
+    m_now = now;
+    if (CellJob *known = m_state.findJob(id)) {
+        if (known->isDurable) {
+            onVerdict(Verdict::Accepted);
+            return;
+        }
+        const bool isWaiting = m_state.journal.follow(
+            JobRecords::specKey(id), [onVerdict] { onVerdict(Verdict::Accepted); },
+            lostVerdict(onVerdict));
+        FIREFLY_ASSERT(isWaiting, "a job that isn't durable waits in the journal");
+        return;
+    }
+    auto created = std::make_unique<CellJob>();
+    CellJob &job = *created;
+    job.id = id;
+    job.spec = std::move(spec);
+    job.submittedAtUnixMs = nowUnixMs;
+    setObjective(job, now);
+    m_state.jobs.emplace(id.value(), std::move(created));
+    openDueOccurrences(job, nowUnixMs);
+    m_state.journal.putRefusable(
+        {JobRecords::specKey(id), JobRecords::encodeSpec(job.spec, nowUnixMs)},
+        [this, id, onVerdict] {
+            if (CellJob *stored = m_state.findJob(id)) {
+                stored->isDurable = true;
+                m_state.wantsPlacement = true;
+            }
+            onVerdict(Verdict::Accepted);
+        },
+        [this, id, onLost = lostVerdict(onVerdict)](bool isSurelyLost) {
+            const CellJob *lost = m_state.findJob(id);
+            if (lost && !lost->isDurable) {
+                m_state.jobs.erase(id.value());
+            }
+            onLost(isSurelyLost);
+        });
+}
+
+CellJournal::OnLost CellScheduler::lostVerdict(OnVerdict onVerdict)
+{
+    return [onVerdict = std::move(onVerdict)](bool isSurelyLost) {
+        onVerdict(isSurelyLost ? Verdict::NotAccepted : Verdict::Unknown);
+    };
+}
+
+bool CellScheduler::cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs,
+                           OnVerdict onVerdict)
+{
+    m_now = now;
+    CellJob *job = m_state.findJob(id);
+    if (!job) {
+        return false;
+    }
+    if (!isFinal(job->state)) {
+        finalize(*job, JobState::Canceled, nowUnixMs);
+    }
+    m_state.journal.whenDurable([onVerdict] { onVerdict(Verdict::Accepted); },
+                                [onVerdict](bool) { onVerdict(Verdict::Unknown); });
+    return true;
+}
+
+std::optional<JobState> CellScheduler::stateOf(const JobId &id) const
+{
+    const auto it = m_state.jobs.find(id.value());
+    if (it == m_state.jobs.end()) {
+        return std::nullopt;
+    }
+    const CellJob &job = *it->second;
+    return isFinal(job.state) ? job.shownState : job.state;
+}
+
+std::map<std::string, int> CellScheduler::pendingByQueue() const
+{
+    std::map<std::string, int> counts;
+    for (const auto &[id, job] : m_state.jobs) {
+        if (job->isStarted || job->isTimed() || !job->isDurable || isFinal(job->state)) {
+            continue;
+        }
+        ++counts[job->spec.policy.queue.value()];
+    }
+    return counts;
+}
+
+void CellScheduler::recordProgress(CellJob &job)
+{
+    JobProgress progress;
+    progress.state = job.state;
+    progress.finalAtUnixMs = job.finalAtUnixMs;
+    progress.isStarted = job.isStarted;
+    if (!isFinal(job.state)) {
+        progress.tasks = progressOf(job);
+    }
+    const JobState state = job.state;
+    m_state.journal.put({JobRecords::progressKey(job.id), JobRecords::encodeProgress(progress)},
+                        [this, id = job.id, state] {
+                            if (CellJob *stored = m_state.findJob(id)) {
+                                stored->shownState = state;
+                            }
+                        });
+}
+
+std::vector<TaskProgress> CellScheduler::progressOf(const CellJob &job)
+{
+    std::vector<TaskProgress> rows;
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+            const StepRun &step = job.occurrences[k].steps[s];
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+                const CellTask &task = step.tasks[i];
+                const bool isDone = task.state == TaskState::Done;
+                if (isDone || task.failures > 0 || !task.checkpoint.empty()) {
+                    rows.push_back({k, s, i, isDone, task.failures, task.lastFailedRun,
+                                    isDone ? std::string() : task.checkpoint});
+                }
+            }
+        }
+    }
+    return rows;
+}
+
+void CellScheduler::finalize(CellJob &job, JobState state, std::int64_t nowUnixMs)
+{
+    job.state = state;
+    job.finalAtUnixMs = nowUnixMs;
+    recordProgress(job);
+    m_state.journal.whenDurable([this, id = job.id] {
+        if (CellJob *stored = m_state.findJob(id)) {
+            stopTasks(*stored);
+        }
+    });
+}
+
+void CellScheduler::stopTasks(CellJob &job)
+{
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < job.spec.steps[s].taskCount; ++i) {
+                const TaskRef ref{&job, k, s, i};
+                if (isPlaced(ref.task().state)) {
+                    sendStop(ref);
+                }
+            }
+        }
+    }
+}
+
+void CellScheduler::sendStop(const TaskRef &ref)
+{
+    CellTask &task = ref.task();
+    FIREFLY_ASSERT(isPlaced(task.state), "only a placed task can be stopped");
+    if (task.state != TaskState::Unsettled && task.state != TaskState::Starting) {
+        task.state = TaskState::Stopping;
+    }
+    task.stopSentAt = m_now;
+    sendStop(*task.worker, ref.name(), task.run);
+}
+
+void CellScheduler::sendStop(CellWorker &worker, const TaskName &name, std::uint32_t run)
+{
+    m_state.actions.emplace_back(StopTask{worker.info.id, name, run});
+}
+
+void CellScheduler::openDueOccurrences(CellJob &job, std::int64_t nowUnixMs)
+{
+    const TaskState state =
+        job.isFromEarlierOwner && m_state.isLocating ? TaskState::Unlocated : TaskState::Pending;
+    while (job.occurrences.size() < job.occurrenceCount()) {
+        const auto k = static_cast<std::int64_t>(job.occurrences.size());
+        const std::int64_t due = job.isTimed() ? job.startAtUnixMs(k) : 0;
+        if (due > nowUnixMs) {
+            return;
+        }
+        TaskLedger::openOccurrence(job, due, state);
+        m_state.wantsPlacement = true;
+    }
+}
+
+void CellScheduler::tick(TimePoint now, std::int64_t nowUnixMs)
+{
+    m_now = now;
+    expireLeases(now);
+    locateTasks(now);
+    if (now - m_lastCleanup >= CleanupInterval) {
+        m_lastCleanup = now;
+        dropOldJobs(nowUnixMs);
+    }
+    if (m_state.wantsPlacement && now - m_lastPlacement >= PlacementInterval
+        && now < m_state.ordersUntil) {
+        m_state.wantsPlacement = false;
+        m_lastPlacement = now;
+        m_placement.run(now, nowUnixMs);
+    }
+    renewLeases(now);
+}
+
+void CellScheduler::dropOldJobs(std::int64_t nowUnixMs)
+{
+    const auto keptMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_state.bounds.statusKept + StatusMargin)
+            .count();
+    for (auto it = m_state.jobs.begin(); it != m_state.jobs.end();) {
+        CellJob &job = *it->second;
+        openDueOccurrences(job, isFinal(job.state) ? 0 : nowUnixMs);
+        const bool isOld = isFinal(job.shownState) && job.placedCount == 0
+                           && nowUnixMs - job.finalAtUnixMs > keptMs;
+        if (!isOld) {
+            ++it;
+            continue;
+        }
+        m_state.journal.put({JobRecords::specKey(job.id), std::nullopt});
+        m_state.journal.put({JobRecords::progressKey(job.id), std::nullopt});
+        it = m_state.jobs.erase(it);
+    }
+    m_state.wantsPlacement = true;
+}
+
+std::vector<CellAction> CellScheduler::takeActions()
+{
+    return std::exchange(m_state.actions, {});
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Cell/Placement.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Cell/CellState.h"
+
+namespace firefly {
+
+/// Chooses workers for pending tasks; decides nothing about time or order.
+class Placement
+{
+public:
+    explicit Placement(CellState &state)
+        : m_state(state)
+    {}
+
+    /// Starts pending tasks in the jobs' order until no more fit.  O(pending x workers).
+    void run(TimePoint now, std::int64_t nowUnixMs);
+
+private:
+    std::vector<CellJob *> jobsInOrder(TimePoint now) const;
+    void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    CellWorker *choose(const TaskRef &ref, TimePoint now) const;
+    bool mayHost(const CellWorker &worker, const TaskRef &ref, TimePoint now) const;
+    double score(const CellWorker &worker, const TaskRef &ref) const;
+    void start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now);
+
+    /// A demand that no worker could take in this pass; larger ones needn't be tried.
+    struct Refused
+    {
+        std::string service;
+        bool isFiller = false;
+        Room demand;
+    };
+    bool isHopeless(const TaskRef &ref) const;
+    void noteRefused(const TaskRef &ref);
+
+    CellState &m_state;
+    std::vector<Refused> m_refused;
+};
+
+} // namespace firefly
--- /dev/null
+++ b/src/CellLease/CellElection.cpp
@@ -0,0 +1,126 @@
+#include "CellLease/CellElection.h"
+
+#include <algorithm>
+
+namespace firefly {
+namespace {
+
+constexpr Duration RetryPause = std::chrono::milliseconds(250);
+/// A worker's clock may be 2 % slow; the rest covers calls under way.
+constexpr Duration ClockMargin = std::chrono::milliseconds(500);
+
+Duration withSlowClock(Duration duration)
+{
+    return duration + duration / 50 + ClockMargin;
+}
+
+} // namespace
+
+CellElection::CellElection(Options options)
+    : m_options(std::move(options))
+{}
+
+void CellElection::onRead(std::uint64_t end, TimePoint now)
+{
+    if (!m_hasContact) {
+        m_hasContact = true;
+        m_contactSince = now;
+    }
+    m_hasRead = true;
+    m_position = std::max(m_position, end);
+}
+
+void CellElection::onReadFailed()
+{
+    m_hasContact = false;
+}
+
+void CellElection::onClaim(const OwnershipClaim &claim, TimePoint now)
+{
+    if (claim.epoch < m_claim.epoch) {
+        return;
+    }
+    const bool isMine = claim.holder == m_options.holder;
+    if (isMine && claim.renewal == m_renewal) {
+        m_renewedAt = std::max(m_renewedAt, m_appendSentAt);
+    }
+    if (isMine && claim.epoch > m_claim.epoch) {
+        m_earlierOrdersEnd = m_claim.epoch == 0
+                                 ? now
+                                 : m_claimSeenAt + withSlowClock(m_options.maxLease + ClaimAfter);
+    }
+    m_claim = claim;
+    m_claimSeenAt = now;
+}
+
+void CellElection::onAppended(std::uint64_t end, TimePoint now)
+{
+    m_isAppending = false;
+    m_position = std::max(m_position, end);
+    m_renewedAt = std::max(m_renewedAt, m_appendSentAt);
+    m_retryAt = now;
+}
+
+void CellElection::onAppendFailed(TimePoint now)
+{
+    m_isAppending = false;
+    m_retryAt = now + RetryPause;
+}
+
+bool CellElection::isOwner() const
+{
+    return m_claim.holder == m_options.holder && !m_options.holder.empty();
+}
+
+bool CellElection::isSurelyOwner(TimePoint now) const
+{
+    return isOwner() && now < m_renewedAt + ClaimAfter;
+}
+
+TimePoint CellElection::ordersUntil() const
+{
+    return isOwner() ? m_renewedAt + ClaimAfter + m_options.maxLease : TimePoint{};
+}
+
+bool CellElection::isOpen(TimePoint now) const
+{
+    if (!hasOwner() || m_claim.node == m_options.node) {
+        // Resigned, never owned, or held by an earlier incarnation of this process.
+        return now >= std::max(m_claimSeenAt, m_contactSince) + m_options.headStart;
+    }
+    return now >= std::max(m_claimSeenAt, m_contactSince) + ClaimAfter + m_options.headStart;
+}
+
+std::optional<CellElection::Append> CellElection::next(TimePoint now)
+{
+    if (m_isAppending || !m_hasRead || now < m_retryAt) {
+        return std::nullopt;
+    }
+    Append append;
+    append.position = m_position;
+    append.claim = m_claim;
+    append.claim.pendingByQueue = m_pending;
+    if (isOwner()) {
+        if (!m_isResigning && now < m_renewedAt + RenewInterval) {
+            return std::nullopt;
+        }
+        if (m_isResigning) {
+            append.claim.holder.clear();
+        }
+    } else {
+        if (m_isResigning || !m_hasContact || !isOpen(now)) {
+            return std::nullopt;
+        }
+        append.claim.epoch = m_claim.epoch + 1;
+        append.claim.holder = m_options.holder;
+        append.claim.node = m_options.node;
+        append.claim.endpoint = m_options.endpoint;
+        append.claim.pendingByQueue.clear();
+    }
+    append.claim.renewal = ++m_renewal;
+    m_isAppending = true;
+    m_appendSentAt = now;
+    return append;
+}
+
+} // namespace firefly
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -48,6 +48,9 @@
     for (auto &[name, value] : response.headers) {
         builder.append_header(std::move(name), std::move(value));
     }
+    if (response.closesConnection) {
+        builder.connection_close();
+    }
     builder.set_body(std::move(response.body));
     builder.done();
 }
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -47,6 +47,7 @@
     std::string body;
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
+    bool closesConnection = false; ///< The client must use another connection from now on.
 };
 
 /// HTTP server on an io_context; callbacks run on it, one at a time.
--- /dev/null
+++ b/src/Node/CellDump.cpp
@@ -0,0 +1,110 @@
+#include "Node/CellDump.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+
+namespace firefly {
+
+const char *toString(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::FencedOff:
+        return "fenced";
+    case OrderOutcome::OldRun:
+        return "old run";
+    case OrderOutcome::Late:
+        return "late";
+    case OrderOutcome::NoRoom:
+        return "no room";
+    case OrderOutcome::BadTicket:
+        return "bad ticket";
+    case OrderOutcome::OtherIncarnation:
+        return "other incarnation";
+    case OrderOutcome::Unhealthy:
+        return "unhealthy";
+    case OrderOutcome::Invalid:
+        return "invalid";
+    case OrderOutcome::NotSent:
+        return "not sent";
+    case OrderOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+const char *toString(TaskState state)
+{
+    switch (state) {
+    case TaskState::Unlocated:
+        return "unlocated";
+    case TaskState::Pending:
+        return "pending";
+    case TaskState::Starting:
+        return "starting";
+    case TaskState::Unsettled:
+        return "unsettled";
+    case TaskState::Running:
+        return "running";
+    case TaskState::Stopping:
+        return "stopping";
+    case TaskState::Done:
+        break;
+    }
+    return "done";
+}
+
+const char *toString(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+        return "queued";
+    case JobState::Running:
+        return "running";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Canceled:
+        break;
+    }
+    return "canceled";
+}
+
+nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler)
+{
+    const CellState &state = scheduler.state();
+    nlohmann::json workers = nlohmann::json::object();
+    for (const auto &[id, it] : state.workers) {
+        workers[id] = {{"registered", it->isRegistered},
+                       {"contacted", it->isContacted},
+                       {"draining", it->info.isDraining},
+                       {"service", it->info.service},
+                       {"cpu", it->info.capacity.milliCpu},
+                       {"cpu_used", it->used.milliCpu},
+                       {"filler_cpu", it->fillerCpu},
+                       {"tasks", it->tasks.size()},
+                       {"strikes", it->strikes},
+                       {"renew_failures", it->renewFailures}};
+    }
+    std::map<std::string, int> jobs;
+    std::map<std::string, int> tasks;
+    for (const auto &[id, job] : state.jobs) {
+        ++jobs[toString(job->state)];
+        for (const Occurrence &occurrence : job->occurrences) {
+            for (const StepRun &step : occurrence.steps) {
+                for (const CellTask &task : step.tasks) {
+                    ++tasks[toString(task.state)];
+                }
+            }
+        }
+    }
+    return {{"epoch", election.epoch()},   {"owner", election.claim().node},
+            {"isOwner", election.isOwner()}, {"locating", state.isLocating},
+            {"jobs", jobs},                {"tasks", tasks},
+            {"workers", workers}};
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Node/CellDump.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Cell/CellScheduler.h"
+#include "CellLease/CellElection.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace firefly {
+
+const char *toString(OrderOutcome outcome);
+const char *toString(TaskState state);
+const char *toString(JobState state);
+
+/// State of one cell for operators; O(jobs + workers).
+nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler);
+
+} // namespace firefly
--- /dev/null
+++ b/src/Node/TopicFollower.cpp
@@ -0,0 +1,172 @@
+#include "Node/TopicFollower.h"
+
+namespace firefly {
+namespace {
+
+constexpr Duration RetryPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+struct TopicFollower::Private : std::enable_shared_from_this<Private>
+{
+    Private(asio::io_context &context, platform::StoreClient &storeIn,
+            platform::Partition partitionIn, Duration waitIn, Duration pauseIn,
+            Callbacks callbacksIn)
+        : store(storeIn)
+        , partition(std::move(partitionIn))
+        , wait(waitIn)
+        , pause(pauseIn)
+        , callbacks(std::move(callbacksIn))
+        , timer(context)
+    {}
+
+    void later(Duration delay, void (Private::*step)())
+    {
+        timer.expires_after(delay);
+        timer.async_wait([weak = weak_from_this(), step](asio::error_code ec) {
+            const auto self = weak.lock();
+            if (!ec && self && !self->isStopped) {
+                (self.get()->*step)();
+            }
+        });
+    }
+
+    void begin()
+    {
+        keys.clear();
+        afterKey.clear();
+        position = 0;
+        isFirstPage = true;
+        loadPage();
+    }
+
+    void loadPage()
+    {
+        store.newest(partition, afterKey,
+                     [weak = weak_from_this()](platform::NewestPage page) {
+                         const auto self = weak.lock();
+                         if (self && !self->isStopped) {
+                             self->takePage(page);
+                         }
+                     });
+    }
+
+    void takePage(const platform::NewestPage &page)
+    {
+        if (!page.isOk) {
+            fail(page.error);
+            later(RetryPause, &Private::loadPage);
+            return;
+        }
+        if (isFirstPage) {
+            // Pages are no snapshot: what changes from the first one on is read again.
+            position = page.end;
+            isFirstPage = false;
+        }
+        for (const KeyedRecord &it : page.records) {
+            afterKey = it.key;
+            keys.insert(it.key);
+            callbacks.onRecord(it);
+            if (isStopped) {
+                return;
+            }
+        }
+        if (page.hasMore) {
+            loadPage();
+            return;
+        }
+        callbacks.onSnapshot(keys);
+        if (isStopped) {
+            return;
+        }
+        callbacks.onRead(position);
+        read();
+    }
+
+    void read()
+    {
+        if (isStopped) {
+            return;
+        }
+        store.read(partition, position, wait,
+                   [weak = weak_from_this()](const platform::ReadResult &result) {
+                       const auto self = weak.lock();
+                       if (self && !self->isStopped) {
+                           self->takeRead(result);
+                       }
+                   });
+    }
+
+    void takeRead(const platform::ReadResult &result)
+    {
+        switch (result.state) {
+        case platform::ReadState::Trimmed:
+            begin();
+            return;
+        case platform::ReadState::Failed:
+            fail(result.error);
+            later(RetryPause, &Private::read);
+            return;
+        case platform::ReadState::Read:
+            break;
+        }
+        if (result.end < position) {
+            begin();
+            return;
+        }
+        for (const KeyedRecord &it : result.records) {
+            if (!it.key.empty()) {
+                callbacks.onRecord(it);
+            }
+            if (isStopped) {
+                return;
+            }
+        }
+        position += result.records.size();
+        callbacks.onRead(position);
+        if (isStopped) {
+            return;
+        }
+        if (pause > Duration{}) {
+            later(pause, &Private::read);
+        } else {
+            read();
+        }
+    }
+
+    void fail(const std::string &error)
+    {
+        if (callbacks.onFailed) {
+            callbacks.onFailed(error);
+        }
+    }
+
+    platform::StoreClient &store;
+    platform::Partition partition;
+    Duration wait;
+    Duration pause;
+    Callbacks callbacks;
+    asio::basic_waitable_timer<Clock> timer;
+    std::set<std::string> keys;
+    std::string afterKey;
+    std::uint64_t position = 0;
+    bool isFirstPage = true;
+    bool isStopped = false;
+};
+
+TopicFollower::TopicFollower(asio::io_context &context, platform::StoreClient &store,
+                             platform::Partition partition, Duration wait, Duration pause,
+                             Callbacks callbacks)
+    : m_private(std::make_shared<Private>(context, store, std::move(partition), wait, pause,
+                                          std::move(callbacks)))
+{
+    m_private->begin();
+}
+
+TopicFollower::~TopicFollower()
+{
+    m_private->isStopped = true;
+    m_private->timer.cancel();
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Workload/JobRecords.cpp
@@ -0,0 +1,163 @@
+#include "Workload/JobRecords.h"
+
+#include <nlohmann/json.hpp>
+
+namespace firefly::JobRecords {
+namespace {
+
+using nlohmann::json;
+
+constexpr char SpecPrefix = 'j';
+constexpr char ProgressPrefix = 'p';
+constexpr char WorkerPrefix = 'w';
+
+// Positions in the arrays below are the format; new fields go at the end.
+
+json toJson(const StepSpec &step)
+{
+    return json::array({step.taskCount, step.demand.milliCpu, step.demand.memoryMb,
+                        step.demand.gpus, step.estimateMs, step.after, step.isCheckpointing,
+                        step.isGang, step.wantsOneRack, step.requiredLabel, step.dataRack,
+                        step.maxPerWorker, step.isSpeculative, step.isLongRunning, step.image,
+                        step.targetMs, step.isFiller, step.maxUnavailable});
+}
+
+StepSpec toStep(const json &row)
+{
+    StepSpec step;
+    std::size_t at = 0;
+    const auto next = [&]() -> const json & { return row.at(at++); };
+    next().get_to(step.taskCount);
+    next().get_to(step.demand.milliCpu);
+    next().get_to(step.demand.memoryMb);
+    next().get_to(step.demand.gpus);
+    next().get_to(step.estimateMs);
+    next().get_to(step.after);
+    next().get_to(step.isCheckpointing);
+    next().get_to(step.isGang);
+    next().get_to(step.wantsOneRack);
+    next().get_to(step.requiredLabel);
+    next().get_to(step.dataRack);
+    next().get_to(step.maxPerWorker);
+    next().get_to(step.isSpeculative);
+    next().get_to(step.isLongRunning);
+    next().get_to(step.image);
+    next().get_to(step.targetMs);
+    next().get_to(step.isFiller);
+    next().get_to(step.maxUnavailable);
+    return step;
+}
+
+std::string toBytes(const json &value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+} // namespace
+
+std::string specKey(const JobId &job) { return SpecPrefix + job.value(); }
+std::string progressKey(const JobId &job) { return ProgressPrefix + job.value(); }
+std::string workerKey(std::string_view worker) { return WorkerPrefix + std::string(worker); }
+
+ParsedKey parseKey(std::string_view key)
+{
+    if (key.size() < 2) {
+        return {};
+    }
+    ParsedKey parsed;
+    parsed.name = std::string(key.substr(1));
+    switch (key.front()) {
+    case SpecPrefix:
+        parsed.kind = KeyKind::Spec;
+        break;
+    case ProgressPrefix:
+        parsed.kind = KeyKind::Progress;
+        break;
+    case WorkerPrefix:
+        parsed.kind = KeyKind::Worker;
+        break;
+    default:
+        break;
+    }
+    return parsed;
+}
+
+std::string encodeSpec(const JobSpec &spec, std::int64_t submittedAtUnixMs)
+{
+    json steps = json::array();
+    for (const StepSpec &it : spec.steps) {
+        steps.push_back(toJson(it));
+    }
+    const QueuePolicy &policy = spec.policy;
+    return toBytes(json::array(
+        {submittedAtUnixMs, spec.payload, std::move(steps), spec.repetitions, spec.startAtUnixMs,
+         spec.intervalMs,
+         json::array({policy.queue.value(), policy.service, policy.priority, policy.maxAttempts,
+                      policy.stretch, policy.targetLatencyMs})}));
+}
+
+JobSpec decodeSpec(std::string_view bytes, std::int64_t &submittedAtUnixMs)
+{
+    try {
+        const json row = json::from_cbor(bytes);
+        JobSpec spec;
+        row.at(0).get_to(submittedAtUnixMs);
+        row.at(1).get_to(spec.payload);
+        for (const json &it : row.at(2)) {
+            spec.steps.push_back(toStep(it));
+        }
+        row.at(3).get_to(spec.repetitions);
+        row.at(4).get_to(spec.startAtUnixMs);
+        row.at(5).get_to(spec.intervalMs);
+        const json &policy = row.at(6);
+        spec.policy.queue = QueueName(policy.at(0).get<std::string>());
+        policy.at(1).get_to(spec.policy.service);
+        policy.at(2).get_to(spec.policy.priority);
+        policy.at(3).get_to(spec.policy.maxAttempts);
+        policy.at(4).get_to(spec.policy.stretch);
+        policy.at(5).get_to(spec.policy.targetLatencyMs);
+        return spec;
+    } catch (const json::exception &e) {
+        throw JobRecordError(std::string("job record: ") + e.what());
+    }
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    json tasks = json::array();
+    for (const TaskProgress &it : progress.tasks) {
+        tasks.push_back(json::array({it.occurrence, it.step, it.index, it.isDone, it.failures,
+                                     it.lastFailedRun, it.checkpoint}));
+    }
+    return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
+                                progress.isStarted, std::move(tasks)}));
+}
+
+JobProgress decodeProgress(std::string_view bytes)
+{
+    try {
+        const json row = json::from_cbor(bytes);
+        JobProgress progress;
+        progress.state = static_cast<JobState>(row.at(0).get<int>());
+        row.at(1).get_to(progress.finalAtUnixMs);
+        row.at(2).get_to(progress.isStarted);
+        for (const json &it : row.at(3)) {
+            TaskProgress task;
+            it.at(0).get_to(task.occurrence);
+            it.at(1).get_to(task.step);
+            it.at(2).get_to(task.index);
+            it.at(3).get_to(task.isDone);
+            it.at(4).get_to(task.failures);
+            it.at(5).get_to(task.lastFailedRun);
+            it.at(6).get_to(task.checkpoint);
+            progress.tasks.push_back(std::move(task));
+        }
+        return progress;
+    } catch (const json::exception &e) {
+        throw JobRecordError(std::string("progress record: ") + e.what());
+    }
+}
+
+} // namespace firefly::JobRecords
--- /dev/null
+++ b/src/Workload/JobRecords.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Workload/JobSpec.h"
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace firefly {
+
+/// Durable progress of one task that differs from "not done, never failed".
+struct TaskProgress
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    bool isDone = false;
+    std::uint32_t failures = 0;
+    std::uint32_t lastFailedRun = 0; ///< Runs up to this one have been counted.
+    std::string checkpoint;
+};
+
+/// Durable progress of one job.
+struct JobProgress
+{
+    JobState state = JobState::Queued;
+    std::int64_t finalAtUnixMs = 0; ///< When the state became final; 0 before.
+    bool isStarted = false;         ///< Some task has begun.
+    std::vector<TaskProgress> tasks;
+};
+
+/// A record could not be decoded.
+class JobRecordError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Records of the cell's topic, by key.  Bodies are CBOR.
+namespace JobRecords {
+
+std::string specKey(const JobId &job);
+std::string progressKey(const JobId &job);
+std::string workerKey(std::string_view worker);
+
+enum class KeyKind { Spec, Progress, Worker, Unknown };
+struct ParsedKey
+{
+    KeyKind kind = KeyKind::Unknown;
+    std::string name; ///< Job or worker.
+};
+ParsedKey parseKey(std::string_view key);
+
+std::string encodeSpec(const JobSpec &spec, std::int64_t submittedAtUnixMs);
+/// \throws JobRecordError
+JobSpec decodeSpec(std::string_view bytes, std::int64_t &submittedAtUnixMs);
+std::string encodeProgress(const JobProgress &progress);
+/// \throws JobRecordError
+JobProgress decodeProgress(std::string_view bytes);
+
+} // namespace JobRecords
+} // namespace firefly
