Keep fillers from pushing serving tasks over their target

Cause: fillers were placed by unused processor time alone; a trial's rows of the workers' reports showed that the log of a serving task's tail over its target rises by 6 to 11 for a whole worker of some filler images and by under 1.5 for the others, per pair of images.

Change: the Kalman model of Interference learns these effects; fillers go where the expected tail stays under the target, serving tasks of one image go together, and the filler that presses most is moved or paced once a task is over its target.

Ruled out: a load effect only (median ratio without fillers 0.40 to 0.44).

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -135,6 +135,7 @@
     TimePoint avoidUntil{};
     std::uint32_t strikes = 0;       ///< Failures in a row that speak against the worker.
     TimePoint noFillersUntil{};
+    TimePoint nextMeasure{}; ///< Earliest next change to the fillers' pace.
 
     /// Lower bound of the worker's clock at \a now, in ms; its clock may be 2 % slow.
     std::int64_t clockAtLeast(TimePoint now) const
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -74,6 +74,7 @@
     std::vector<CellAction> takeActions();
     CellJournal &journal() { return m_state.journal; }
     const CellState &state() const { return m_state; }
+    const InterferenceGuard &interference() const { return m_interference; }
 
 private:
     // Jobs
@@ -113,10 +114,12 @@
     void takeDone(const TaskRef &ref, std::int64_t nowUnixMs);
     void takeFailed(const TaskRef &ref, std::uint32_t run, std::int64_t nowUnixMs);
     void dropVanished(CellWorker &worker, TimePoint sentAt);
+    void relieveServing(CellWorker &worker, TimePoint now);
     void acknowledgeEnds(CellWorker &worker, TimePoint now);
 
     CellState m_state;
-    Placement m_placement{m_state};
+    InterferenceGuard m_interference;
+    Placement m_placement{m_state, m_interference};
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{}; ///< Of the last input.
     TimePoint m_lastPlacement{};
--- /dev/null
+++ b/src/Cell/InterferenceGuard.cpp
@@ -0,0 +1,190 @@
+#include "Cell/InterferenceGuard.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace firefly {
+namespace {
+
+/// The model adds its effects to 1; the logarithm of tail over target is shifted to fit.
+constexpr double LogShift = 3.0;
+/// The model's factor for the victim's own load; the platform doesn't report the load.
+constexpr double UnitLoad = 1.0;
+/// Figures of a task that has just begun say nothing yet.
+constexpr Duration Settling = std::chrono::milliseconds(1500);
+constexpr Duration CacheTime = std::chrono::milliseconds(400);
+/// A task this long over its target gets relief; the platform tolerates several seconds.
+constexpr Duration FirstRelief = std::chrono::milliseconds(300);
+/// After this long over the target every filler on the worker is held.
+constexpr Duration FullRelief = std::chrono::milliseconds(1600);
+/// Time for a measure to show in the reported tail, which covers half a second.
+constexpr Duration MeasurePause = std::chrono::milliseconds(600);
+constexpr Duration NoNewFillers = std::chrono::milliseconds(1500);
+/// A paced filler is let go again under this share of the target.
+constexpr double ResumeRatio = 0.6;
+/// Effects under this are too weak to blame a filler for a tail over the target.
+constexpr double WeakEffect = 1.5;
+
+bool isMeasured(const TaskRef &ref, TimePoint now)
+{
+    const CellTask &task = ref.task();
+    return ref.spec().targetMs > 0 && task.state == TaskState::Running && task.percent >= 100
+           && task.usage > 0.0 && now - task.startedAt > Settling;
+}
+
+bool isActiveFiller(const TaskRef &ref)
+{
+    return ref.spec().isFiller && ref.task().state == TaskState::Running;
+}
+
+double shareOf(const CellWorker &worker, double milliCpu)
+{
+    return milliCpu / std::max<double>(1.0, static_cast<double>(worker.info.capacity.milliCpu));
+}
+
+/// Share of the worker that a filler is expected to press with at its pace.
+double fillerShare(const CellWorker &worker, const TaskRef &ref)
+{
+    return shareOf(worker, static_cast<double>(ref.spec().demand.milliCpu)) * ref.task().pace / 100;
+}
+
+} // namespace
+
+void InterferenceGuard::observe(const CellWorker &worker, TimePoint now)
+{
+    std::vector<WorkloadShare> others;
+    for (const TaskRef &it : worker.tasks) {
+        if (isActiveFiller(it)) {
+            others.push_back({m_model.batchKind(it.spec().image),
+                              shareOf(worker, it.task().usage)});
+        }
+    }
+    for (const TaskRef &it : worker.tasks) {
+        if (!isMeasured(it, now)) {
+            continue;
+        }
+        const double ratio = it.task().usage / static_cast<double>(it.spec().targetMs);
+        const double slowdown = 1 + LogShift + std::clamp(std::log(ratio), -LogShift, LogShift);
+        m_model.observe(m_model.service(ServiceId(it.spec().image)), others, slowdown, now,
+                        UnitLoad);
+    }
+}
+
+double InterferenceGuard::effect(const std::string &serving, const std::string &filler,
+                                 TimePoint now)
+{
+    Cached &cached = m_effects[{serving, filler}];
+    if (cached.at == TimePoint{} || now - cached.at > CacheTime) {
+        const auto victim = m_model.service(ServiceId(serving));
+        const auto aggressor = m_model.batchKind(filler);
+        const WorkloadShare beside{aggressor, 1.0};
+        const double with = m_model.predict(victim, {&beside, 1}, now, UnitLoad).mean;
+        const double without = m_model.predict(victim, {}, now, UnitLoad).mean;
+        cached = {std::max(0.0, with - without), now};
+    }
+    return cached.value;
+}
+
+double InterferenceGuard::baseline(const std::string &serving, TimePoint now)
+{
+    Cached &cached = m_baselines[serving];
+    if (cached.at == TimePoint{} || now - cached.at > CacheTime) {
+        const auto victim = m_model.service(ServiceId(serving));
+        const double mean = m_model.predict(victim, {}, now, UnitLoad).mean;
+        // Before any observation the model says 1: nothing is known against the worker.
+        cached = {mean > 1.0 ? mean - 1 - LogShift : -1.0, now};
+    }
+    return cached.value;
+}
+
+std::optional<double> InterferenceGuard::expectedWith(const CellWorker &worker,
+                                                      const StepSpec &filler, TimePoint now)
+{
+    std::optional<double> worst;
+    for (const TaskRef &it : worker.tasks) {
+        if (it.spec().targetMs == 0) {
+            continue;
+        }
+        const std::string &serving = it.spec().image;
+        double expected = baseline(serving, now);
+        for (const TaskRef &other : worker.tasks) {
+            if (other.spec().isFiller) {
+                expected += effect(serving, other.spec().image, now) * fillerShare(worker, other);
+            }
+        }
+        expected += effect(serving, filler.image, now)
+                    * shareOf(worker, static_cast<double>(filler.demand.milliCpu));
+        worst = std::max(worst.value_or(expected), expected);
+    }
+    return worst;
+}
+
+std::vector<InterferenceGuard::Measure> InterferenceGuard::guard(CellWorker &worker, TimePoint now)
+{
+    std::vector<Measure> measures;
+    const TaskRef *victim = nullptr;
+    Duration longest{};
+    bool isCalm = true;
+    for (const TaskRef &it : worker.tasks) {
+        if (it.spec().targetMs == 0) {
+            continue;
+        }
+        CellTask &task = it.task();
+        const double ratio = task.usage / static_cast<double>(it.spec().targetMs);
+        isCalm = isCalm && ratio < ResumeRatio;
+        if (ratio <= 1.0 || task.state != TaskState::Running) {
+            task.overTargetSince = {};
+            continue;
+        }
+        if (task.overTargetSince == TimePoint{}) {
+            task.overTargetSince = now;
+        }
+        if (!victim || now - task.overTargetSince > longest) {
+            victim = &it;
+            longest = now - task.overTargetSince;
+        }
+    }
+    if (now < worker.nextMeasure) {
+        return measures;
+    }
+    if (victim && longest >= FirstRelief) {
+        worker.nextMeasure = now + MeasurePause;
+        worker.noFillersUntil = now + NoNewFillers;
+        const std::string &serving = victim->spec().image;
+        const TaskRef *worst = nullptr;
+        double most = 0.0;
+        for (const TaskRef &it : worker.tasks) {
+            if (!isActiveFiller(it) || it.task().pace == 0) {
+                continue;
+            }
+            if (longest >= FullRelief) {
+                measures.push_back({it, Relief::Pace, 0});
+                continue;
+            }
+            const double strength = effect(serving, it.spec().image, now);
+            const double pressure = strength * fillerShare(worker, it);
+            if (strength >= WeakEffect && pressure > most) {
+                most = pressure;
+                worst = &it;
+            }
+        }
+        if (worst) {
+            const bool canMove = worst->spec().isCheckpointing;
+            measures.push_back({*worst, canMove ? Relief::Stop : Relief::Pace, 0});
+        }
+        return measures;
+    }
+    if (!victim && isCalm) {
+        for (const TaskRef &it : worker.tasks) {
+            if (isActiveFiller(it) && it.task().pace < 100) {
+                worker.nextMeasure = now + MeasurePause;
+                measures.push_back({it, Relief::Pace, it.task().pace == 0 ? 40 : 100});
+                break;
+            }
+        }
+    }
+    return measures;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Cell/InterferenceGuard.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Cell/CellState.h"
+#include "Interference/SlowdownModel.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace firefly {
+
+/// Keeps fillers from pushing the serving tasks beside them over their target latency.
+///
+/// Learns, per pair of images, how a filler raises the logarithm of a serving task's tail over its
+/// target, for each share of the worker's processors that the filler uses.  The guard() part acts
+/// on what a worker reports: it paces or moves the fillers that press most.
+class InterferenceGuard
+{
+public:
+    /// Learns from a worker's newest report.  O(serving tasks x images^2).
+    void observe(const CellWorker &worker, TimePoint now);
+
+    /// Log of tail over target that is expected of the worst serving task on \a worker with one
+    /// more filler; nothing when no task there has a target.
+    std::optional<double> expectedWith(const CellWorker &worker, const StepSpec &filler,
+                                       TimePoint now);
+    /// A filler may go where the expected value stays under this.
+    static constexpr double PlacementLimit = -0.45;
+
+    enum class Relief { None, Pace, Stop };
+    struct Measure
+    {
+        TaskRef task;
+        Relief relief = Relief::None;
+        int percent = 100;
+    };
+    /// What to do about the fillers of \a worker now.
+    std::vector<Measure> guard(CellWorker &worker, TimePoint now);
+
+    const SlowdownModel &model() const { return m_model; }
+
+private:
+    double effect(const std::string &serving, const std::string &filler, TimePoint now);
+    double baseline(const std::string &serving, TimePoint now);
+
+    struct Cached
+    {
+        double value = 0;
+        TimePoint at{};
+    };
+
+    SlowdownModel m_model{SlowdownSettings{.priorMean = 1.5,
+                                           .priorDeviation = 5.0,
+                                           .noiseDeviation = 0.7,
+                                           .driftPerSecond = 0.02}};
+    std::map<std::pair<std::string, std::string>, Cached> m_effects;
+    std::map<std::string, Cached> m_baselines;
+};
+
+} // namespace firefly
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -40,6 +40,7 @@
         }
     }
     dropVanished(worker, sentAt);
+    relieveServing(worker, now);
     acknowledgeEnds(worker, now);
     if (worker.info.isDraining) {
         evacuate(worker);
@@ -195,6 +196,22 @@
     }
 }
 
+void CellScheduler::relieveServing(CellWorker &worker, TimePoint now)
+{
+    m_interference.observe(worker, now);
+    for (const InterferenceGuard::Measure &it : m_interference.guard(worker, now)) {
+        if (it.relief == InterferenceGuard::Relief::Stop) {
+            sendStop(it.task);
+            continue;
+        }
+        CellTask &task = it.task.task();
+        task.pace = it.percent;
+        task.progressAt = now;
+        m_state.actions.emplace_back(
+            PaceTask{worker.info.id, it.task.name(), task.run, it.percent});
+    }
+}
+
 void CellScheduler::acknowledgeEnds(CellWorker &worker, TimePoint now)
 {
     if (worker.handledEnd == worker.durableEnd) {
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -16,6 +16,12 @@
 constexpr double LeastFillerShare = 0.6;
 /// Advantage of the rack that holds the data, in scores that otherwise lie within 0 and 1.
 constexpr double DataRackBonus = 10.0;
+/// Serving tasks beside others of their image, and beside another image.
+constexpr double SameImageBonus = 1.0;
+constexpr double OtherImagePenalty = -2.0;
+/// Score lost for each unit of the log of tail over target above a quiet worker's.
+constexpr double InterferenceWeight = 1.0;
+constexpr double QuietTail = -1.0;
 
 std::int64_t toMs(Duration duration)
 {
@@ -31,6 +37,23 @@
            - LongRunningUse * longRunning - static_cast<double>(worker.fillerCpu);
 }
 
+/// Serving tasks of one image go together: a filler that presses one image then still has workers
+/// where that image is not.
+double likenessOf(const CellWorker &worker, const std::string &image)
+{
+    double likeness = 0.0;
+    for (const TaskRef &it : worker.tasks) {
+        if (it.spec().targetMs > 0) {
+            likeness = it.spec().image == image ? std::max(likeness, SameImageBonus)
+                                                : OtherImagePenalty;
+        }
+        if (likeness < 0.0) {
+            break;
+        }
+    }
+    return likeness;
+}
+
 } // namespace
 
 void Placement::run(TimePoint now, std::int64_t nowUnixMs)
@@ -160,9 +183,9 @@
         if (!mayHost(*worker, ref, now)) {
             continue;
         }
-        const double value = score(*worker, ref);
-        if (value > bestScore) {
-            bestScore = value;
+        const auto value = score(*worker, ref, now);
+        if (value && *value > bestScore) {
+            bestScore = *value;
             best = worker.get();
         }
     }
@@ -199,12 +222,26 @@
     return true;
 }
 
-double Placement::score(const CellWorker &worker, const TaskRef &ref) const
+std::optional<double> Placement::score(const CellWorker &worker, const TaskRef &ref,
+                                       TimePoint now) const
 {
     const StepSpec &spec = ref.spec();
     const double capacity = std::max<double>(1.0, static_cast<double>(worker.info.capacity.milliCpu));
-    double value = spec.isFiller ? expectedUnused(worker) / capacity
-                                 : static_cast<double>(worker.freeRoom().milliCpu) / capacity;
+    double value = 0.0;
+    if (spec.isFiller) {
+        value = expectedUnused(worker) / capacity;
+        if (const auto expected = m_interference.expectedWith(worker, spec, now)) {
+            if (*expected > InterferenceGuard::PlacementLimit) {
+                return std::nullopt;
+            }
+            value -= InterferenceWeight * std::max(0.0, *expected - QuietTail);
+        }
+    } else {
+        value = static_cast<double>(worker.freeRoom().milliCpu) / capacity;
+        if (spec.targetMs > 0) {
+            value += likenessOf(worker, spec.image);
+        }
+    }
     if (!spec.dataRack.empty() && worker.info.rack == spec.dataRack) {
         value += DataRackBonus;
     }
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellState.h"
+#include "Cell/InterferenceGuard.h"
 
 namespace firefly {
 
@@ -8,8 +9,9 @@
 class Placement
 {
 public:
-    explicit Placement(CellState &state)
+    Placement(CellState &state, InterferenceGuard &interference)
         : m_state(state)
+        , m_interference(interference)
     {}
 
     /// Starts pending tasks in the jobs' order until no more fit.  O(pending x workers).
@@ -21,7 +23,8 @@
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     CellWorker *choose(const TaskRef &ref, TimePoint now) const;
     bool mayHost(const CellWorker &worker, const TaskRef &ref, TimePoint now) const;
-    double score(const CellWorker &worker, const TaskRef &ref) const;
+    /// Higher is better; nothing where the task must not go.
+    std::optional<double> score(const CellWorker &worker, const TaskRef &ref, TimePoint now) const;
     void start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now);
 
     /// A demand that no worker could take in this pass; larger ones needn't be tried.
@@ -35,6 +38,7 @@
     void noteRefused(const TaskRef &ref);
 
     CellState &m_state;
+    InterferenceGuard &m_interference;
     std::vector<Refused> m_refused;
 };
 
