Keep adopted tasks, count failures per run, tell restarted workers apart

Change: an unknown lease counts as the longest one; failed runs are a set; a clock that goes back, or a failed renewal, makes the next one acknowledge nothing.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -32,8 +32,7 @@
     TaskState state = TaskState::Pending;
     CellWorker *worker = nullptr; ///< Set exactly while isPlaced(state).
     std::uint32_t run = 0;        ///< Of the last start.
-    std::uint32_t failures = 0;
-    std::uint32_t lastFailedRun = 0;
+    std::vector<std::uint32_t> failedRuns; ///< Runs that ended by a failure.
     std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
     TimePoint startedAt{};            ///< When the start was accepted or the task was found.
     TimePoint stopSentAt{};
@@ -123,6 +122,7 @@
     std::uint64_t handledEnd = 0;       ///< Ends up to this one were taken into the jobs.
     std::uint64_t recordingEnd = 0;     ///< Ends up to this one are on their way to the topic.
     std::uint64_t durableEnd = 0;       ///< Ends up to this one may be forgotten.
+    bool isRestartSuspected = false; ///< Its clock went back; the next report tells.
     bool isRenewing = false;
     TimePoint renewSentAt{};
     TimePoint nextRenewal{};
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -77,6 +77,13 @@
     Unknown,          ///< No answer; the order may be carried out until its deadline.
 };
 
+/// A worker's answer to an order.
+struct OrderReply
+{
+    OrderOutcome outcome = OrderOutcome::Unknown;
+    std::optional<std::int64_t> clockMs; ///< The worker's steady clock, when it said so.
+};
+
 struct StartTask
 {
     WorkerId worker;
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -147,9 +147,8 @@
             continue;
         }
         CellTask &task = ref->task();
-        task.failures = it.failures;
-        task.lastFailedRun = it.lastFailedRun;
-        task.run = it.lastFailedRun;
+        task.failedRuns = it.failedRuns;
+        task.run = it.failedRuns.empty() ? 0 : std::ranges::max(it.failedRuns);
         task.checkpoint = it.checkpoint;
         if (it.isDone && task.state != TaskState::Done) {
             TaskLedger::finish(*ref);
@@ -270,8 +269,8 @@
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const CellTask &task = step.tasks[i];
                 const bool isDone = task.state == TaskState::Done;
-                if (isDone || task.failures > 0 || !task.checkpoint.empty()) {
-                    rows.push_back({k, s, i, isDone, task.failures, task.lastFailedRun,
+                if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty()) {
+                    rows.push_back({k, s, i, isDone, task.failedRuns,
                                     isDone ? std::string() : task.checkpoint});
                 }
             }
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -59,8 +59,8 @@
     /// \a worker is registered; a worker that is listed again keeps its tasks.
     void onWorkerListed(const WorkerDescription &worker, TimePoint now);
     void onWorkerGone(const WorkerId &id, TimePoint now);
-    void onStartOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
-                        OrderOutcome outcome, TimePoint now);
+    void onStartReply(const WorkerId &id, const TaskName &name, std::uint32_t run,
+                      const OrderReply &reply, TimePoint now);
     void onStopOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
                        OrderOutcome outcome, TimePoint now);
     /// \a report is empty unless \a outcome is Accepted; \a sentAt is when the renewal left.
@@ -116,6 +116,7 @@
     void dropVanished(CellWorker &worker, TimePoint sentAt);
     void relieveServing(CellWorker &worker, TimePoint now);
     void acknowledgeEnds(CellWorker &worker, TimePoint now);
+    void checkClock(CellWorker &worker, const OrderReply &reply, TimePoint now);
 
     CellState m_state;
     InterferenceGuard m_interference;
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -23,8 +23,15 @@
     if (report.bornUnixMs != worker.bornUnixMs) {
         beginIncarnation(worker, report.bornUnixMs, sentAt);
     }
+    worker.isRestartSuspected = false;
     worker.clockMs = report.clockMs;
     worker.clockAt = now;
+    // Whoever granted the lease before, it can't be longer than this.
+    const auto longest =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_state.bounds.maxLease).count();
+    if (worker.grantedDeadlineMs == 0) {
+        worker.grantedDeadlineMs = report.clockMs + longest;
+    }
     if (!worker.isContacted) {
         worker.isContacted = true;
         m_state.wantsPlacement = true;
@@ -164,12 +171,11 @@
     TaskRef counter = ref;
     counter.index = ref.spec().isGang ? 0 : ref.index;
     CellTask &task = counter.task();
-    if (run <= task.lastFailedRun) {
+    if (std::ranges::find(task.failedRuns, run) != task.failedRuns.end()) {
         return;
     }
-    task.lastFailedRun = run;
-    ++task.failures;
-    if (task.failures >= ref.job->spec.policy.maxAttempts) {
+    task.failedRuns.push_back(run);
+    if (task.failedRuns.size() >= ref.job->spec.policy.maxAttempts) {
         finalize(*ref.job, JobState::Failed, nowUnixMs);
     } else {
         recordProgress(*ref.job);
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -17,6 +17,8 @@
 constexpr Duration LeaseMargin = std::chrono::milliseconds(200);
 /// A worker's steady clock may be this much slow.
 constexpr double SlowestClock = 0.98;
+/// A worker's clock that is this much behind what it was belongs to another incarnation.
+constexpr Duration ClockTolerance = std::chrono::milliseconds(1000);
 /// A stop without a listed end is repeated after this time.
 constexpr Duration StopRepeat = std::chrono::milliseconds(700);
 /// Interval of checks that need not react faster.
@@ -88,15 +90,32 @@
     }
 }
 
-void CellScheduler::onStartOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
-                                   OrderOutcome outcome, TimePoint now)
+void CellScheduler::checkClock(CellWorker &worker, const OrderReply &reply, TimePoint now)
+{
+    if (!reply.clockMs || !worker.isContacted) {
+        return;
+    }
+    if (*reply.clockMs < worker.clockAtLeast(now) - toMs(ClockTolerance)) {
+        // A new incarnation counts its ends from 1: the numbers known here would make it forget
+        // ends that nobody has heard of.
+        worker.isRestartSuspected = true;
+        worker.nextRenewal = now;
+    }
+}
+
+void CellScheduler::onStartReply(const WorkerId &id, const TaskName &name, std::uint32_t run,
+                                 const OrderReply &reply, TimePoint now)
 {
     m_now = now;
+    const OrderOutcome outcome = reply.outcome;
     const auto ref = m_state.findTask(name);
     CellWorker *worker = m_state.findWorker(id);
     if (outcome == OrderOutcome::FencedOff) {
         m_state.isFenced = true;
     }
+    if (worker) {
+        checkClock(*worker, reply, now);
+    }
     if (!ref || !worker) {
         return;
     }
@@ -210,7 +229,9 @@
 {
     RenewLease order;
     order.worker = worker.info.id;
-    order.lastSeenEnd = worker.durableEnd;
+    // After a failed renewal the next one may reach a new incarnation, whose ends count anew.
+    const bool mayBeNew = worker.isRestartSuspected || worker.renewFailures > 0;
+    order.lastSeenEnd = mayBeNew ? 0 : worker.durableEnd;
     if (worker.isContacted) {
         const Duration lease = std::min(m_state.bounds.maxLease, m_state.ordersUntil - now);
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -454,9 +454,9 @@
         metrics.add("firefly_task_starts_total");
         workers.start(*endpoint, order, epoch,
                       guarded([worker = order.worker, task = order.task,
-                               run = order.run](Private &self, OrderOutcome outcome) {
-                          self.noteOutcome("start", worker, task, run, outcome);
-                          self.scheduler.onStartOutcome(worker, task, run, outcome, Clock::now());
+                               run = order.run](Private &self, const OrderReply &reply) {
+                          self.noteOutcome("start", worker, task, run, reply.outcome);
+                          self.scheduler.onStartReply(worker, task, run, reply, Clock::now());
                           self.wake();
                       }));
     }
@@ -470,9 +470,10 @@
         metrics.add("firefly_task_stops_total");
         workers.stop(*endpoint, order, epoch,
                      guarded([worker = order.worker, task = order.task,
-                              run = order.run](Private &self, OrderOutcome outcome) {
-                         self.noteOutcome("stop", worker, task, run, outcome);
-                         self.scheduler.onStopOutcome(worker, task, run, outcome, Clock::now());
+                              run = order.run](Private &self, const OrderReply &reply) {
+                         self.noteOutcome("stop", worker, task, run, reply.outcome);
+                         self.scheduler.onStopOutcome(worker, task, run, reply.outcome,
+                                                      Clock::now());
                          self.wake();
                      }));
     }
@@ -486,8 +487,8 @@
         metrics.add("firefly_task_paces_total");
         workers.pace(*endpoint, order, epoch,
                      guarded([worker = order.worker, task = order.task,
-                              run = order.run](Private &self, OrderOutcome outcome) {
-                         self.noteOutcome("pace", worker, task, run, outcome);
+                              run = order.run](Private &self, const OrderReply &reply) {
+                         self.noteOutcome("pace", worker, task, run, reply.outcome);
                      }));
     }
 
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -128,8 +128,8 @@
 {
     json tasks = json::array();
     for (const TaskProgress &it : progress.tasks) {
-        tasks.push_back(json::array({it.occurrence, it.step, it.index, it.isDone, it.failures,
-                                     it.lastFailedRun, it.checkpoint}));
+        tasks.push_back(json::array({it.occurrence, it.step, it.index, it.isDone, it.failedRuns,
+                                     it.checkpoint}));
     }
     return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
                                 progress.isStarted, std::move(tasks)}));
@@ -149,9 +149,8 @@
             it.at(1).get_to(task.step);
             it.at(2).get_to(task.index);
             it.at(3).get_to(task.isDone);
-            it.at(4).get_to(task.failures);
-            it.at(5).get_to(task.lastFailedRun);
-            it.at(6).get_to(task.checkpoint);
+            it.at(4).get_to(task.failedRuns);
+            it.at(5).get_to(task.checkpoint);
             progress.tasks.push_back(std::move(task));
         }
         return progress;
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -17,8 +17,7 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     bool isDone = false;
-    std::uint32_t failures = 0;
-    std::uint32_t lastFailedRun = 0; ///< Runs up to this one have been counted.
+    std::vector<std::uint32_t> failedRuns; ///< Each counts once, in whatever order it is heard of.
     std::string checkpoint;
 };
 
