--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -30,14 +30,14 @@
 struct CellTask
 {
     TaskState state = TaskState::Pending;
-    CellWorker *worker = nullptr; ///< Set exactly while isPlaced(state).
-    std::uint32_t run = 0;        ///< Of the last start.
+    CellWorker *worker = nullptr;          ///< Set exactly while isPlaced(state).
+    std::uint32_t run = 0;                 ///< Of the last start.
     std::vector<std::uint32_t> failedRuns; ///< Runs that ended by a failure.
-    std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
-    TimePoint startedAt{};            ///< When the start was accepted or the task was found.
+    std::int64_t startDeadlineMs = 0;      ///< On the worker's clock.
+    TimePoint startedAt{};                 ///< When the start was accepted or the task was found.
     TimePoint stopSentAt{};
-    TimePoint progressAt{}; ///< When percent last changed.
-    TimePoint notBefore{};  ///< Earliest next start.
+    TimePoint progressAt{};   ///< When percent last changed.
+    TimePoint notBefore{};    ///< Earliest next start.
     std::uint64_t seenIn = 0; ///< The lease report that last listed it.
     int percent = 0;
     int pace = 100;
@@ -75,10 +75,10 @@
     bool isStarted = false;
     bool isFromEarlierOwner = false;
     std::int64_t finalAtUnixMs = 0;
-    TimePoint objective{};       ///< When the client counts the job as late.
-    TimePoint giveUpOrder{};     ///< From here on the job goes behind all that can still be early.
+    TimePoint objective{};   ///< When the client counts the job as late.
+    TimePoint giveUpOrder{}; ///< From here on the job goes behind all that can still be early.
     std::vector<Occurrence> occurrences; ///< Those that are due.
-    std::uint32_t placedCount = 0; ///< Tasks that occupy a worker.
+    std::uint32_t placedCount = 0;       ///< Tasks that occupy a worker.
 
     std::uint32_t occurrenceCount() const { return std::max<std::uint32_t>(1, spec.repetitions); }
     bool isTimed() const { return spec.repetitions > 0; }
@@ -86,10 +86,7 @@
     {
         return spec.startAtUnixMs + occurrence * spec.intervalMs;
     }
-    bool isLongRunning() const
-    {
-        return std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
-    }
+    bool isLongRunning() const { return std::ranges::any_of(spec.steps, &StepSpec::isLongRunning); }
 };
 
 /// A task by its place in the job.
@@ -122,18 +119,18 @@
     std::uint64_t handledEnd = 0;       ///< Ends up to this one were taken into the jobs.
     std::uint64_t recordingEnd = 0;     ///< Ends up to this one are on their way to the topic.
     std::uint64_t durableEnd = 0;       ///< Ends up to this one may be forgotten.
-    bool isRestartSuspected = false; ///< Its clock went back; the next report tells.
+    bool isRestartSuspected = false;    ///< Its clock went back; the next report tells.
     bool isRenewing = false;
     TimePoint renewSentAt{};
     TimePoint nextRenewal{};
     std::uint32_t renewFailures = 0;
     std::uint64_t reports = 0;
-    Room used; ///< Reserved by placed tasks.
-    std::int64_t fillerCpu = 0;     ///< Demand of the fillers here, thousandths of a core.
+    Room used;                       ///< Reserved by placed tasks.
+    std::int64_t fillerCpu = 0;      ///< Demand of the fillers here, thousandths of a core.
     std::int64_t longRunningCpu = 0; ///< Reservation of long-running tasks here.
-    std::vector<TaskRef> tasks;     ///< Placed tasks.
+    std::vector<TaskRef> tasks;      ///< Placed tasks.
     TimePoint avoidUntil{};
-    std::uint32_t strikes = 0;       ///< Failures in a row that speak against the worker.
+    std::uint32_t strikes = 0; ///< Failures in a row that speak against the worker.
     TimePoint noFillersUntil{};
     TimePoint nextMeasure{}; ///< Earliest next change to the fillers' pace.
 
--- a/src/Cell/CellJournal.h
+++ b/src/Cell/CellJournal.h
@@ -88,8 +88,8 @@
     std::vector<Entry> m_waiting;
     std::unordered_map<std::string, std::size_t> m_waitingByKey;
     std::optional<std::vector<Entry>> m_inFlight;
-    bool m_isSent = false;       ///< The batch in flight has not been answered.
-    bool m_maybeStored = false;  ///< An earlier try of the batch in flight may have been stored.
+    bool m_isSent = false;        ///< The batch in flight has not been answered.
+    bool m_maybeStored = false;   ///< An earlier try of the batch in flight may have been stored.
     std::uint64_t m_sequence = 0; ///< Of the batch in flight, or of the last one.
 };
 
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -41,8 +41,8 @@
 void setObjective(CellJob &job, TimePoint submittedAt)
 {
     const QueuePolicy &policy = job.spec.policy;
-    const double objectiveMs = policy.stretch * longestChainMs(job.spec)
-                               + static_cast<double>(policy.targetLatencyMs);
+    const double objectiveMs =
+        policy.stretch * longestChainMs(job.spec) + static_cast<double>(policy.targetLatencyMs);
     job.objective = submittedAt + fromMs(objectiveMs);
     job.giveUpOrder = submittedAt + fromMs(LateObjectives * objectiveMs);
 }
@@ -356,9 +356,9 @@
 
 void CellScheduler::dropOldJobs(std::int64_t nowUnixMs)
 {
-    const auto keptMs =
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_state.bounds.statusKept + StatusMargin)
-            .count();
+    const auto keptMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            m_state.bounds.statusKept + StatusMargin)
+                            .count();
     for (auto it = m_state.jobs.begin(); it != m_state.jobs.end();) {
         CellJob &job = *it->second;
         openDueOccurrences(job, isFinal(job.state) ? 0 : nowUnixMs);
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -56,8 +56,8 @@
     std::vector<WorkloadShare> others;
     for (const TaskRef &it : worker.tasks) {
         if (isActiveFiller(it)) {
-            others.push_back({m_model.batchKind(it.spec().image),
-                              shareOf(worker, it.task().usage)});
+            others.push_back(
+                {m_model.batchKind(it.spec().image), shareOf(worker, it.task().usage)});
         }
     }
     for (const TaskRef &it : worker.tasks) {
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -50,10 +50,8 @@
         TimePoint at{};
     };
 
-    SlowdownModel m_model{SlowdownSettings{.priorMean = 1.5,
-                                           .priorDeviation = 5.0,
-                                           .noiseDeviation = 0.7,
-                                           .driftPerSecond = 0.02}};
+    SlowdownModel m_model{SlowdownSettings{
+        .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.02}};
     std::map<std::pair<std::string, std::string>, Cached> m_effects;
     std::map<std::string, Cached> m_baselines;
 };
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -229,14 +229,14 @@
         return;
     }
     worker.recordingEnd = worker.handledEnd;
-    m_state.journal.whenDurable([this, id = worker.info.id, born = worker.bornUnixMs,
-                                 end = worker.handledEnd] {
-        CellWorker *stored = m_state.findWorker(id);
-        if (stored && stored->bornUnixMs == born) {
-            stored->durableEnd = std::max(stored->durableEnd, end);
-            stored->nextRenewal = std::min(stored->nextRenewal, m_now + RenewalGap);
-        }
-    });
+    m_state.journal.whenDurable(
+        [this, id = worker.info.id, born = worker.bornUnixMs, end = worker.handledEnd] {
+            CellWorker *stored = m_state.findWorker(id);
+            if (stored && stored->bornUnixMs == born) {
+                stored->durableEnd = std::max(stored->durableEnd, end);
+                stored->nextRenewal = std::min(stored->nextRenewal, m_now + RenewalGap);
+            }
+        });
 }
 
 } // namespace firefly
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -44,8 +44,8 @@
     double likeness = 0.0;
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs > 0) {
-            likeness = it.spec().image == image ? std::max(likeness, SameImageBonus)
-                                                : OtherImagePenalty;
+            likeness =
+                it.spec().image == image ? std::max(likeness, SameImageBonus) : OtherImagePenalty;
         }
         if (likeness < 0.0) {
             break;
@@ -87,7 +87,8 @@
             continue;
         }
         const bool hasPending = std::ranges::any_of(job->occurrences, [](const Occurrence &it) {
-            return std::ranges::any_of(it.steps, [](const StepRun &s) { return s.pendingCount > 0; });
+            return std::ranges::any_of(it.steps,
+                                       [](const StepRun &s) { return s.pendingCount > 0; });
         });
         if (hasPending) {
             order.push_back(job.get());
@@ -226,7 +227,8 @@
                                        TimePoint now) const
 {
     const StepSpec &spec = ref.spec();
-    const double capacity = std::max<double>(1.0, static_cast<double>(worker.info.capacity.milliCpu));
+    const double capacity =
+        std::max<double>(1.0, static_cast<double>(worker.info.capacity.milliCpu));
     double value = 0.0;
     if (spec.isFiller) {
         value = expectedUnused(worker) / capacity;
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -9,8 +9,7 @@
 std::optional<TaskRef> CellState::findTask(const TaskName &name)
 {
     CellJob *job = findJob(name.job);
-    if (!job || name.occurrence >= job->occurrences.size()
-        || name.step >= job->spec.steps.size()
+    if (!job || name.occurrence >= job->occurrences.size() || name.step >= job->spec.steps.size()
         || name.index >= job->spec.steps[name.step].taskCount) {
         return std::nullopt;
     }
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -98,7 +98,7 @@
     std::uint64_t m_position = 0;
     std::uint64_t m_renewal = 0;
     TimePoint m_appendSentAt{};
-    TimePoint m_renewedAt{};   ///< When the newest renewal that counts was sent.
+    TimePoint m_renewedAt{}; ///< When the newest renewal that counts was sent.
     TimePoint m_retryAt{};
     TimePoint m_earlierOrdersEnd{};
     std::map<std::string, int> m_pending;
--- a/src/Fleet/NodeSettings.h
+++ b/src/Fleet/NodeSettings.h
@@ -17,10 +17,10 @@
 {
     std::string node;
     std::string zone;
-    Endpoint callers;                ///< Where clients connect.
-    std::optional<Endpoint> ready;   ///< Where the balancer asks whether to send connections.
+    Endpoint callers;              ///< Where clients connect.
+    std::optional<Endpoint> ready; ///< Where the balancer asks whether to send connections.
     std::vector<std::uint16_t> internalPorts; ///< Free for our own processes; first and last.
-    std::string address;             ///< This VM's IP number.
+    std::string address;                      ///< This VM's IP number.
     Endpoint store;
     double cpuShare = 1.0; ///< Of one core.
     std::size_t maxConnections = 2048;
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -101,9 +101,12 @@
             }
         }
     }
-    return {{"epoch", election.epoch()},   {"owner", election.claim().node},
-            {"isOwner", election.isOwner()}, {"locating", state.isLocating},
-            {"jobs", jobs},                {"tasks", tasks},
+    return {{"epoch", election.epoch()},
+            {"owner", election.claim().node},
+            {"isOwner", election.isOwner()},
+            {"locating", state.isLocating},
+            {"jobs", jobs},
+            {"tasks", tasks},
             {"workers", workers}};
 }
 
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -132,8 +132,9 @@
     void step()
     {
         const TimePoint now = Clock::now();
-        if (isOwning && (!election.isOwner() || election.epoch() != epoch
-                         || scheduler.isFenced() || now >= election.ordersUntil())) {
+        if (isOwning
+            && (!election.isOwner() || election.epoch() != epoch || scheduler.isFenced()
+                || now >= election.ordersUntil())) {
             endOwnership();
         }
         if (!isOwning && election.isOwner() && now < election.ordersUntil()
@@ -215,8 +216,9 @@
     {
         isOwning = true;
         epoch = election.epoch();
-        log.write(LogLevel::Info, "cell", "owner begins",
-                  {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
+        log.write(
+            LogLevel::Info, "cell", "owner begins",
+            {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
         scheduler.beginOwnership(epoch, now, election.earlierOrdersEnd());
         fencePartition();
     }
@@ -274,9 +276,8 @@
         if (!page.isOk) {
             log.write(LogLevel::Warning, "cell", "can't load jobs", {{"error", page.error}});
             journalTimer.expires_after(AppendRetryPause);
-            journalTimer.async_wait(guarded([afterKey](Private &self, asio::error_code) {
-                self.loadJobs(afterKey);
-            }));
+            journalTimer.async_wait(
+                guarded([afterKey](Private &self, asio::error_code) { self.loadJobs(afterKey); }));
             return;
         }
         for (const KeyedRecord &it : page.records) {
@@ -326,12 +327,12 @@
         isJournalBusy = true;
         metrics.add("firefly_store_appends_total{topic=\"jobs\"}");
         metrics.add("firefly_store_records_total", batch->records.size());
-        store.append(platform::jobTopic(options.cell), writerGuard(batch->sequence),
-                     batch->records, appendTimeout,
-                     guarded([sentAt = Clock::now()](Private &self,
-                                                     const platform::AppendResult &result) {
-                         self.takeAppend(result, sentAt);
-                     }));
+        store.append(
+            platform::jobTopic(options.cell), writerGuard(batch->sequence), batch->records,
+            appendTimeout,
+            guarded([sentAt = Clock::now()](Private &self, const platform::AppendResult &result) {
+                self.takeAppend(result, sentAt);
+            }));
     }
 
     void takeAppend(const platform::AppendResult &result, TimePoint sentAt)
@@ -377,9 +378,9 @@
     void noteAppendFailure(const platform::AppendResult &result)
     {
         metrics.add("firefly_store_append_failures_total");
-        log.write(LogLevel::Warning, "cell", "append failed",
-                  {{"error", result.error},
-                   {"maybe_stored", result.outcome == AppendOutcome::Unknown}});
+        log.write(
+            LogLevel::Warning, "cell", "append failed",
+            {{"error", result.error}, {"maybe_stored", result.outcome == AppendOutcome::Unknown}});
     }
 
     void noteStoreContact(bool isReached, const std::string &error)
@@ -410,9 +411,9 @@
             }
         };
         callbacks.onRead = [this](std::uint64_t) { wake(); };
-        directory = std::make_unique<TopicFollower>(context, store, platform::workerTopic(),
-                                                    WorkerReadWait, WorkerReadPause,
-                                                    std::move(callbacks));
+        directory =
+            std::make_unique<TopicFollower>(context, store, platform::workerTopic(), WorkerReadWait,
+                                            WorkerReadPause, std::move(callbacks));
     }
 
     void takeWorker(const KeyedRecord &record)
@@ -499,18 +500,17 @@
             return;
         }
         metrics.add("firefly_lease_renewals_total");
-        workers.renew(*endpoint, order, epoch,
-                      guarded([worker = order.worker, now](Private &self, OrderOutcome outcome,
-                                                           const LeaseReport &report) {
-                          if (outcome != OrderOutcome::Accepted) {
-                              self.log.write(LogLevel::Warning, "cell", "renewal failed",
-                                             {{"worker", worker.value()},
-                                              {"outcome", toString(outcome)}});
-                          }
-                          self.scheduler.onLeaseReport(worker, outcome, report, now, Clock::now(),
-                                                       unixMs());
-                          self.wake();
-                      }));
+        workers.renew(
+            *endpoint, order, epoch,
+            guarded([worker = order.worker, now](Private &self, OrderOutcome outcome,
+                                                 const LeaseReport &report) {
+                if (outcome != OrderOutcome::Accepted) {
+                    self.log.write(LogLevel::Warning, "cell", "renewal failed",
+                                   {{"worker", worker.value()}, {"outcome", toString(outcome)}});
+                }
+                self.scheduler.onLeaseReport(worker, outcome, report, now, Clock::now(), unixMs());
+                self.wake();
+            }));
     }
 
     void noteOutcome(const char *order, const WorkerId &worker, const TaskName &task,
@@ -564,9 +564,15 @@
 
 CellHost::~CellHost() = default;
 
-bool CellHost::isServing() const { return m_private->isServing; }
+bool CellHost::isServing() const
+{
+    return m_private->isServing;
+}
 
-const CellElection &CellHost::election() const { return m_private->election; }
+const CellElection &CellHost::election() const
+{
+    return m_private->election;
+}
 
 void CellHost::resign()
 {
@@ -574,7 +580,10 @@
     m_private->wake();
 }
 
-bool CellHost::hasResigned() const { return !m_private->isOwning; }
+bool CellHost::hasResigned() const
+{
+    return !m_private->isOwning;
+}
 
 void CellHost::submit(const JobId &id, JobSpec spec, OnCallerReply done)
 {
--- a/src/Node/FrontDesk.cpp
+++ b/src/Node/FrontDesk.cpp
@@ -34,9 +34,9 @@
         std::string queue;
         HttpServer::Respond respond;
         TimePoint arrivedAt{};
-        TimePoint deadline{};     ///< The final answer leaves by then.
+        TimePoint deadline{};      ///< The final answer leaves by then.
         TimePoint ownerDeadline{}; ///< Without an owner, it leaves by then.
-        bool isUncertain = false; ///< Some try may have had its effect.
+        bool isUncertain = false;  ///< Some try may have had its effect.
         int tries = 0;
         asio::basic_waitable_timer<Clock> timer;
     };
@@ -79,8 +79,7 @@
         exchange->request.policy = route->policy;
         const Duration patience =
             std::min(platform::patienceOf(request).value_or(route->timeout), route->timeout);
-        exchange->deadline =
-            exchange->arrivedAt + std::max(patience - AnswerMargin, patience / 2);
+        exchange->deadline = exchange->arrivedAt + std::max(patience - AnswerMargin, patience / 2);
         exchange->ownerDeadline = std::min(exchange->deadline, exchange->arrivedAt + MaxOwnerWait);
         if (target->verb == CallerVerb::CountPending) {
             countPending(exchange);
@@ -168,8 +167,7 @@
         exchange->timer.cancel();
         const Duration took = Clock::now() - exchange->arrivedAt;
         note(*exchange, reply, took);
-        HttpResponse response =
-            platform::toResponse(exchange->request.verb, reply, RetryAfter);
+        HttpResponse response = platform::toResponse(exchange->request.verb, reply, RetryAfter);
         response.closesConnection = isDraining;
         const auto respond = std::exchange(exchange->respond, {});
         --inFlight;
@@ -179,9 +177,8 @@
     void note(const Exchange &exchange, const CallerReply &reply, Duration took)
     {
         const CallerVerb verb = exchange.request.verb;
-        metrics.record(verb == CallerVerb::Submit ? "firefly_submit_seconds"
-                                                  : "firefly_query_seconds",
-                       took);
+        metrics.record(
+            verb == CallerVerb::Submit ? "firefly_submit_seconds" : "firefly_query_seconds", took);
         if (reply.verdict == CallerVerdict::Done && verb != CallerVerb::Submit
             && verb != CallerVerb::Cancel) {
             return;
@@ -219,8 +216,14 @@
     m_private->handle(std::move(request), std::move(respond));
 }
 
-void FrontDesk::drain() { m_private->isDraining = true; }
+void FrontDesk::drain()
+{
+    m_private->isDraining = true;
+}
 
-std::size_t FrontDesk::inFlight() const { return m_private->inFlight; }
+std::size_t FrontDesk::inFlight() const
+{
+    return m_private->inFlight;
+}
 
 } // namespace firefly
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -119,8 +119,8 @@
 
     nlohmann::json dump() const
     {
-        return {{"node", settings.node},       {"incarnation", incarnation},
-                {"config", routes.version()},  {"draining", isDraining},
+        return {{"node", settings.node},        {"incarnation", incarnation},
+                {"config", routes.version()},   {"draining", isDraining},
                 {"in_flight", desk.inFlight()}, {"cell", cell.dump()}};
     }
 
@@ -168,8 +168,7 @@
     void pollDrain()
     {
         const Duration since = Clock::now() - drainBegan;
-        const bool isQuiet =
-            since >= BalancerNotice && desk.inFlight() == 0 && cell.hasResigned();
+        const bool isQuiet = since >= BalancerNotice && desk.inFlight() == 0 && cell.hasResigned();
         if (isQuiet || since >= settings.gracePeriod - KillMargin) {
             log.write(LogLevel::Info, "node", "stopped", {{"in_flight", desk.inFlight()}});
             context.stop();
@@ -210,7 +209,10 @@
 
 NodeRuntime::~NodeRuntime() = default;
 
-void NodeRuntime::drain() { m_private->drain(); }
+void NodeRuntime::drain()
+{
+    m_private->drain();
+}
 
 void NodeRuntime::settingsChanged(const NodeSettings &settings)
 {
--- a/src/Node/PeerJobs.cpp
+++ b/src/Node/PeerJobs.cpp
@@ -90,9 +90,8 @@
         exchange.body = request.body;
     }
     exchange.timeout = timeout;
-    m_loop.start(std::move(exchange), [done = std::move(done)](const HttpResult &result) {
-        done(decodeReply(result));
-    });
+    m_loop.start(std::move(exchange),
+                 [done = std::move(done)](const HttpResult &result) { done(decodeReply(result)); });
 }
 
 void PeerJobs::answer(const ForwardedRequest &request, OnCallerReply done)
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -57,9 +57,18 @@
 
 } // namespace
 
-std::string specKey(const JobId &job) { return SpecPrefix + job.value(); }
-std::string progressKey(const JobId &job) { return ProgressPrefix + job.value(); }
-std::string workerKey(std::string_view worker) { return WorkerPrefix + std::string(worker); }
+std::string specKey(const JobId &job)
+{
+    return SpecPrefix + job.value();
+}
+std::string progressKey(const JobId &job)
+{
+    return ProgressPrefix + job.value();
+}
+std::string workerKey(std::string_view worker)
+{
+    return WorkerPrefix + std::string(worker);
+}
 
 ParsedKey parseKey(std::string_view key)
 {
@@ -91,11 +100,11 @@
         steps.push_back(toJson(it));
     }
     const QueuePolicy &policy = spec.policy;
-    return toBytes(json::array(
-        {submittedAtUnixMs, spec.payload, std::move(steps), spec.repetitions, spec.startAtUnixMs,
-         spec.intervalMs,
-         json::array({policy.queue.value(), policy.service, policy.priority, policy.maxAttempts,
-                      policy.stretch, policy.targetLatencyMs})}));
+    return toBytes(
+        json::array({submittedAtUnixMs, spec.payload, std::move(steps), spec.repetitions,
+                     spec.startAtUnixMs, spec.intervalMs,
+                     json::array({policy.queue.value(), policy.service, policy.priority,
+                                  policy.maxAttempts, policy.stretch, policy.targetLatencyMs})}));
 }
 
 JobSpec decodeSpec(std::string_view bytes, std::int64_t &submittedAtUnixMs)
@@ -128,8 +137,8 @@
 {
     json tasks = json::array();
     for (const TaskProgress &it : progress.tasks) {
-        tasks.push_back(json::array({it.occurrence, it.step, it.index, it.isDone, it.failedRuns,
-                                     it.checkpoint}));
+        tasks.push_back(json::array(
+            {it.occurrence, it.step, it.index, it.isDone, it.failedRuns, it.checkpoint}));
     }
     return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
                                 progress.isStarted, std::move(tasks)}));
--- a/src/Workload/JobSpec.h
+++ b/src/Workload/JobSpec.h
@@ -44,16 +44,16 @@
     std::int64_t estimateMs = 0;      ///< Rough duration of one task; 0 when unknown.
     std::vector<std::uint32_t> after; ///< Earlier steps that must be done first.
     bool isCheckpointing = false;
-    bool isGang = false;         ///< Tasks run only all together.
-    bool wantsOneRack = false;   ///< A gang that is slower across racks.
-    std::string requiredLabel;   ///< Label that the worker must carry; empty for none.
-    std::string dataRack;        ///< Rack that holds the data; tasks elsewhere are slower.
-    std::uint32_t maxPerWorker = 0; ///< Most tasks of one occurrence on a worker; 0 for no limit.
-    bool isSpeculative = false;     ///< Parallel copies of a task are allowed.
-    bool isLongRunning = false;     ///< Runs until the job is cancelled.
-    std::string image;              ///< Tasks of one image behave alike.
-    std::int64_t targetMs = 0;      ///< Tail latency a serving task must keep; 0 for none.
-    bool isFiller = false;          ///< Uses only processor time that others leave unused.
+    bool isGang = false;              ///< Tasks run only all together.
+    bool wantsOneRack = false;        ///< A gang that is slower across racks.
+    std::string requiredLabel;        ///< Label that the worker must carry; empty for none.
+    std::string dataRack;             ///< Rack that holds the data; tasks elsewhere are slower.
+    std::uint32_t maxPerWorker = 0;   ///< Most tasks of one occurrence on a worker; 0 for no limit.
+    bool isSpeculative = false;       ///< Parallel copies of a task are allowed.
+    bool isLongRunning = false;       ///< Runs until the job is cancelled.
+    std::string image;                ///< Tasks of one image behave alike.
+    std::int64_t targetMs = 0;        ///< Tail latency a serving task must keep; 0 for none.
+    bool isFiller = false;            ///< Uses only processor time that others leave unused.
     std::uint32_t maxUnavailable = 0; ///< Long-running tasks the system may take down at once.
 
     /// What a task of this step takes from a worker's reservable room.
--- a/test/CellRandom.cpp
+++ b/test/CellRandom.cpp
@@ -12,7 +12,9 @@
 {
     CellWorld world(seed, 5);
     std::mt19937 random(seed + 1000);
-    const auto draw = [&random](int n) { return std::uniform_int_distribution<int>(0, n - 1)(random); };
+    const auto draw = [&random](int n) {
+        return std::uniform_int_distribution<int>(0, n - 1)(random);
+    };
     world.lateShare = draw(3) == 0 ? 0.1 : 0.0;
     int jobs = 0;
     for (int i = 0; i < 120; ++i) {
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -357,7 +357,7 @@
     std::set<std::string> accepted;
     std::unique_ptr<CellScheduler> owner;
     Epoch epoch = 0;
-    double lateShare = 0.0;  ///< Orders without an answer that are carried out seconds later.
+    double lateShare = 0.0; ///< Orders without an answer that are carried out seconds later.
     bool isStoreDown = false;
 
 private:
