--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -117,28 +117,31 @@
         return;
     }
     CellTask &task = ref->task();
-    const bool isCurrent = task.worker == &worker && task.run == row.run;
-    const bool isFree = task.state == TaskState::Pending || task.state == TaskState::Unlocated;
-    if (task.state == TaskState::Done || (!isCurrent && !isFree)) {
+    if (task.state == TaskState::Done) {
         return;
     }
-    m_state.wantsPlacement = true;
-    task.run = std::max(task.run, row.run);
-    if (!row.checkpoint.empty()) {
-        task.checkpoint = row.checkpoint;
-    }
     const bool isLongRunning = ref->spec().isLongRunning;
+    const bool isCurrent = task.worker == &worker && task.run == row.run;
+    const bool isFree = task.state == TaskState::Pending || task.state == TaskState::Unlocated;
+    m_state.wantsPlacement = true;
     if (row.how == RunEnd::Done && !isLongRunning) {
-        worker.strikes = 0;
-        takeDone(*ref, nowUnixMs);
+        if (isCurrent || isFree) {
+            worker.strikes = 0;
+            takeDone(*ref, nowUnixMs);
+        }
         return;
     }
     if (isCurrent) {
         TaskLedger::release(*ref);
     }
+    if (isCurrent || isFree) {
+        task.run = std::max(task.run, row.run);
+        task.checkpoint = row.checkpoint.empty() ? task.checkpoint : row.checkpoint;
+    }
     if (row.how == RunEnd::Failed) {
         strike(worker, now);
         task.notBefore = isLongRunning ? now + RestartPause : now;
+        // An earlier run's failure counts also when a later run was found first.
         if (!isLongRunning && !isFinal(ref->job->state)) {
             takeFailed(*ref, row.run, nowUnixMs);
         }
--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -27,6 +27,7 @@
         m_contactSince = now;
     }
     m_hasRead = true;
+    m_readEnd = std::max(m_readEnd, end);
     m_position = std::max(m_position, end);
 }
 
@@ -108,14 +109,17 @@
             append.claim.holder.clear();
         }
     } else {
-        if (m_isResigning || !m_hasContact || !isOpen(now)) {
+        const bool isUnread = m_readEnd < m_position;
+        if (m_isResigning || !m_hasContact || isUnread || !isOpen(now)) {
             return std::nullopt;
         }
         append.claim.epoch = m_claim.epoch + 1;
         append.claim.holder = m_options.holder;
         append.claim.node = m_options.node;
         append.claim.endpoint = m_options.endpoint;
-        append.claim.pendingByQueue.clear();
+        // The counts of the owner before hold until the new one knows its jobs.
+        m_pending = m_claim.pendingByQueue;
+        append.claim.pendingByQueue = m_pending;
     }
     append.claim.renewal = ++m_renewal;
     m_isAppending = true;
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -95,7 +95,8 @@
     bool m_hasRead = false;
     bool m_isAppending = false;
     bool m_isResigning = false;
-    std::uint64_t m_position = 0;
+    std::uint64_t m_position = 0; ///< Where the topic ends, from reads and own appends.
+    std::uint64_t m_readEnd = 0;
     std::uint64_t m_renewal = 0;
     TimePoint m_appendSentAt{};
     TimePoint m_renewedAt{}; ///< When the newest renewal that counts was sent.
--- /dev/null
+++ b/test/CellElection.cpp
@@ -0,0 +1,121 @@
+#include "CellLease/CellElection.h"
+#include "CellLease/ClaimRecord.h"
+
+#include <gtest/gtest.h>
+
+namespace firefly {
+namespace {
+
+using namespace std::chrono_literals;
+
+CellElection makeElection(const std::string &node)
+{
+    CellElection::Options options;
+    options.holder = node + ".1";
+    options.node = node;
+    return CellElection(options);
+}
+
+/// Appends what \a election wants and lets it read that back.
+bool claimOnce(CellElection &election, TimePoint now, std::uint64_t &end)
+{
+    const auto append = election.next(now);
+    if (!append || append->position != end) {
+        return false;
+    }
+    ++end;
+    election.onAppended(end, now);
+    election.onClaim(append->claim, now);
+    election.onRead(end, now);
+    return true;
+}
+
+TEST(CellElection, TheFirstCandidateClaimsAnEmptyTopicOnce)
+{
+    CellElection election = makeElection("a");
+    const TimePoint now{10s};
+    std::uint64_t end = 0;
+    EXPECT_FALSE(election.next(now).has_value()) << "nothing was read yet";
+    election.onRead(end, now);
+    ASSERT_TRUE(claimOnce(election, now, end));
+    EXPECT_TRUE(election.isOwner());
+    EXPECT_EQ(election.epoch(), 1U);
+    EXPECT_FALSE(election.next(now + 100ms).has_value()) << "no renewal is due";
+}
+
+TEST(CellElection, ASecondClaimWaitsUntilTheFirstOneWasRead)
+{
+    CellElection election = makeElection("a");
+    const TimePoint now{10s};
+    election.onRead(0, now);
+    ASSERT_TRUE(election.next(now).has_value());
+    election.onAppended(1, now);
+    EXPECT_FALSE(election.next(now + 10ms).has_value());
+}
+
+TEST(CellElection, ASilentOwnerIsReplacedAndItsOrdersAreWaitedOut)
+{
+    CellElection owner = makeElection("a");
+    CellElection other = makeElection("b");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    owner.onRead(end, now);
+    const auto claim = owner.next(now);
+    ASSERT_TRUE(claim.has_value());
+    other.onRead(1, now);
+    other.onClaim(claim->claim, now);
+    end = 1;
+    now += CellElection::ClaimAfter - 10ms;
+    EXPECT_FALSE(other.next(now).has_value());
+    now += 20ms;
+    ASSERT_TRUE(claimOnce(other, now, end));
+    EXPECT_EQ(other.epoch(), 2U);
+    EXPECT_GE(other.earlierOrdersEnd(), TimePoint{10s} + CellElection::ClaimAfter + 6s);
+}
+
+TEST(CellElection, ACandidateThatLostTheStoreDoesNotCountTheSilence)
+{
+    CellElection other = makeElection("b");
+    TimePoint now{10s};
+    other.onRead(1, now);
+    other.onClaim({1, "a.1", "a", {}, 1, {}}, now);
+    other.onReadFailed();
+    now += 20s;
+    EXPECT_FALSE(other.next(now).has_value());
+    other.onRead(1, now);
+    EXPECT_FALSE(other.next(now + 100ms).has_value()) << "the owner gets time to renew";
+    EXPECT_TRUE(other.next(now + CellElection::ClaimAfter + 10ms).has_value());
+}
+
+TEST(CellElection, ANewClaimKeepsTheCountsOfTheOwnerBefore)
+{
+    CellElection other = makeElection("b");
+    const TimePoint now{10s};
+    other.onRead(1, now);
+    other.onClaim({1, "a.1", "a", {}, 1, {{"q", 7}}}, now);
+    const auto append = other.next(now + CellElection::ClaimAfter + 10ms);
+    ASSERT_TRUE(append.has_value());
+    EXPECT_EQ(append->claim.pendingByQueue.at("q"), 7);
+}
+
+TEST(CellElection, AResignedCellIsClaimedAtOnce)
+{
+    CellElection other = makeElection("b");
+    const TimePoint now{10s};
+    other.onRead(2, now);
+    other.onClaim({1, "", "a", {}, 2, {}}, now);
+    EXPECT_TRUE(other.next(now).has_value());
+}
+
+TEST(CellElection, AClaimSurvivesItsRecord)
+{
+    const OwnershipClaim claim{3, "a.1", "a", {"10.0.0.1", 7720}, 9, {{"q", 2}}};
+    const OwnershipClaim decoded = decodeClaim(encodeClaim(claim));
+    EXPECT_EQ(decoded.epoch, 3U);
+    EXPECT_EQ(decoded.endpoint, claim.endpoint);
+    EXPECT_EQ(decoded.pendingByQueue, claim.pendingByQueue);
+    EXPECT_THROW(decodeClaim("{"), ClaimRecordError);
+}
+
+} // namespace
+} // namespace firefly
--- a/test/CellOwnerChange.cpp
+++ b/test/CellOwnerChange.cpp
@@ -59,5 +59,32 @@
     EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
 }
 
+TEST(CellOwnerChange, AFailureHeardOfAfterALaterRunWasFoundStillCounts)
+{
+    CellWorld world(4, 2);
+    JobSpec spec = makeChain(1, 1);
+    spec.policy.maxAttempts = 2;
+    world.workers.at("w0")->failsNext = true;
+    world.workers.at("w1")->failsNext = true;
+    world.workers.at("w0")->workTime = 300ms;
+    world.workers.at("w1")->workTime = 3s;
+    world.submit(JobId("a"), spec);
+    world.run(200ms);
+    world.isStoreDown = true;
+    // The first run fails on w0; the second one goes to w1 or to w0 again.
+    world.workers.at("w0")->workTime = 3s;
+    world.run(1s);
+    const bool isSecondOnW1 = !world.workers.at("w1")->isIdle();
+    world.workers.at(isSecondOnW1 ? "w0" : "w1")->isReachable = false;
+    world.isStoreDown = false;
+    world.newOwner(world.now + 9s);
+    world.run(500ms);
+    world.workers.at("w0")->isReachable = true;
+    world.workers.at("w1")->isReachable = true;
+    world.run(20s);
+    EXPECT_EQ(world.owner->stateOf(JobId("a")), JobState::Failed);
+    EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
+}
+
 } // namespace
 } // namespace firefly
