Weigh a filler's work against the serving tasks it pushes over their target

A fixed limit on the expected tail of the worst serving task shut most workers to fillers, and the model's drift kept its deviation near 1.5.

Change: each serving task keeps its own smoothed tail; a filler may go where the expected number of tasks pushed over their target is small for the work it brings; slower drift; jobs that can still be in time go before late ones.

Ruled out: the mixture of images on workers (grouped as wanted before churn).

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -42,6 +42,8 @@
     int percent = 0;
     int pace = 100;
     double usage = 0.0;
+    double tailLog = 0.0; ///< Smoothed log of tail over target; of a serving task with hasTail.
+    bool hasTail = false;
     TimePoint overTargetSince{}; ///< For a serving task; zero while it keeps its target.
     std::string checkpoint;
 };
@@ -86,6 +88,9 @@
     {
         return spec.startAtUnixMs + occurrence * spec.intervalMs;
     }
+    /// Longest chain of estimated work in the steps of the last due occurrence that aren't done.
+    Duration remainingChain() const;
+    static Duration longestChainOf(const JobSpec &spec);
     bool isLongRunning() const { return std::ranges::any_of(spec.steps, &StepSpec::isLongRunning); }
 };
 
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -22,29 +22,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-/// Longest chain of estimated work, in ms.
-double longestChainMs(const JobSpec &spec)
-{
-    std::vector<double> endOf(spec.steps.size(), 0.0);
-    double longest = 0.0;
-    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-        double begin = 0.0;
-        for (const std::uint32_t it : spec.steps[i].after) {
-            begin = std::max(begin, endOf[it]);
-        }
-        endOf[i] = begin + static_cast<double>(spec.steps[i].estimateMs);
-        longest = std::max(longest, endOf[i]);
-    }
-    return longest;
-}
-
 void setObjective(CellJob &job, TimePoint submittedAt)
 {
     const QueuePolicy &policy = job.spec.policy;
-    const double objectiveMs =
-        policy.stretch * longestChainMs(job.spec) + static_cast<double>(policy.targetLatencyMs);
-    job.objective = submittedAt + fromMs(objectiveMs);
-    job.giveUpOrder = submittedAt + fromMs(LateObjectives * objectiveMs);
+    const auto chain = std::chrono::duration<double, std::micro>(CellJob::longestChainOf(job.spec));
+    const Duration objective = std::chrono::duration_cast<Duration>(policy.stretch * chain)
+                               + std::chrono::milliseconds(policy.targetLatencyMs);
+    job.objective = submittedAt + objective;
+    job.giveUpOrder = submittedAt + LateObjectives * objective;
 }
 
 } // namespace
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -23,6 +23,11 @@
 constexpr Duration NoNewFillers = std::chrono::milliseconds(1500);
 /// A paced filler is let go again under this share of the target.
 constexpr double ResumeRatio = 0.6;
+/// Weight of the newest report in the smoothed tail, and the time it takes to forget.
+constexpr double TailWeight = 0.4;
+constexpr Duration TailMemory = std::chrono::milliseconds(1200);
+/// Deviation of the log of a tail over its target from one moment to the next.
+constexpr double TailDeviation = 0.45;
 /// Effects under this are too weak to blame a filler for a tail over the target.
 constexpr double WeakEffect = 1.5;
 
@@ -43,6 +48,13 @@
     return milliCpu / std::max<double>(1.0, static_cast<double>(worker.info.capacity.milliCpu));
 }
 
+/// Probability that a tail is over its target when the log of their ratio is expected to be
+/// \a expected.
+double overProbability(double expected)
+{
+    return 0.5 * std::erfc(-expected / (TailDeviation * std::sqrt(2.0)));
+}
+
 /// Share of the worker that a filler is expected to press with at its pace.
 double fillerShare(const CellWorker &worker, const TaskRef &ref)
 {
@@ -51,7 +63,7 @@
 
 } // namespace
 
-void InterferenceGuard::observe(const CellWorker &worker, TimePoint now)
+void InterferenceGuard::observe(CellWorker &worker, TimePoint now)
 {
     std::vector<WorkloadShare> others;
     for (const TaskRef &it : worker.tasks) {
@@ -65,7 +77,12 @@
             continue;
         }
         const double ratio = it.task().usage / static_cast<double>(it.spec().targetMs);
-        const double slowdown = 1 + LogShift + std::clamp(std::log(ratio), -LogShift, LogShift);
+        const double tailLog = std::clamp(std::log(ratio), -LogShift, LogShift);
+        const double slowdown = 1 + LogShift + tailLog;
+        CellTask &task = it.task();
+        task.tailLog = task.hasTail ? (1 - TailWeight) * task.tailLog + TailWeight * tailLog
+                                    : tailLog;
+        task.hasTail = true;
         m_model.observe(m_model.service(ServiceId(it.spec().image)), others, slowdown, now,
                         UnitLoad);
     }
@@ -98,26 +115,29 @@
     return cached.value;
 }
 
-std::optional<double> InterferenceGuard::expectedWith(const CellWorker &worker,
-                                                      const StepSpec &filler, TimePoint now)
+double InterferenceGuard::harmOf(const CellWorker &worker, const StepSpec &filler, TimePoint now)
 {
-    std::optional<double> worst;
+    const double share = shareOf(worker, static_cast<double>(filler.demand.milliCpu));
+    double harm = 0.0;
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs == 0) {
             continue;
         }
         const std::string &serving = it.spec().image;
-        double expected = baseline(serving, now);
+        const CellTask &task = it.task();
+        double expected = task.hasTail ? task.tailLog : baseline(serving, now);
         for (const TaskRef &other : worker.tasks) {
-            if (other.spec().isFiller) {
+            // Older fillers are in the smoothed tail already.
+            const bool isNew = other.spec().isFiller
+                               && (!task.hasTail || now - other.task().startedAt < TailMemory);
+            if (isNew) {
                 expected += effect(serving, other.spec().image, now) * fillerShare(worker, other);
             }
         }
-        expected += effect(serving, filler.image, now)
-                    * shareOf(worker, static_cast<double>(filler.demand.milliCpu));
-        worst = std::max(worst.value_or(expected), expected);
+        const double added = effect(serving, filler.image, now) * share;
+        harm += overProbability(expected + added) - overProbability(expected);
     }
-    return worst;
+    return harm;
 }
 
 std::vector<InterferenceGuard::Measure> InterferenceGuard::guard(CellWorker &worker, TimePoint now)
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -19,14 +19,11 @@
 {
 public:
     /// Learns from a worker's newest report.  O(serving tasks x images^2).
-    void observe(const CellWorker &worker, TimePoint now);
+    void observe(CellWorker &worker, TimePoint now);
 
-    /// Log of tail over target that is expected of the worst serving task on \a worker with one
-    /// more filler; nothing when no task there has a target.
-    std::optional<double> expectedWith(const CellWorker &worker, const StepSpec &filler,
-                                       TimePoint now);
-    /// A filler may go where the expected value stays under this.
-    static constexpr double PlacementLimit = -0.45;
+    /// Number of serving tasks on \a worker that one more filler is expected to push over their
+    /// target, a fraction mostly.  O(tasks on the worker).
+    double harmOf(const CellWorker &worker, const StepSpec &filler, TimePoint now);
 
     enum class Relief { None, Pace, Stop };
     struct Measure
@@ -51,7 +48,7 @@
     };
 
     SlowdownModel m_model{SlowdownSettings{
-        .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.02}};
+        .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.002}};
     std::map<std::pair<std::string, std::string>, Cached> m_effects;
     std::map<std::string, Cached> m_baselines;
 };
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace firefly {
 namespace {
@@ -19,9 +20,12 @@
 /// Serving tasks beside others of their image, and beside another image.
 constexpr double SameImageBonus = 1.0;
 constexpr double OtherImagePenalty = -2.0;
-/// Score lost for each unit of the log of tail over target above a quiet worker's.
-constexpr double InterferenceWeight = 1.0;
-constexpr double QuietTail = -1.0;
+/// Serving tasks that one core of filling work may push over their target: a task over its target
+/// costs its users about ten times what a core of filling work brings.
+constexpr double HarmPerCore = 0.08;
+constexpr double MilliCpuPerCore = 1000.0;
+/// Score lost for each serving task pushed over its target.
+constexpr double HarmWeight = 4.0;
 
 std::int64_t toMs(Duration duration)
 {
@@ -37,6 +41,16 @@
            - LongRunningUse * longRunning - static_cast<double>(worker.fillerCpu);
 }
 
+/// 0 for a job that can still be in time, 1 for one that will be late, 2 for one whose client
+/// gains nothing any more.
+int latenessOf(const CellJob &job, TimePoint now)
+{
+    if (now > job.giveUpOrder) {
+        return 2;
+    }
+    return now + job.remainingChain() > job.objective ? 1 : 0;
+}
+
 /// Serving tasks of one image go together: a filler that presses one image then still has workers
 /// where that image is not.
 double likenessOf(const CellWorker &worker, const std::string &image)
@@ -94,12 +108,18 @@
             order.push_back(job.get());
         }
     }
-    std::ranges::sort(order, [now](const CellJob *a, const CellJob *b) {
-        const auto key = [now](const CellJob *it) {
-            return std::tuple(it->spec.policy.priority, it->giveUpOrder < now, it->objective);
-        };
-        return key(a) < key(b);
-    });
+    struct Ranked
+    {
+        std::tuple<int, int, TimePoint> key;
+        CellJob *job;
+    };
+    std::vector<Ranked> ranked;
+    ranked.reserve(order.size());
+    for (CellJob *it : order) {
+        ranked.push_back({{it->spec.policy.priority, latenessOf(*it, now), it->objective}, it});
+    }
+    std::ranges::sort(ranked, {}, &Ranked::key);
+    std::ranges::transform(ranked, order.begin(), &Ranked::job);
     return order;
 }
 
@@ -232,12 +252,11 @@
     double value = 0.0;
     if (spec.isFiller) {
         value = expectedUnused(worker) / capacity;
-        if (const auto expected = m_interference.expectedWith(worker, spec, now)) {
-            if (*expected > InterferenceGuard::PlacementLimit) {
-                return std::nullopt;
-            }
-            value -= InterferenceWeight * std::max(0.0, *expected - QuietTail);
+        const double harm = m_interference.harmOf(worker, spec, now);
+        if (harm > HarmPerCore * static_cast<double>(spec.demand.milliCpu) / MilliCpuPerCore) {
+            return std::nullopt;
         }
+        value -= HarmWeight * harm;
     } else {
         value = static_cast<double>(worker.freeRoom().milliCpu) / capacity;
         if (spec.targetMs > 0) {
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -51,6 +51,7 @@
     task.worker = nullptr;
     task.pace = 100;
     task.usage = 0.0;
+    task.hasTail = false;
     task.overTargetSince = {};
     --ref.job->placedCount;
 }
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -73,6 +73,52 @@
     return "canceled";
 }
 
+nlohmann::json summarizeLoad(const CellScheduler &scheduler)
+{
+    const CellState &state = scheduler.state();
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    std::int64_t fillers = 0;
+    int usable = 0;
+    int overTarget = 0;
+    int paced = 0;
+    for (const auto &[id, it] : state.workers) {
+        usable += it->isRegistered && it->isContacted && !it->info.isDraining ? 1 : 0;
+        capacity += it->info.capacity.milliCpu;
+        reserved += it->used.milliCpu;
+        fillers += it->fillerCpu;
+        for (const TaskRef &task : it->tasks) {
+            overTarget += task.task().overTargetSince != TimePoint{} ? 1 : 0;
+            paced += task.task().pace < 100 ? 1 : 0;
+        }
+    }
+    int pendingFillers = 0;
+    int pendingOthers = 0;
+    int activeJobs = 0;
+    for (const auto &[id, job] : state.jobs) {
+        if (isFinal(job->state)) {
+            continue;
+        }
+        ++activeJobs;
+        for (const Occurrence &occurrence : job->occurrences) {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                const auto pending = static_cast<int>(occurrence.steps[s].pendingCount);
+                (job->spec.steps[s].isFiller ? pendingFillers : pendingOthers) += pending;
+            }
+        }
+    }
+    return {{"workers", usable},
+            {"capacity", capacity},
+            {"reserved", reserved},
+            {"fillers", fillers},
+            {"jobs", activeJobs},
+            {"pending_fillers", pendingFillers},
+            {"pending_others", pendingOthers},
+            {"over_target", overTarget},
+            {"paced", paced},
+            {"locating", state.isLocating}};
+}
+
 nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler)
 {
     const CellState &state = scheduler.state();
--- a/src/Node/CellDump.h
+++ b/src/Node/CellDump.h
@@ -11,6 +11,9 @@
 const char *toString(TaskState state);
 const char *toString(JobState state);
 
+/// Totals of one cell for its regular log line; O(tasks).
+nlohmann::json summarizeLoad(const CellScheduler &scheduler);
+
 /// State of one cell for operators; O(jobs + workers).
 nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler);
 
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -30,6 +30,8 @@
 constexpr Duration AppendRetryPause = std::chrono::milliseconds(60);
 /// A store that refuses appends for this long can't take new jobs.
 constexpr Duration ToleratedOutage = std::chrono::milliseconds(400);
+/// Interval of the owner's line on its load.
+constexpr Duration LoadLineInterval = std::chrono::seconds(2);
 /// The candidate with a whole core goes first; one without any waits this long.
 constexpr Duration FullHeadStart = CellElection::LongestHeadStart;
 
@@ -147,6 +149,7 @@
             sendOrders(now);
             sendJournal();
             election.setPending(scheduler.pendingByQueue());
+            logLoad(now);
         }
         sendClaim(now);
     }
@@ -164,6 +167,15 @@
         };
     }
 
+    void logLoad(TimePoint now)
+    {
+        if (now - lastLoadLine < LoadLineInterval) {
+            return;
+        }
+        lastLoadLine = now;
+        log.write(LogLevel::Info, "cell", "load", summarizeLoad(scheduler));
+    }
+
     // Ownership
 
     void takeClaim(const KeyedRecord &record)
@@ -541,6 +553,7 @@
     std::unique_ptr<TopicFollower> directory;
     Timer timer;
     Timer journalTimer;
+    TimePoint lastLoadLine{};
     Epoch epoch = 0;
     Epoch fencedEpoch = 0; ///< Last epoch that this process gave up.
     std::uint64_t generation = 0;
