Keep what was learned about interference over a change of owner

Fillers paced to zero stayed so until every task of the worker was well under its target at once, which is rare with five noisy ones.

Change: the learned effects are a record of the cell's topic; a paced filler resumes when its harm is small, else it moves; tasks that reserve processors take the fullest worker that has room; a task over its target recovers only by its smoothed tail.

--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -11,6 +11,8 @@
 
 /// Placement runs at most this often; several ends and submits share one pass.
 constexpr Duration PlacementInterval = std::chrono::milliseconds(10);
+/// What was learned about interference is recorded for the next owner this often.
+constexpr Duration LessonsInterval = std::chrono::seconds(3);
 constexpr Duration CleanupInterval = std::chrono::seconds(1);
 /// A job this many objectives after its submission earns its client nothing any more.
 constexpr int LateObjectives = 3;
@@ -48,6 +50,8 @@
     m_state.ownedSince = now;
     m_state.isFenced = false;
     m_state.isLocating = true;
+    m_interference.restoreLessons({}, now);
+    m_lastLessons = now;
 }
 
 void CellScheduler::endOwnership()
@@ -95,6 +99,9 @@
         m_restoredProgress[parsed.name] = std::move(progress);
         return;
     }
+    case JobRecords::KeyKind::Lessons:
+        m_interference.restoreLessons(value, m_now);
+        return;
     case JobRecords::KeyKind::Unknown:
         throw JobRecordError("record with an unknown key");
     }
@@ -330,6 +337,10 @@
         m_lastCleanup = now;
         dropOldJobs(nowUnixMs);
     }
+    if (now - m_lastLessons >= LessonsInterval) {
+        m_lastLessons = now;
+        m_state.journal.put({JobRecords::lessonsKey(), m_interference.encodeLessons(now)});
+    }
     if (m_state.wantsPlacement && now - m_lastPlacement >= PlacementInterval
         && now < m_state.ordersUntil) {
         m_state.wantsPlacement = false;
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -125,6 +125,7 @@
     TimePoint m_now{}; ///< Of the last input.
     TimePoint m_lastPlacement{};
     TimePoint m_lastCleanup{};
+    TimePoint m_lastLessons{};
     TimePoint m_lastCare{};
 };
 
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -1,5 +1,9 @@
 #include "Cell/InterferenceGuard.h"
 
+#include "Workload/JobRecords.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -21,13 +25,19 @@
 /// Time for a measure to show in the reported tail, which covers half a second.
 constexpr Duration MeasurePause = std::chrono::milliseconds(600);
 constexpr Duration NoNewFillers = std::chrono::milliseconds(1500);
-/// A paced filler is let go again under this share of the target.
-constexpr double ResumeRatio = 0.6;
+/// A task that was over its target counts as recovered under this smoothed log of tail over target.
+constexpr double RecoveredTail = -0.25;
+/// A filler held for longer than this moves, where it can.
+constexpr Duration LongestHold = std::chrono::milliseconds(1500);
 /// Weight of the newest report in the smoothed tail, and the time it takes to forget.
 constexpr double TailWeight = 0.4;
 constexpr Duration TailMemory = std::chrono::milliseconds(1200);
 /// Deviation of the log of a tail over its target from one moment to the next.
 constexpr double TailDeviation = 0.45;
+/// Serving tasks that one core of filling work may push over their target: a task over its target
+/// costs its users about ten times what a core of filling work brings.
+constexpr double HarmPerCore = 0.08;
+constexpr double MilliCpuPerCore = 1000.0;
 /// Effects under this are too weak to blame a filler for a tail over the target.
 constexpr double WeakEffect = 1.5;
 
@@ -140,23 +150,69 @@
     return harm;
 }
 
+std::string InterferenceGuard::encodeLessons(TimePoint now) const
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(m_model.summarize(now, UnitLoad), bytes);
+    return bytes;
+}
+
+void InterferenceGuard::restoreLessons(std::string_view lessons, TimePoint now)
+{
+    m_model = SlowdownModel(ModelSettings);
+    m_effects.clear();
+    m_baselines.clear();
+    if (lessons.empty()) {
+        return;
+    }
+    try {
+        m_model.restore(nlohmann::json::from_cbor(lessons), now, UnitLoad);
+    } catch (const nlohmann::json::exception &e) {
+        throw JobRecordError(std::string("lessons record: ") + e.what());
+    }
+}
+
+void InterferenceGuard::resume(CellWorker &worker, TimePoint now, std::vector<Measure> &measures)
+{
+    for (const TaskRef &it : worker.tasks) {
+        if (!isActiveFiller(it) || it.task().pace == 100) {
+            continue;
+        }
+        worker.nextMeasure = now + MeasurePause;
+        if (isWorthHarm(it.spec(), harmOf(worker, it.spec(), now))) {
+            measures.push_back({it, Relief::Pace, 100});
+        } else if (it.spec().isCheckpointing && now - it.task().pacedAt > LongestHold) {
+            measures.push_back({it, Relief::Stop, 0});
+        }
+        return;
+    }
+}
+
+bool InterferenceGuard::isWorthHarm(const StepSpec &filler, double harm)
+{
+    return harm <= HarmPerCore * static_cast<double>(filler.demand.milliCpu) / MilliCpuPerCore;
+}
+
 std::vector<InterferenceGuard::Measure> InterferenceGuard::guard(CellWorker &worker, TimePoint now)
 {
     std::vector<Measure> measures;
     const TaskRef *victim = nullptr;
     Duration longest{};
-    bool isCalm = true;
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs == 0) {
             continue;
         }
         CellTask &task = it.task();
         const double ratio = task.usage / static_cast<double>(it.spec().targetMs);
-        isCalm = isCalm && ratio < ResumeRatio;
-        if (ratio <= 1.0 || task.state != TaskState::Running) {
+        // One low figure is no recovery: the reported tail is rough, the platform's own is not.
+        const bool isRecovered = ratio <= 1.0 && task.tailLog < RecoveredTail;
+        if (task.state != TaskState::Running || isRecovered) {
             task.overTargetSince = {};
             continue;
         }
+        if (ratio <= 1.0 && task.overTargetSince == TimePoint{}) {
+            continue;
+        }
         if (task.overTargetSince == TimePoint{}) {
             task.overTargetSince = now;
         }
@@ -195,14 +251,8 @@
         }
         return measures;
     }
-    if (!victim && isCalm) {
-        for (const TaskRef &it : worker.tasks) {
-            if (isActiveFiller(it) && it.task().pace < 100) {
-                worker.nextMeasure = now + MeasurePause;
-                measures.push_back({it, Relief::Pace, it.task().pace == 0 ? 40 : 100});
-                break;
-            }
-        }
+    if (!victim) {
+        resume(worker, now, measures);
     }
     return measures;
 }
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -25,6 +25,9 @@
     /// target, a fraction mostly.  O(tasks on the worker).
     double harmOf(const CellWorker &worker, const StepSpec &filler, TimePoint now);
 
+    /// Whether the work that \a filler brings outweighs \a harm.
+    static bool isWorthHarm(const StepSpec &filler, double harm);
+
     enum class Relief { None, Pace, Stop };
     struct Measure
     {
@@ -37,7 +40,14 @@
 
     const SlowdownModel &model() const { return m_model; }
 
+    /// What was learned, as a record for the next owner.
+    std::string encodeLessons(TimePoint now) const;
+    /// Begins anew with \a lessons; with nothing when they are empty.
+    /// \throws JobRecordError
+    void restoreLessons(std::string_view lessons, TimePoint now);
+
 private:
+    void resume(CellWorker &worker, TimePoint now, std::vector<Measure> &measures);
     double effect(const std::string &serving, const std::string &filler, TimePoint now);
     double baseline(const std::string &serving, TimePoint now);
 
@@ -47,8 +57,10 @@
         TimePoint at{};
     };
 
-    SlowdownModel m_model{SlowdownSettings{
-        .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.002}};
+    static constexpr SlowdownSettings ModelSettings{
+        .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.002};
+
+    SlowdownModel m_model{ModelSettings};
     std::map<std::pair<std::string, std::string>, Cached> m_effects;
     std::map<std::string, Cached> m_baselines;
 };
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -215,6 +215,7 @@
         }
         CellTask &task = it.task.task();
         task.pace = it.percent;
+        task.pacedAt = now;
         task.progressAt = now;
         m_state.actions.emplace_back(
             PaceTask{worker.info.id, it.task.name(), task.run, it.percent});
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -20,10 +20,6 @@
 /// Serving tasks beside others of their image, and beside another image.
 constexpr double SameImageBonus = 1.0;
 constexpr double OtherImagePenalty = -2.0;
-/// Serving tasks that one core of filling work may push over their target: a task over its target
-/// costs its users about ten times what a core of filling work brings.
-constexpr double HarmPerCore = 0.08;
-constexpr double MilliCpuPerCore = 1000.0;
 /// Score lost for each serving task pushed over its target.
 constexpr double HarmWeight = 4.0;
 
@@ -253,12 +249,12 @@
     if (spec.isFiller) {
         value = expectedUnused(worker) / capacity;
         const double harm = m_interference.harmOf(worker, spec, now);
-        if (harm > HarmPerCore * static_cast<double>(spec.demand.milliCpu) / MilliCpuPerCore) {
+        if (!InterferenceGuard::isWorthHarm(spec, harm)) {
             return std::nullopt;
         }
         value -= HarmWeight * harm;
     } else {
-        value = static_cast<double>(worker.freeRoom().milliCpu) / capacity;
+        value = -static_cast<double>(worker.freeRoom().milliCpu) / capacity;
         if (spec.targetMs > 0) {
             value += likenessOf(worker, spec.image);
         }
--- a/src/Interference/SlowdownModel.cpp
+++ b/src/Interference/SlowdownModel.cpp
@@ -162,6 +162,48 @@
     return {std::max(1.0, 1 + with.mean - without.mean), with.deviation};
 }
 
+nlohmann::json SlowdownModel::summarize(TimePoint now, double load) const
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto &[victim, learned] : m_victims) {
+        const SlowdownEstimate alone = predict(victim, {}, now, load);
+        rows.push_back({m_names[victim], "", learned.means[0] * load, alone.deviation});
+        for (WorkloadIndex other = 0; other < learned.placeOf.size(); ++other) {
+            if (learned.placeOf[other] == NoPlace) {
+                continue;
+            }
+            const std::size_t place = learned.placeOf[other];
+            const double mean = learned.means[place] + learned.means[place + 1] * load;
+            rows.push_back({m_names[victim], m_names[other], mean,
+                            pair(victim, other, now, 1, load).deviation});
+        }
+    }
+    return rows;
+}
+
+void SlowdownModel::restore(const nlohmann::json &summary, TimePoint now, double load)
+{
+    for (const auto &row : summary) {
+        const WorkloadIndex victim = index(row.at(0).get<std::string>());
+        Victim &learned = m_victims.try_emplace(victim, Victim{.updated = now}).first->second;
+        if (learned.means.empty()) {
+            addTerm(learned, 0);
+        }
+        std::size_t place = 0;
+        double scale = load;
+        const auto other = row.at(1).get<std::string>();
+        if (!other.empty()) {
+            place = placeOf(learned, index(other));
+            scale = 1;
+            // At one load the second term says nothing of its own.
+            learned.covariance[place + 1][place + 1] = 0;
+        }
+        const double deviation = row.at(3).get<double>() / scale;
+        learned.means[place] = row.at(2).get<double>() / scale;
+        learned.covariance[place][place] = deviation * deviation;
+    }
+}
+
 nlohmann::json SlowdownModel::dump(TimePoint now) const
 {
     nlohmann::json pairs = nlohmann::json::array();
--- a/src/Interference/SlowdownModel.h
+++ b/src/Interference/SlowdownModel.h
@@ -80,6 +80,12 @@
 
     nlohmann::json dump(TimePoint now) const;
 
+    /// What was learned at one load, small enough to be kept elsewhere; see restore().
+    nlohmann::json summarize(TimePoint now, double load) const;
+    /// Begins with the lessons of an earlier model that was observed at \a load only.
+    /// \throws nlohmann::json::exception for another format.
+    void restore(const nlohmann::json &summary, TimePoint now, double load);
+
 private:
     /// One factor of the linear model, with its value in an observation.
     struct Term
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -10,6 +10,7 @@
 constexpr char SpecPrefix = 'j';
 constexpr char ProgressPrefix = 'p';
 constexpr char WorkerPrefix = 'w';
+constexpr char LessonsPrefix = 'l';
 
 // Positions in the arrays below are the format; new fields go at the end.
 
@@ -70,6 +71,8 @@
     return WorkerPrefix + std::string(worker);
 }
 
+std::string lessonsKey() { return LessonsPrefix + std::string("interference"); }
+
 ParsedKey parseKey(std::string_view key)
 {
     if (key.size() < 2) {
@@ -87,6 +90,9 @@
     case WorkerPrefix:
         parsed.kind = KeyKind::Worker;
         break;
+    case LessonsPrefix:
+        parsed.kind = KeyKind::Lessons;
+        break;
     default:
         break;
     }
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -43,8 +43,10 @@
 std::string specKey(const JobId &job);
 std::string progressKey(const JobId &job);
 std::string workerKey(std::string_view worker);
+/// Key of what the cell has learned about interference.
+std::string lessonsKey();
 
-enum class KeyKind { Spec, Progress, Worker, Unknown };
+enum class KeyKind { Spec, Progress, Worker, Lessons, Unknown };
 struct ParsedKey
 {
     KeyKind kind = KeyKind::Unknown;
