--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -36,7 +36,7 @@
     std::int64_t startDeadlineMs = 0;      ///< On the worker's clock.
     TimePoint startedAt{};                 ///< When the start was accepted or the task was found.
     TimePoint stopSentAt{};
-    TimePoint pacedAt{};    ///< When the pace last changed.
+    TimePoint pacedAt{};      ///< When the pace last changed.
     TimePoint progressAt{};   ///< When percent last changed.
     TimePoint notBefore{};    ///< Earliest next start.
     std::uint64_t seenIn = 0; ///< The lease report that last listed it.
@@ -45,6 +45,7 @@
     double usage = 0.0;
     double tailLog = 0.0; ///< Smoothed log of tail over target; of a serving task with hasTail.
     bool hasTail = false;
+    TimePoint recoveredSince{};
     TimePoint overTargetSince{}; ///< For a serving task; zero while it keeps its target.
     std::string checkpoint;
 };
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -63,6 +63,8 @@
                       const OrderReply &reply, TimePoint now);
     void onStopOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
                        OrderOutcome outcome, TimePoint now);
+    void onPaceOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
+                       OrderOutcome outcome, TimePoint now);
     /// \a report is empty unless \a outcome is Accepted; \a sentAt is when the renewal left.
     void onLeaseReport(const WorkerId &id, OrderOutcome outcome, const LeaseReport &report,
                        TimePoint sentAt, TimePoint now, std::int64_t nowUnixMs);
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -26,7 +26,9 @@
 constexpr Duration MeasurePause = std::chrono::milliseconds(600);
 constexpr Duration NoNewFillers = std::chrono::milliseconds(1500);
 /// A task that was over its target counts as recovered under this smoothed log of tail over target.
-constexpr double RecoveredTail = -0.25;
+constexpr double RecoveredTail = -0.3;
+/// For this long; a task that goes over again sooner was never under.
+constexpr Duration RecoveryTime = std::chrono::milliseconds(1000);
 /// A filler held for longer than this moves, where it can.
 constexpr Duration LongestHold = std::chrono::milliseconds(1500);
 /// Weight of the newest report in the smoothed tail, and the time it takes to forget.
@@ -90,8 +92,8 @@
         const double tailLog = std::clamp(std::log(ratio), -LogShift, LogShift);
         const double slowdown = 1 + LogShift + tailLog;
         CellTask &task = it.task();
-        task.tailLog = task.hasTail ? (1 - TailWeight) * task.tailLog + TailWeight * tailLog
-                                    : tailLog;
+        task.tailLog =
+            task.hasTail ? (1 - TailWeight) * task.tailLog + TailWeight * tailLog : tailLog;
         task.hasTail = true;
         m_model.observe(m_model.service(ServiceId(it.spec().image)), others, slowdown, now,
                         UnitLoad);
@@ -193,68 +195,91 @@
     return harm <= HarmPerCore * static_cast<double>(filler.demand.milliCpu) / MilliCpuPerCore;
 }
 
+bool InterferenceGuard::noteTail(const TaskRef &ref, TimePoint now)
+{
+    CellTask &task = ref.task();
+    const double ratio = task.usage / static_cast<double>(ref.spec().targetMs);
+    if (task.state != TaskState::Running) {
+        task.overTargetSince = {};
+        return false;
+    }
+    if (ratio > 1.0) {
+        task.overTargetSince = task.overTargetSince == TimePoint{} ? now : task.overTargetSince;
+        task.recoveredSince = {};
+        return true;
+    }
+    // One low figure is no recovery: the reported tail is rough, the platform's own is not.
+    if (task.tailLog >= RecoveredTail) {
+        return task.overTargetSince != TimePoint{};
+    }
+    task.recoveredSince = task.recoveredSince == TimePoint{} ? now : task.recoveredSince;
+    if (now - task.recoveredSince >= RecoveryTime) {
+        task.overTargetSince = {};
+    }
+    return false;
+}
+
 std::vector<InterferenceGuard::Measure> InterferenceGuard::guard(CellWorker &worker, TimePoint now)
 {
     std::vector<Measure> measures;
     const TaskRef *victim = nullptr;
-    Duration longest{};
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs == 0) {
             continue;
         }
-        CellTask &task = it.task();
-        const double ratio = task.usage / static_cast<double>(it.spec().targetMs);
-        // One low figure is no recovery: the reported tail is rough, the platform's own is not.
-        const bool isRecovered = ratio <= 1.0 && task.tailLog < RecoveredTail;
-        if (task.state != TaskState::Running || isRecovered) {
-            task.overTargetSince = {};
-            continue;
-        }
-        if (ratio <= 1.0 && task.overTargetSince == TimePoint{}) {
-            continue;
-        }
-        if (task.overTargetSince == TimePoint{}) {
-            task.overTargetSince = now;
-        }
-        if (!victim || now - task.overTargetSince > longest) {
+        const bool isOver = noteTail(it, now);
+        const TimePoint since = it.task().overTargetSince;
+        if (isOver && (!victim || since < victim->task().overTargetSince)) {
             victim = &it;
-            longest = now - task.overTargetSince;
         }
     }
     if (now < worker.nextMeasure) {
         return measures;
     }
-    if (victim && longest >= FirstRelief) {
-        worker.nextMeasure = now + MeasurePause;
-        worker.noFillersUntil = now + NoNewFillers;
-        const std::string &serving = victim->spec().image;
-        const TaskRef *worst = nullptr;
-        double most = 0.0;
-        for (const TaskRef &it : worker.tasks) {
-            if (!isActiveFiller(it) || it.task().pace == 0) {
-                continue;
-            }
-            if (longest >= FullRelief) {
-                measures.push_back({it, Relief::Pace, 0});
-                continue;
-            }
-            const double strength = effect(serving, it.spec().image, now);
-            const double pressure = strength * fillerShare(worker, it);
-            if (strength >= WeakEffect && pressure > most) {
-                most = pressure;
-                worst = &it;
-            }
+    const Duration longest = victim ? now - victim->task().overTargetSince : Duration{};
+    if (longest >= FullRelief) {
+        holdAll(worker, now, measures);
+    } else if (longest >= FirstRelief) {
+        relieveMost(worker, *victim, now, measures);
+    } else if (!victim) {
+        resume(worker, now, measures);
+    }
+    return measures;
+}
+
+void InterferenceGuard::holdAll(CellWorker &worker, TimePoint now, std::vector<Measure> &measures)
+{
+    worker.nextMeasure = now + MeasurePause;
+    worker.noFillersUntil = now + NoNewFillers;
+    for (const TaskRef &it : worker.tasks) {
+        if (isActiveFiller(it) && it.task().pace > 0) {
+            measures.push_back({it, Relief::Pace, 0});
         }
-        if (worst) {
-            const bool canMove = worst->spec().isCheckpointing;
-            measures.push_back({*worst, canMove ? Relief::Stop : Relief::Pace, 0});
+    }
+}
+
+void InterferenceGuard::relieveMost(CellWorker &worker, const TaskRef &victim, TimePoint now,
+                                    std::vector<Measure> &measures)
+{
+    worker.nextMeasure = now + MeasurePause;
+    worker.noFillersUntil = now + NoNewFillers;
+    const TaskRef *worst = nullptr;
+    double most = 0.0;
+    for (const TaskRef &it : worker.tasks) {
+        if (!isActiveFiller(it) || it.task().pace == 0) {
+            continue;
+        }
+        const double strength = effect(victim.spec().image, it.spec().image, now);
+        const double pressure = strength * fillerShare(worker, it);
+        if (strength >= WeakEffect && pressure > most) {
+            most = pressure;
+            worst = &it;
         }
-        return measures;
     }
-    if (!victim) {
-        resume(worker, now, measures);
+    if (worst) {
+        const bool canMove = worst->spec().isCheckpointing;
+        measures.push_back({*worst, canMove ? Relief::Stop : Relief::Pace, 0});
     }
-    return measures;
 }
 
 } // namespace firefly
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -47,6 +47,11 @@
     void restoreLessons(std::string_view lessons, TimePoint now);
 
 private:
+    /// Keeps the time that a serving task has been over its target; true while it is.
+    static bool noteTail(const TaskRef &ref, TimePoint now);
+    static void holdAll(CellWorker &worker, TimePoint now, std::vector<Measure> &measures);
+    void relieveMost(CellWorker &worker, const TaskRef &victim, TimePoint now,
+                     std::vector<Measure> &measures);
     void resume(CellWorker &worker, TimePoint now, std::vector<Measure> &measures);
     double effect(const std::string &serving, const std::string &filler, TimePoint now);
     double baseline(const std::string &serving, TimePoint now);
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -19,6 +19,7 @@
 constexpr double SlowestClock = 0.98;
 /// A worker's clock that is this much behind what it was belongs to another incarnation.
 constexpr Duration ClockTolerance = std::chrono::milliseconds(1000);
+constexpr int FullPace = 100;
 /// A stop without a listed end is repeated after this time.
 constexpr Duration StopRepeat = std::chrono::milliseconds(700);
 /// Interval of checks that need not react faster.
@@ -177,6 +178,21 @@
     }
 }
 
+void CellScheduler::onPaceOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
+                                  OrderOutcome outcome, TimePoint now)
+{
+    m_now = now;
+    const auto ref = m_state.findTask(name);
+    if (outcome == OrderOutcome::Accepted || !ref) {
+        return;
+    }
+    // Which pace the worker keeps is unknown: the guard sets it anew when the tails ask for it.
+    CellTask &task = ref->task();
+    if (task.worker && task.worker->info.id == id && task.run == run) {
+        task.pace = FullPace;
+    }
+}
+
 void CellScheduler::onLeaseReport(const WorkerId &id, OrderOutcome outcome,
                                   const LeaseReport &report, TimePoint sentAt, TimePoint now,
                                   std::int64_t nowUnixMs)
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -502,6 +502,8 @@
                      guarded([worker = order.worker, task = order.task,
                               run = order.run](Private &self, const OrderReply &reply) {
                          self.noteOutcome("pace", worker, task, run, reply.outcome);
+                         self.scheduler.onPaceOutcome(worker, task, run, reply.outcome,
+                                                      Clock::now());
                      }));
     }
 
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -71,7 +71,10 @@
     return WorkerPrefix + std::string(worker);
 }
 
-std::string lessonsKey() { return LessonsPrefix + std::string("interference"); }
+std::string lessonsKey()
+{
+    return LessonsPrefix + std::string("interference");
+}
 
 ParsedKey parseKey(std::string_view key)
 {
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -1,4 +1,5 @@
 #include "CellLease/CellElection.h"
+
 #include "CellLease/ClaimRecord.h"
 
 #include <gtest/gtest.h>
