Make a cell's owner cheap enough for 490 workers

Cause, by reading after the grown sites saturated the owner at 0.44 core: each choice of a worker looked up image pairs by strings for each pair of tasks on each worker; pending jobs were counted into a map at each step of the loop; a refused filler of one image hid larger fillers of every image for the pass; 512 idle connections were kept for 490 workers with two each, so connections were opened 42,211 times.

Change: images are numbers, effects a matrix, each worker keeps the outlook of its serving tasks; counts by interval; refusals by image; fewer placement passes in large cells; idle connections by the VM's descriptors.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -9,6 +9,9 @@
 
 struct CellWorker;
 
+/// Dense number of an image within one cell's owner.
+using ImageIndex = std::uint16_t;
+
 /// Where a task stands in its owner's view.
 enum class TaskState {
     Unlocated, ///< An earlier owner may have started it; not to be started yet.
@@ -72,6 +75,7 @@
 {
     JobId id;
     JobSpec spec;
+    std::vector<ImageIndex> images; ///< By step.
     std::int64_t submittedAtUnixMs = 0;
     JobState state = JobState::Queued;
     JobState shownState = JobState::Queued; ///< Last state that is durable.
@@ -105,6 +109,7 @@
     std::uint32_t index = 0;
 
     const StepSpec &spec() const { return job->spec.steps[step]; }
+    ImageIndex image() const { return job->images[step]; }
     StepRun &stepRun() const { return job->occurrences[occurrence].steps[step]; }
     CellTask &task() const { return stepRun().tasks[index]; }
     TaskName name() const { return {job->id, occurrence, step, index}; }
@@ -139,6 +144,16 @@
     TimePoint avoidUntil{};
     std::uint32_t strikes = 0; ///< Failures in a row that speak against the worker.
     TimePoint noFillersUntil{};
+    /// What the guard expects of one serving task here.
+    struct ServingOutlook
+    {
+        ImageIndex image = 0;
+        double expected = 0;    ///< Log of tail over target.
+        double probability = 0; ///< Of being over the target.
+    };
+    std::vector<ServingOutlook> outlook; ///< By InterferenceGuard; valid while isOutlookValid.
+    bool isOutlookValid = false;         ///< Cleared when tasks come, go or report.
+    TimePoint outlookAt{};
     TimePoint nextMeasure{}; ///< Earliest next change to the fillers' pace.
 
     /// Lower bound of the worker's clock at \a now, in ms; its clock may be 2 % slow.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -11,6 +11,7 @@
 
 /// Placement runs at most this often; several ends and submits share one pass.
 constexpr Duration PlacementInterval = std::chrono::milliseconds(10);
+constexpr std::size_t WorkersPerInterval = 100;
 /// What was learned about interference is recorded for the next owner this often.
 constexpr Duration LessonsInterval = std::chrono::seconds(3);
 constexpr Duration CleanupInterval = std::chrono::seconds(1);
@@ -111,6 +112,7 @@
 {
     for (auto &[id, job] : m_state.jobs) {
         const auto ageMs = static_cast<double>(nowUnixMs - job->submittedAtUnixMs);
+        setImages(*job);
         setObjective(*job, now - fromMs(ageMs));
         const auto it = m_restoredProgress.find(id);
         if (it != m_restoredProgress.end()) {
@@ -168,6 +170,7 @@
     job.id = id;
     job.spec = std::move(spec);
     job.submittedAtUnixMs = nowUnixMs;
+    setImages(job);
     setObjective(job, now);
     m_state.jobs.emplace(id.value(), std::move(created));
     openDueOccurrences(job, nowUnixMs);
@@ -196,6 +199,14 @@
     };
 }
 
+void CellScheduler::setImages(CellJob &job)
+{
+    job.images.clear();
+    for (const StepSpec &it : job.spec.steps) {
+        job.images.push_back(m_interference.indexOf(it.image));
+    }
+}
+
 bool CellScheduler::cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs,
                            OnVerdict onVerdict)
 {
@@ -341,7 +352,7 @@
         m_lastLessons = now;
         m_state.journal.put({JobRecords::lessonsKey(), m_interference.encodeLessons(now)});
     }
-    if (m_state.wantsPlacement && now - m_lastPlacement >= PlacementInterval
+    if (m_state.wantsPlacement && now - m_lastPlacement >= placementInterval()
         && now < m_state.ordersUntil) {
         m_state.wantsPlacement = false;
         m_lastPlacement = now;
@@ -350,6 +361,12 @@
     renewLeases(now);
 }
 
+Duration CellScheduler::placementInterval() const
+{
+    // A pass looks at every worker: a large cell makes fewer of them.
+    return PlacementInterval * static_cast<int>(1 + m_state.workers.size() / WorkersPerInterval);
+}
+
 void CellScheduler::dropOldJobs(std::int64_t nowUnixMs)
 {
     const auto keptMs = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -84,6 +84,8 @@
     static CellJournal::OnLost lostVerdict(OnVerdict onVerdict);
     void recordProgress(CellJob &job);
     static std::vector<TaskProgress> progressOf(const CellJob &job);
+    void setImages(CellJob &job);
+    Duration placementInterval() const;
     void restoreTasks(CellJob &job, const JobProgress &progress);
     void finalize(CellJob &job, JobState state, std::int64_t nowUnixMs);
     void stopTasks(CellJob &job);
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -34,6 +34,10 @@
 /// Weight of the newest report in the smoothed tail, and the time it takes to forget.
 constexpr double TailWeight = 0.4;
 constexpr Duration TailMemory = std::chrono::milliseconds(1200);
+/// Log of tail over target that is expected of an image without observations.
+constexpr double UnknownBaseline = -1.0;
+/// Changes of the log of a tail under this are not worth a computation.
+constexpr double NegligibleEffect = 0.01;
 /// Deviation of the log of a tail over its target from one moment to the next.
 constexpr double TailDeviation = 0.45;
 /// Serving tasks that one core of filling work may push over their target: a task over its target
@@ -77,6 +81,7 @@
 
 void InterferenceGuard::observe(CellWorker &worker, TimePoint now)
 {
+    worker.isOutlookValid = false;
     std::vector<WorkloadShare> others;
     for (const TaskRef &it : worker.tasks) {
         if (isActiveFiller(it)) {
@@ -100,54 +105,76 @@
     }
 }
 
-double InterferenceGuard::effect(const std::string &serving, const std::string &filler,
-                                 TimePoint now)
+ImageIndex InterferenceGuard::indexOf(std::string_view image)
 {
-    Cached &cached = m_effects[{serving, filler}];
-    if (cached.at == TimePoint{} || now - cached.at > CacheTime) {
-        const auto victim = m_model.service(ServiceId(serving));
-        const auto aggressor = m_model.batchKind(filler);
-        const WorkloadShare beside{aggressor, 1.0};
-        const double with = m_model.predict(victim, {&beside, 1}, now, UnitLoad).mean;
-        const double without = m_model.predict(victim, {}, now, UnitLoad).mean;
-        cached = {std::max(0.0, with - without), now};
+    const auto next = static_cast<ImageIndex>(m_images.size());
+    const auto [it, isNew] = m_indexOfImage.try_emplace(std::string(image), next);
+    if (isNew) {
+        m_images.emplace_back(image);
+        m_refreshedAt = {};
     }
-    return cached.value;
+    return it->second;
 }
 
-double InterferenceGuard::baseline(const std::string &serving, TimePoint now)
+void InterferenceGuard::refreshEffects(TimePoint now)
 {
-    Cached &cached = m_baselines[serving];
-    if (cached.at == TimePoint{} || now - cached.at > CacheTime) {
-        const auto victim = m_model.service(ServiceId(serving));
-        const double mean = m_model.predict(victim, {}, now, UnitLoad).mean;
-        // Before any observation the model says 1: nothing is known against the worker.
-        cached = {mean > 1.0 ? mean - 1 - LogShift : -1.0, now};
+    if (m_refreshedAt != TimePoint{} && now - m_refreshedAt < CacheTime) {
+        return;
+    }
+    m_refreshedAt = now;
+    const std::size_t n = m_images.size();
+    m_effects.assign(n * n, 0.0);
+    m_baselines.assign(n, UnknownBaseline);
+    for (std::size_t s = 0; s < n; ++s) {
+        const auto victim = m_model.service(ServiceId(m_images[s]));
+        const double alone = m_model.predict(victim, {}, now, UnitLoad).mean;
+        // Before any observation the model says 1.
+        m_baselines[s] = alone > 1.0 ? alone - 1 - LogShift : UnknownBaseline;
+        for (std::size_t f = 0; f < n; ++f) {
+            const WorkloadShare beside{m_model.batchKind(m_images[f]), 1.0};
+            const double with = m_model.predict(victim, {&beside, 1}, now, UnitLoad).mean;
+            m_effects[s * n + f] = std::max(0.0, with - alone);
+        }
     }
-    return cached.value;
 }
 
-double InterferenceGuard::harmOf(const CellWorker &worker, const StepSpec &filler, TimePoint now)
+void InterferenceGuard::refreshOutlook(CellWorker &worker, TimePoint now)
 {
-    const double share = shareOf(worker, static_cast<double>(filler.demand.milliCpu));
-    double harm = 0.0;
+    refreshEffects(now);
+    if (worker.isOutlookValid && now - worker.outlookAt < CacheTime) {
+        return;
+    }
+    worker.isOutlookValid = true;
+    worker.outlookAt = now;
+    worker.outlook.clear();
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs == 0) {
             continue;
         }
-        const std::string &serving = it.spec().image;
         const CellTask &task = it.task();
-        double expected = task.hasTail ? task.tailLog : baseline(serving, now);
+        double expected = task.hasTail ? task.tailLog : m_baselines[it.image()];
         for (const TaskRef &other : worker.tasks) {
             // Older fillers are in the smoothed tail already.
             const bool isNew = other.spec().isFiller
                                && (!task.hasTail || now - other.task().startedAt < TailMemory);
             if (isNew) {
-                expected += effect(serving, other.spec().image, now) * fillerShare(worker, other);
+                expected += effect(it.image(), other.image()) * fillerShare(worker, other);
             }
         }
-        const double added = effect(serving, filler.image, now) * share;
-        harm += overProbability(expected + added) - overProbability(expected);
+        worker.outlook.push_back({it.image(), expected, overProbability(expected)});
+    }
+}
+
+double InterferenceGuard::harmOf(CellWorker &worker, const TaskRef &filler, TimePoint now)
+{
+    refreshOutlook(worker, now);
+    const double share = shareOf(worker, static_cast<double>(filler.spec().demand.milliCpu));
+    double harm = 0.0;
+    for (const CellWorker::ServingOutlook &it : worker.outlook) {
+        const double added = effect(it.image, filler.image()) * share;
+        if (added > NegligibleEffect) {
+            harm += overProbability(it.expected + added) - it.probability;
+        }
     }
     return harm;
 }
@@ -162,8 +189,7 @@
 void InterferenceGuard::restoreLessons(std::string_view lessons, TimePoint now)
 {
     m_model = SlowdownModel(ModelSettings);
-    m_effects.clear();
-    m_baselines.clear();
+    m_refreshedAt = {};
     if (lessons.empty()) {
         return;
     }
@@ -181,7 +207,7 @@
             continue;
         }
         worker.nextMeasure = now + MeasurePause;
-        if (isWorthHarm(it.spec(), harmOf(worker, it.spec(), now))) {
+        if (isWorthHarm(it.spec(), harmOf(worker, it, now))) {
             measures.push_back({it, Relief::Pace, 100});
         } else if (it.spec().isCheckpointing && now - it.task().pacedAt > LongestHold) {
             measures.push_back({it, Relief::Stop, 0});
@@ -263,13 +289,14 @@
 {
     worker.nextMeasure = now + MeasurePause;
     worker.noFillersUntil = now + NoNewFillers;
+    refreshEffects(now);
     const TaskRef *worst = nullptr;
     double most = 0.0;
     for (const TaskRef &it : worker.tasks) {
         if (!isActiveFiller(it) || it.task().pace == 0) {
             continue;
         }
-        const double strength = effect(victim.spec().image, it.spec().image, now);
+        const double strength = effect(victim.image(), it.image());
         const double pressure = strength * fillerShare(worker, it);
         if (strength >= WeakEffect && pressure > most) {
             most = pressure;
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -22,8 +22,10 @@
     void observe(CellWorker &worker, TimePoint now);
 
     /// Number of serving tasks on \a worker that one more filler is expected to push over their
-    /// target, a fraction mostly.  O(tasks on the worker).
-    double harmOf(const CellWorker &worker, const StepSpec &filler, TimePoint now);
+    /// target, a fraction mostly.  O(serving tasks), and O(tasks^2) after a change.
+    double harmOf(CellWorker &worker, const TaskRef &filler, TimePoint now);
+    /// Number of \a image; added when new.
+    ImageIndex indexOf(std::string_view image);
 
     /// Whether the work that \a filler brings outweighs \a harm.
     static bool isWorthHarm(const StepSpec &filler, double harm);
@@ -53,21 +55,22 @@
     void relieveMost(CellWorker &worker, const TaskRef &victim, TimePoint now,
                      std::vector<Measure> &measures);
     void resume(CellWorker &worker, TimePoint now, std::vector<Measure> &measures);
-    double effect(const std::string &serving, const std::string &filler, TimePoint now);
-    double baseline(const std::string &serving, TimePoint now);
-
-    struct Cached
+    void refreshEffects(TimePoint now);
+    void refreshOutlook(CellWorker &worker, TimePoint now);
+    double effect(ImageIndex serving, ImageIndex filler) const
     {
-        double value = 0;
-        TimePoint at{};
-    };
+        return m_effects[serving * m_images.size() + filler];
+    }
 
     static constexpr SlowdownSettings ModelSettings{
         .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.002};
 
     SlowdownModel m_model{ModelSettings};
-    std::map<std::pair<std::string, std::string>, Cached> m_effects;
-    std::map<std::string, Cached> m_baselines;
+    std::vector<std::string> m_images;     ///< By index.
+    std::map<std::string, ImageIndex, std::less<>> m_indexOfImage;
+    std::vector<double> m_effects;   ///< By serving and filling image; of a whole worker.
+    std::vector<double> m_baselines; ///< By serving image; log of tail over target.
+    TimePoint m_refreshedAt{};
 };
 
 } // namespace firefly
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -49,13 +49,13 @@
 
 /// Serving tasks of one image go together: a filler that presses one image then still has workers
 /// where that image is not.
-double likenessOf(const CellWorker &worker, const std::string &image)
+double likenessOf(const CellWorker &worker, ImageIndex image)
 {
     double likeness = 0.0;
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs > 0) {
             likeness =
-                it.spec().image == image ? std::max(likeness, SameImageBonus) : OtherImagePenalty;
+                it.image() == image ? std::max(likeness, SameImageBonus) : OtherImagePenalty;
         }
         if (likeness < 0.0) {
             break;
@@ -179,7 +179,8 @@
 {
     const StepSpec &spec = ref.spec();
     return std::ranges::any_of(m_refused, [&](const Refused &it) {
-        return it.isFiller == spec.isFiller && it.service == ref.job->spec.policy.service
+        return it.isFiller == spec.isFiller && (!spec.isFiller || it.image == ref.image())
+               && it.service == ref.job->spec.policy.service
                && spec.demand.fits(it.demand);
     });
 }
@@ -188,7 +189,7 @@
 {
     const StepSpec &spec = ref.spec();
     if (spec.requiredLabel.empty() && spec.maxPerWorker == 0) {
-        m_refused.push_back({ref.job->spec.policy.service, spec.isFiller, spec.demand});
+        m_refused.push_back({ref.job->spec.policy.service, spec.isFiller, ref.image(), spec.demand});
     }
 }
 
@@ -239,7 +240,7 @@
     return true;
 }
 
-std::optional<double> Placement::score(const CellWorker &worker, const TaskRef &ref,
+std::optional<double> Placement::score(CellWorker &worker, const TaskRef &ref,
                                        TimePoint now) const
 {
     const StepSpec &spec = ref.spec();
@@ -248,7 +249,7 @@
     double value = 0.0;
     if (spec.isFiller) {
         value = expectedUnused(worker) / capacity;
-        const double harm = m_interference.harmOf(worker, spec, now);
+        const double harm = m_interference.harmOf(worker, ref, now);
         if (!InterferenceGuard::isWorthHarm(spec, harm)) {
             return std::nullopt;
         }
@@ -256,7 +257,7 @@
     } else {
         value = -static_cast<double>(worker.freeRoom().milliCpu) / capacity;
         if (spec.targetMs > 0) {
-            value += likenessOf(worker, spec.image);
+            value += likenessOf(worker, ref.image());
         }
     }
     if (!spec.dataRack.empty() && worker.info.rack == spec.dataRack) {
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -24,7 +24,7 @@
     CellWorker *choose(const TaskRef &ref, TimePoint now) const;
     bool mayHost(const CellWorker &worker, const TaskRef &ref, TimePoint now) const;
     /// Higher is better; nothing where the task must not go.
-    std::optional<double> score(const CellWorker &worker, const TaskRef &ref, TimePoint now) const;
+    std::optional<double> score(CellWorker &worker, const TaskRef &ref, TimePoint now) const;
     void start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now);
 
     /// A demand that no worker could take in this pass; larger ones needn't be tried.
@@ -32,6 +32,7 @@
     {
         std::string service;
         bool isFiller = false;
+        ImageIndex image = 0; ///< Counts for fillers only.
         Room demand;
     };
     bool isHopeless(const TaskRef &ref) const;
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -46,6 +46,7 @@
     worker.longRunningCpu -= spec.isLongRunning ? spec.reservation().milliCpu : 0;
     const auto it = std::ranges::find(worker.tasks, ref);
     FIREFLY_ASSERT(it != worker.tasks.end(), "a placed task is in its worker's list");
+    worker.isOutlookValid = false;
     *it = worker.tasks.back();
     worker.tasks.pop_back();
     task.worker = nullptr;
@@ -69,6 +70,7 @@
     worker.fillerCpu += spec.isFiller ? spec.demand.milliCpu : 0;
     worker.longRunningCpu += spec.isLongRunning ? spec.reservation().milliCpu : 0;
     worker.tasks.push_back(ref);
+    worker.isOutlookValid = false;
     task.worker = &worker;
     task.run = run;
     task.percent = 0;
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -30,6 +30,8 @@
 constexpr Duration AppendRetryPause = std::chrono::milliseconds(60);
 /// A store that refuses appends for this long can't take new jobs.
 constexpr Duration ToleratedOutage = std::chrono::milliseconds(400);
+/// The counts of waiting jobs are published with each renewal of the claim.
+constexpr Duration PendingCountInterval = std::chrono::milliseconds(300);
 /// Interval of the owner's line on its load.
 constexpr Duration LoadLineInterval = std::chrono::seconds(2);
 /// The candidate with a whole core goes first; one without any waits this long.
@@ -148,7 +150,10 @@
             scheduler.tick(now, unixMs());
             sendOrders(now);
             sendJournal();
-            election.setPending(scheduler.pendingByQueue());
+            if (now - lastPendingCount >= PendingCountInterval) {
+                lastPendingCount = now;
+                election.setPending(scheduler.pendingByQueue());
+            }
             logLoad(now);
         }
         sendClaim(now);
@@ -556,6 +561,7 @@
     Timer timer;
     Timer journalTimer;
     TimePoint lastLoadLine{};
+    TimePoint lastPendingCount{};
     Epoch epoch = 0;
     Epoch fencedEpoch = 0; ///< Last epoch that this process gave up.
     std::uint64_t generation = 0;
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -33,11 +33,19 @@
     return node + "." + std::to_string(device());
 }
 
+CurlLoopOptions curlOptions(const NodeSettings &settings)
+{
+    // An owner keeps connections to each of its workers; clients get the other descriptors.
+    CurlLoopOptions options;
+    options.maxIdleConnections = static_cast<long>(settings.maxConnections / 2);
+    return options;
+}
+
 HttpLimits callerLimits(const NodeSettings &settings)
 {
     HttpLimits limits;
     limits.maxBodyBytes = LargestCallerBody;
-    limits.maxConnections = settings.maxConnections;
+    limits.maxConnections = settings.maxConnections / 2;
     limits.readTimeout = IdleConnection;
     limits.handleTimeout = SlowestRequest * 2;
     return limits;
@@ -52,7 +60,7 @@
         , settings(std::move(settingsIn))
         , incarnation(makeIncarnation(settings.node))
         , log(settings.node, LogLevel::Info)
-        , curl(context)
+        , curl(context, curlOptions(settings))
         , store(curl, settings.store)
         , workers(curl)
         , cell(context, settings, cellOptions(), store, workers, log, metrics)
