Ask for reports sooner where a serving task may need relief

Change: renewals wait at most 0.7 s beside fillers and 0.25 s while a task is over its target; no new filler from the first report on; all are held after 1.2 s.

Ruled out: refused paces (none logged).

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -116,6 +116,13 @@
     bool operator==(const TaskRef &) const = default;
 };
 
+/// How soon a worker's next report is wanted.
+enum class Attention {
+    Usual,
+    Raised, ///< Fillers work beside serving tasks.
+    Close,  ///< A serving task beside them is over its target.
+};
+
 /// A worker of the cell.
 struct CellWorker
 {
@@ -154,6 +161,7 @@
     std::vector<ServingOutlook> outlook; ///< By InterferenceGuard; valid while isOutlookValid.
     bool isOutlookValid = false;         ///< Cleared when tasks come, go or report.
     TimePoint outlookAt{};
+    Attention attention = Attention::Usual;
     TimePoint nextMeasure{}; ///< Earliest next change to the fillers' pace.
 
     /// Lower bound of the worker's clock at \a now, in ms; its clock may be 2 % slow.
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -21,7 +21,7 @@
 /// A task this long over its target gets relief; the platform tolerates several seconds.
 constexpr Duration FirstRelief = std::chrono::milliseconds(300);
 /// After this long over the target every filler on the worker is held.
-constexpr Duration FullRelief = std::chrono::milliseconds(1600);
+constexpr Duration FullRelief = std::chrono::milliseconds(1200);
 /// Time for a measure to show in the reported tail, which covers half a second.
 constexpr Duration MeasurePause = std::chrono::milliseconds(600);
 constexpr Duration NoNewFillers = std::chrono::milliseconds(1500);
@@ -249,6 +249,7 @@
 {
     std::vector<Measure> measures;
     const TaskRef *victim = nullptr;
+    refreshOutlook(worker, now);
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs == 0) {
             continue;
@@ -259,6 +260,15 @@
             victim = &it;
         }
     }
+    const bool hasFillers = std::ranges::any_of(
+        worker.tasks, [](const TaskRef &it) { return isActiveFiller(it) && it.task().pace > 0; });
+    worker.attention = Attention::Usual;
+    if (hasFillers && !worker.outlook.empty()) {
+        worker.attention = victim ? Attention::Close : Attention::Raised;
+    }
+    if (victim) {
+        worker.noFillersUntil = now + NoNewFillers;
+    }
     if (now < worker.nextMeasure) {
         return measures;
     }
@@ -276,7 +286,6 @@
 void InterferenceGuard::holdAll(CellWorker &worker, TimePoint now, std::vector<Measure> &measures)
 {
     worker.nextMeasure = now + MeasurePause;
-    worker.noFillersUntil = now + NoNewFillers;
     for (const TaskRef &it : worker.tasks) {
         if (isActiveFiller(it) && it.task().pace > 0) {
             measures.push_back({it, Relief::Pace, 0});
@@ -288,7 +297,6 @@
                                     std::vector<Measure> &measures)
 {
     worker.nextMeasure = now + MeasurePause;
-    worker.noFillersUntil = now + NoNewFillers;
     refreshEffects(now);
     const TaskRef *worst = nullptr;
     double most = 0.0;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -11,6 +11,9 @@
 /// Longest wait of a renewal's answer for an end, with and without tasks on the worker.
 constexpr Duration BusyWait = std::chrono::milliseconds(1000);
 constexpr Duration IdleWait = std::chrono::milliseconds(2000);
+/// The same where a serving task needs relief in time: its target may be missed for some seconds.
+constexpr Duration RaisedWait = std::chrono::milliseconds(700);
+constexpr Duration CloseWait = std::chrono::milliseconds(250);
 constexpr Duration FirstRetry = std::chrono::milliseconds(150);
 constexpr Duration LongestRetry = std::chrono::milliseconds(1200);
 /// Added to the computed end of a lease, for orders under way.
@@ -38,6 +41,22 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+Duration reportWait(const CellWorker &worker)
+{
+    if (worker.tasks.empty()) {
+        return IdleWait;
+    }
+    switch (worker.attention) {
+    case Attention::Close:
+        return CloseWait;
+    case Attention::Raised:
+        return RaisedWait;
+    case Attention::Usual:
+        break;
+    }
+    return BusyWait;
+}
+
 Duration retryAfter(std::uint32_t failures)
 {
     const auto shift = std::min<std::uint32_t>(failures, 6) - 1;
@@ -253,7 +272,7 @@
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
         if (worker.durableEnd == worker.handledEnd) {
-            order.wait = worker.tasks.empty() ? IdleWait : BusyWait;
+            order.wait = reportWait(worker);
         }
     }
     worker.isRenewing = true;
