Let the lease of a silent worker end

Change: after a failed renewal the next ones grant nothing; leases are 5 s rather than the longest possible, still longer than a change of owner.

Ruled out: room (the new workers had some), avoidance of workers.

Lint findings mended.

--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -151,7 +151,7 @@
 }
 
 void CellScheduler::submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
-                           OnVerdict onVerdict)
+                           const OnVerdict &onVerdict)
 {
     m_now = now;
     if (CellJob *known = m_state.findJob(id)) {
@@ -208,7 +208,7 @@
 }
 
 bool CellScheduler::cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs,
-                           OnVerdict onVerdict)
+                           const OnVerdict &onVerdict)
 {
     m_now = now;
     CellJob *job = m_state.findJob(id);
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -47,9 +47,9 @@
     };
     using OnVerdict = std::function<void(Verdict)>;
     void submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
-                OnVerdict onVerdict);
+                const OnVerdict &onVerdict);
     /// False when there is no such job.  The verdict is Accepted once the cancel is durable.
-    bool cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs, OnVerdict onVerdict);
+    bool cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
     std::optional<JobState> stateOf(const JobId &id) const;
     /// Accepted jobs without due times of which no task has started, by queue.
     std::map<std::string, int> pendingByQueue() const;
--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -256,7 +256,7 @@
         }
         const bool isOver = noteTail(it, now);
         const TimePoint since = it.task().overTargetSince;
-        if (isOver && (!victim || since < victim->task().overTargetSince)) {
+        if (isOver && (victim == nullptr || since < victim->task().overTargetSince)) {
             victim = &it;
         }
     }
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -66,7 +66,7 @@
         .priorMean = 1.5, .priorDeviation = 5.0, .noiseDeviation = 0.7, .driftPerSecond = 0.002};
 
     SlowdownModel m_model{ModelSettings};
-    std::vector<std::string> m_images;     ///< By index.
+    std::vector<std::string> m_images; ///< By index.
     std::map<std::string, ImageIndex, std::less<>> m_indexOfImage;
     std::vector<double> m_effects;   ///< By serving and filling image; of a whole worker.
     std::vector<double> m_baselines; ///< By serving image; log of tail over target.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -54,8 +54,7 @@
     double likeness = 0.0;
     for (const TaskRef &it : worker.tasks) {
         if (it.spec().targetMs > 0) {
-            likeness =
-                it.image() == image ? std::max(likeness, SameImageBonus) : OtherImagePenalty;
+            likeness = it.image() == image ? std::max(likeness, SameImageBonus) : OtherImagePenalty;
         }
         if (likeness < 0.0) {
             break;
@@ -180,8 +179,7 @@
     const StepSpec &spec = ref.spec();
     return std::ranges::any_of(m_refused, [&](const Refused &it) {
         return it.isFiller == spec.isFiller && (!spec.isFiller || it.image == ref.image())
-               && it.service == ref.job->spec.policy.service
-               && spec.demand.fits(it.demand);
+               && it.service == ref.job->spec.policy.service && spec.demand.fits(it.demand);
     });
 }
 
@@ -189,7 +187,8 @@
 {
     const StepSpec &spec = ref.spec();
     if (spec.requiredLabel.empty() && spec.maxPerWorker == 0) {
-        m_refused.push_back({ref.job->spec.policy.service, spec.isFiller, ref.image(), spec.demand});
+        m_refused.push_back(
+            {ref.job->spec.policy.service, spec.isFiller, ref.image(), spec.demand});
     }
 }
 
@@ -240,8 +239,7 @@
     return true;
 }
 
-std::optional<double> Placement::score(CellWorker &worker, const TaskRef &ref,
-                                       TimePoint now) const
+std::optional<double> Placement::score(CellWorker &worker, const TaskRef &ref, TimePoint now) const
 {
     const StepSpec &spec = ref.spec();
     const double capacity =
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -14,6 +14,8 @@
 /// The same where a serving task needs relief in time: its target may be missed for some seconds.
 constexpr Duration RaisedWait = std::chrono::milliseconds(700);
 constexpr Duration CloseWait = std::chrono::milliseconds(250);
+/// Long enough for a change of owner, short enough to restart the tasks of a lost worker soon.
+constexpr Duration PreferredLease = std::chrono::milliseconds(5000);
 constexpr Duration FirstRetry = std::chrono::milliseconds(150);
 constexpr Duration LongestRetry = std::chrono::milliseconds(1200);
 /// Added to the computed end of a lease, for orders under way.
@@ -267,8 +269,11 @@
     // After a failed renewal the next one may reach a new incarnation, whose ends count anew.
     const bool mayBeNew = worker.isRestartSuspected || worker.renewFailures > 0;
     order.lastSeenEnd = mayBeNew ? 0 : worker.durableEnd;
-    if (worker.isContacted) {
-        const Duration lease = std::min(m_state.bounds.maxLease, m_state.ordersUntil - now);
+    // A renewal that may be carried out late must not lengthen the lease of a silent worker: its
+    // tasks would be held back for ever.
+    if (worker.isContacted && worker.renewFailures == 0) {
+        const Duration longest = std::min(m_state.bounds.maxLease, PreferredLease);
+        const Duration lease = std::min(longest, m_state.ordersUntil - now);
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
         if (worker.durableEnd == worker.handledEnd) {
--- a/src/Interference/SlowdownModel.cpp
+++ b/src/Interference/SlowdownModel.cpp
@@ -168,7 +168,8 @@
     for (const auto &[victim, learned] : m_victims) {
         const SlowdownEstimate alone = predict(victim, {}, now, load);
         rows.push_back({m_names[victim], "", learned.means[0] * load, alone.deviation});
-        for (WorkloadIndex other = 0; other < learned.placeOf.size(); ++other) {
+        const auto known = WorkloadIndex(learned.placeOf.size());
+        for (WorkloadIndex other = 0; other < known; ++other) {
             if (learned.placeOf[other] == NoPlace) {
                 continue;
             }
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -645,7 +645,7 @@
     done({CallerVerdict::NoSuchJob, JobState::Queued, 0, "no such job"});
 }
 
-void CellHost::cancel(const JobId &id, OnCallerReply done)
+void CellHost::cancel(const JobId &id, const OnCallerReply &done)
 {
     Private &self = *m_private;
     const auto onVerdict = [done](CellScheduler::Verdict verdict) {
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -49,7 +49,7 @@
 
     void submit(const JobId &id, JobSpec spec, OnCallerReply done);
     void query(const JobId &id, const OnCallerReply &done);
-    void cancel(const JobId &id, OnCallerReply done);
+    void cancel(const JobId &id, const OnCallerReply &done);
 
     nlohmann::json dump() const;
 
--- a/src/Node/PeerJobs.cpp
+++ b/src/Node/PeerJobs.cpp
@@ -109,7 +109,7 @@
         }
         return;
     case CallerVerb::Cancel:
-        m_cell.cancel(request.job, std::move(done));
+        m_cell.cancel(request.job, done);
         return;
     case CallerVerb::Query:
     case CallerVerb::CountPending:
--- a/src/Node/TopicFollower.cpp
+++ b/src/Node/TopicFollower.cpp
@@ -42,12 +42,13 @@
 
     void loadPage()
     {
-        store.newest(partition, afterKey, [weak = weak_from_this()](platform::NewestPage page) {
-            const auto self = weak.lock();
-            if (self && !self->isStopped) {
-                self->takePage(page);
-            }
-        });
+        store.newest(partition, afterKey,
+                     [weak = weak_from_this()](const platform::NewestPage &page) {
+                         const auto self = weak.lock();
+                         if (self && !self->isStopped) {
+                             self->takePage(page);
+                         }
+                     });
     }
 
     void takePage(const platform::NewestPage &page)
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -284,7 +284,7 @@
     void newOwner(TimePoint locateUntil)
     {
         owner = std::make_unique<CellScheduler>(bounds);
-        ++generation;
+        ++m_generation;
         owner->beginOwnership(++epoch, now, locateUntil);
         for (const auto &[key, value] : store) {
             owner->restore(key, value);
@@ -293,7 +293,7 @@
         for (const auto &[id, worker] : workers) {
             owner->onWorkerListed(worker->describe(), now);
         }
-        isAppending = false;
+        m_isAppending = false;
     }
 
     std::int64_t unixMs() const
@@ -325,9 +325,9 @@
     {
         constexpr Duration Step = std::chrono::milliseconds(5);
         now += Step;
-        while (!events.empty() && events.top().at <= now) {
-            const auto action = events.top().action;
-            events.pop();
+        while (!m_events.empty() && m_events.top().at <= now) {
+            const auto action = m_events.top().action;
+            m_events.pop();
             action();
         }
         for (auto &[id, worker] : workers) {
@@ -374,7 +374,7 @@
 
     void after(Duration delay, std::function<void()> action)
     {
-        events.push({now + delay, ++eventNumber, std::move(action)});
+        m_events.push({now + delay, ++m_eventNumber, std::move(action)});
     }
 
     Duration anyDelay()
@@ -413,8 +413,8 @@
         const auto executeIfSame = [execute, &worker, born = worker.born] {
             return worker.born == born ? execute() : OrderOutcome::Unknown;
         };
-        const auto reply = [this, done, sender = generation](OrderOutcome outcome) {
-            if (sender == generation) {
+        const auto reply = [this, done, sender = m_generation](OrderOutcome outcome) {
+            if (sender == m_generation) {
                 done(outcome);
             }
         };
@@ -479,16 +479,16 @@
 
     void append()
     {
-        if (isAppending) {
+        if (m_isAppending) {
             return;
         }
         const auto batch = owner->journal().next();
         if (!batch) {
             return;
         }
-        isAppending = true;
-        after(anyDelay(), [this, batch = *batch, sender = generation] {
-            if (sender != generation) {
+        m_isAppending = true;
+        after(anyDelay(), [this, batch = *batch, sender = m_generation] {
+            if (sender != m_generation) {
                 return;
             }
             if (!isStoreDown) {
@@ -500,16 +500,16 @@
                     }
                 }
             }
-            isAppending = false;
+            m_isAppending = false;
             owner->journal().onOutcome(isStoreDown ? AppendOutcome::Rejected
                                                    : AppendOutcome::Stored);
         });
     }
 
-    std::priority_queue<Event> events;
-    std::uint64_t eventNumber = 0;
-    std::uint64_t generation = 0;
-    bool isAppending = false;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_eventNumber = 0;
+    std::uint64_t m_generation = 0;
+    bool m_isAppending = false;
 };
 
 /// A job of \a steps steps of \a width tasks, each after the one before.
