--- /dev/null
+++ b/test/CellJournal.cpp
@@ -0,0 +1,94 @@
+#include "Cell/CellJournal.h"
+
+#include <gtest/gtest.h>
+
+namespace firefly {
+namespace {
+
+TEST(CellJournal, WhatComesDuringAnAppendSharesTheNextOne)
+{
+    CellJournal journal;
+    journal.put({"a", "1"});
+    const auto first = journal.next();
+    ASSERT_TRUE(first.has_value());
+    journal.put({"b", "1"});
+    journal.put({"c", "1"});
+    journal.put({"b", "2"});
+    EXPECT_FALSE(journal.next().has_value());
+    journal.onOutcome(AppendOutcome::Stored);
+    const auto second = journal.next();
+    ASSERT_TRUE(second.has_value());
+    EXPECT_EQ(second->sequence, first->sequence + 1);
+    ASSERT_EQ(second->records.size(), 2U);
+    EXPECT_EQ(second->records[0].value, "2");
+}
+
+TEST(CellJournal, ABatchWithoutAnswerIsRepeatedUnderItsNumber)
+{
+    CellJournal journal;
+    bool isDurable = false;
+    journal.put({"a", "1"}, [&] { isDurable = true; });
+    const auto first = journal.next();
+    journal.onOutcome(AppendOutcome::Unknown);
+    const auto again = journal.next();
+    ASSERT_TRUE(again.has_value());
+    EXPECT_EQ(again->sequence, first->sequence);
+    EXPECT_FALSE(isDurable);
+    journal.onOutcome(AppendOutcome::Stored);
+    EXPECT_TRUE(isDurable);
+}
+
+TEST(CellJournal, OnlyWhatWasSurelyNotStoredIsRefused)
+{
+    CellJournal journal;
+    int lost = 0;
+    int durable = 0;
+    const auto submit = [&](const char *key) {
+        journal.putRefusable(
+            {key, "1"}, [&] { ++durable; }, [&](bool) { ++lost; });
+    };
+    submit("a");
+    journal.next();
+    journal.onOutcome(AppendOutcome::Unknown);
+    submit("b");
+    journal.put({"p", "1"});
+    bool isBarrierPassed = false;
+    journal.whenDurable([&] { isBarrierPassed = true; });
+    journal.refuseNew();
+    EXPECT_EQ(lost, 1) << "the batch that may have been stored is kept";
+    journal.next();
+    journal.onOutcome(AppendOutcome::Stored);
+    EXPECT_EQ(durable, 1);
+    journal.next();
+    journal.onOutcome(AppendOutcome::Stored);
+    EXPECT_TRUE(isBarrierPassed);
+}
+
+TEST(CellJournal, ABarrierBehindARefusedRecordIsNotForgotten)
+{
+    CellJournal journal;
+    journal.putRefusable(
+        {"a", "1"}, [] {}, [](bool) {});
+    bool isPassed = false;
+    journal.whenDurable([&] { isPassed = true; });
+    journal.refuseNew();
+    EXPECT_TRUE(isPassed) << "nothing before it is left to wait for";
+}
+
+TEST(CellJournal, AbandoningSaysWhatMayHaveBeenStored)
+{
+    CellJournal journal;
+    std::vector<bool> surelyLost;
+    const auto note = [&](bool isSurelyLost) { surelyLost.push_back(isSurelyLost); };
+    journal.putRefusable(
+        {"a", "1"}, [] {}, note);
+    journal.next();
+    journal.putRefusable(
+        {"b", "1"}, [] {}, note);
+    journal.abandon();
+    EXPECT_EQ(surelyLost, (std::vector<bool>{false, true}));
+    EXPECT_TRUE(journal.isIdle());
+}
+
+} // namespace
+} // namespace firefly
--- /dev/null
+++ b/test/PlatformWire.cpp
@@ -0,0 +1,122 @@
+#include "platform/CallerHttp.h"
+#include "platform/SettingsFile.h"
+#include "platform/Wire.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+namespace firefly::platform {
+namespace {
+
+TEST(PlatformWire, AConfigurationGivesRoutesWithTheirPolicies)
+{
+    const FleetConfig config =
+        decodeConfig(R"({"version":7,"routes":[{"name":"r","host":"a.example","path_prefix":"/q/",)"
+                     R"("timeout_ms":2500,"target_latency_ms":250,"priority":2,"service":"s",)"
+                     R"("max_attempts":4,"stretch":1.5}],"services":[],"limits":{}})");
+    ASSERT_EQ(config.routes.size(), 1U);
+    EXPECT_EQ(config.version, 7U);
+    EXPECT_EQ(config.routes[0].policy.priority, 2);
+    EXPECT_EQ(config.routes[0].policy.maxAttempts, 4U);
+    EXPECT_EQ(config.routes[0].timeout, std::chrono::milliseconds(2500));
+    EXPECT_THROW(decodeConfig(R"({"routes":[]})"), WireError);
+    EXPECT_THROW(decodeConfig("{"), WireError);
+}
+
+TEST(PlatformWire, AForeignWorkerEntryNamesNoWorker)
+{
+    const std::string entry = R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
+                              R"("state":"ready","capacity":{"cpu":16000,"mem_mb":32768},)"
+                              R"("labels":["a","r1-3"],"born":12})";
+    const WorkerDescription worker = decodeWorker("i-1", entry);
+    EXPECT_EQ(worker.rack, "r1-3");
+    EXPECT_EQ(worker.capacity.milliCpu, 16000);
+    EXPECT_EQ(worker.endpoint.port, 80);
+    EXPECT_EQ(worker.bornUnixMs, 12);
+    EXPECT_THROW(decodeWorker("i-1", R"({"service":"s"})"), WireError);
+    EXPECT_THROW(decodeWorker("i-1", "\xff\x01"), WireError);
+    EXPECT_THROW(decodeWorker("i-1", R"({"service":"s","address":"x","zone":"z",)"
+                                     R"("state":"ready","capacity":{}})"),
+                 WireError);
+}
+
+TEST(PlatformWire, AJobWithoutSenseIsRefused)
+{
+    EXPECT_EQ(decodeJob(R"({"steps":[{"count":2,"cpu":500}]})").steps[0].taskCount, 2U);
+    EXPECT_THROW(decodeJob(R"({"steps":[]})"), WireError);
+    EXPECT_THROW(decodeJob(R"({"steps":[{"cpu":500}]})"), WireError);
+    EXPECT_THROW(decodeJob(R"({"steps":[{"count":1,"after":[0]}]})"), WireError);
+    EXPECT_THROW(decodeJob(R"({"steps":[{"count":1,"cpu":"many"}]})"), WireError);
+}
+
+TEST(PlatformWire, ATaskNameSurvivesItsText)
+{
+    const TaskName task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+    EXPECT_EQ(taskText(task), "5c0e7a21d94b36f8.3.1.17");
+    EXPECT_EQ(parseTask(taskText(task)), task);
+    EXPECT_THROW(parseTask("5c0e7a21d94b36f8.1"), WireError);
+    EXPECT_THROW(parseTask("a.b.c.d"), WireError);
+}
+
+TEST(PlatformWire, ALeaseReportListsWhatRunsAndWhatEnded)
+{
+    const LeaseReport report =
+        decodeLeaseReport(R"({"clock_ms":482113,"born":5,"running":[["aa.0.1.17",2,"cp",41,17.0]],)"
+                          R"("finished":[[58,"aa.0.1.9",1,"done",""]]})");
+    ASSERT_EQ(report.running.size(), 1U);
+    EXPECT_EQ(report.running[0].percent, 41);
+    EXPECT_DOUBLE_EQ(report.running[0].usage, 17.0);
+    ASSERT_EQ(report.ended.size(), 1U);
+    EXPECT_EQ(report.ended[0].how, RunEnd::Done);
+    EXPECT_THROW(
+        decodeLeaseReport(R"({"clock_ms":1,"running":[],"finished":[[1,"a.0.0.0",1,"x",""]]})"),
+        WireError);
+}
+
+TEST(PlatformWire, EachRefusalOfAnOrderHasItsOutcome)
+{
+    const auto outcomeOf = [](int status, const char *body) {
+        return decodeOrderReply(status, body).outcome;
+    };
+    EXPECT_EQ(outcomeOf(200, R"({"clock_ms":7})"), OrderOutcome::Accepted);
+    EXPECT_EQ(outcomeOf(409, R"({"reason":"fence"})"), OrderOutcome::FencedOff);
+    EXPECT_EQ(outcomeOf(409, R"({"reason":"room"})"), OrderOutcome::NoRoom);
+    EXPECT_EQ(outcomeOf(409, R"({"reason":"late"})"), OrderOutcome::Late);
+    EXPECT_EQ(outcomeOf(421, ""), OrderOutcome::OtherIncarnation);
+    EXPECT_EQ(outcomeOf(503, ""), OrderOutcome::Unhealthy);
+    EXPECT_EQ(outcomeOf(500, ""), OrderOutcome::Unknown);
+    EXPECT_EQ(decodeOrderReply(200, R"({"clock_ms":7})").clockMs, 7);
+}
+
+TEST(PlatformWire, ARefusalSaysWhenToComeBack)
+{
+    const HttpResponse response =
+        toResponse(CallerVerb::Submit, {CallerVerdict::NotRun, JobState::Queued, 0, "no owner"},
+                   std::chrono::milliseconds(700));
+    EXPECT_EQ(response.status, 503);
+    ASSERT_EQ(response.headers.size(), 1U);
+    EXPECT_EQ(response.headers[0].second, "1");
+}
+
+TEST(PlatformSettings, AllFindingsComeTogetherWithFileLineAndField)
+{
+    const std::string path = testing::TempDir() + "bad-settings.yaml";
+    std::ofstream(path) << "node_name: n\nip: 10.0.0.1\nlisten_addrs:\n  front: nowhere\n"
+                           "internal_ports: many\n";
+    try {
+        readSettings(path);
+        FAIL() << "bad settings were taken";
+    } catch (const NodeSettingsError &e) {
+        const std::string text = e.what();
+        EXPECT_NE(text.find(path + ":4: listen_addrs.front"), std::string::npos) << text;
+        EXPECT_NE(text.find(path + ":5: internal_ports"), std::string::npos) << text;
+        EXPECT_NE(text.find("platform.address is missing"), std::string::npos) << text;
+    }
+    std::remove(path.c_str());
+}
+
+} // namespace
+} // namespace firefly::platform
