Log one line a decision on standard output, never blocking

EventLog wrote to standard error, five lines of a kind in ten seconds, and blocked on a full pipe. Now: stream and limit by parameter, a line is dropped and counted when the pipe has no room, and the cell notes final states, failed runs, ended leases, stuck tasks, moves and paces with the inputs that decided them.

--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -118,6 +118,16 @@
     int percent = 100;
 };
 
-using CellAction = std::variant<StartTask, StopTask, RenewLease, PaceTask>;
+/// A decision worth a log line.
+struct CellNote
+{
+    const char *message = ""; ///< A literal: lines are limited by it.
+    TaskName task;            ///< Only the job is set where the whole job is meant.
+    std::string worker;
+    std::uint32_t run = 0;
+    std::string detail; ///< The input that decided.
+};
+
+using CellAction = std::variant<StartTask, StopTask, RenewLease, PaceTask, CellNote>;
 
 } // namespace firefly
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -286,6 +286,12 @@
 {
     job.state = state;
     job.finalAtUnixMs = nowUnixMs;
+    const std::string age = std::to_string(nowUnixMs - job.submittedAtUnixMs);
+    const char *message = "job completed";
+    if (state != JobState::Completed) {
+        message = state == JobState::Failed ? "job failed" : "job canceled";
+    }
+    m_state.actions.emplace_back(CellNote{message, {job.id, 0, 0, 0}, {}, 0, "age_ms=" + age});
     recordProgress(job);
     m_state.journal.whenDurable([this, id = job.id] {
         if (CellJob *stored = m_state.findJob(id)) {
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -40,6 +40,13 @@
     CellJournal journal;
     std::vector<CellAction> actions;
 
+    void note(const char *message, const TaskRef &ref, std::string detail)
+    {
+        const CellTask &task = ref.task();
+        const std::string worker = task.worker ? task.worker->info.id.value() : std::string();
+        actions.emplace_back(CellNote{message, ref.name(), worker, task.run, std::move(detail)});
+    }
+
     CellJob *findJob(const JobId &id)
     {
         const auto it = jobs.find(id.value());
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -178,6 +178,10 @@
         return;
     }
     task.failedRuns.push_back(run);
+    m_state.note("run failed", counter,
+                 "run=" + std::to_string(run)
+                     + " failures=" + std::to_string(task.failedRuns.size()) + " of "
+                     + std::to_string(ref.job->spec.policy.maxAttempts));
     if (task.failedRuns.size() >= ref.job->spec.policy.maxAttempts) {
         finalize(*ref.job, JobState::Failed, nowUnixMs);
     } else {
@@ -209,6 +213,8 @@
 {
     m_interference.observe(worker, now);
     for (const InterferenceGuard::Measure &it : m_interference.guard(worker, now)) {
+        m_state.note(it.relief == InterferenceGuard::Relief::Stop ? "filler moved" : "filler paced",
+                     it.task, "percent=" + std::to_string(it.percent));
         if (it.relief == InterferenceGuard::Relief::Stop) {
             sendStop(it.task);
             continue;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -335,6 +335,8 @@
 void CellScheduler::dropTasks(CellWorker &worker)
 {
     while (!worker.tasks.empty()) {
+        m_state.note("lease over", worker.tasks.back(),
+                     "failed_renewals=" + std::to_string(worker.renewFailures));
         TaskLedger::release(worker.tasks.back());
     }
     m_state.wantsPlacement = true;
@@ -378,6 +380,7 @@
             std::max<Duration>(LeastStuckTime, std::chrono::milliseconds(it.spec().estimateMs / 2));
         if (now - task.progressAt >= patience) {
             strike(worker, now);
+            m_state.note("task stuck", it, "percent=" + std::to_string(task.percent));
             sendStop(it);
         }
     }
@@ -393,6 +396,7 @@
         }
         const auto workMs = it.spec().estimateMs * (100 - std::min(task.percent, 100)) / 100;
         if (it.spec().isLongRunning || std::chrono::milliseconds(workMs) > left) {
+            m_state.note("evacuated", it, "work_ms=" + std::to_string(workMs));
             sendStop(it);
         }
     }
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -532,6 +532,17 @@
             }));
     }
 
+    void send(const CellNote &note, TimePoint /*now*/)
+    {
+        log.write(LogLevel::Info, "cell", note.message,
+                  {{"job", note.task.job.value()},
+                   {"task", platform::taskText(note.task)},
+                   {"run", note.run},
+                   {"worker", note.worker},
+                   {"epoch", epoch},
+                   {"detail", note.detail}});
+    }
+
     void noteOutcome(const char *order, const WorkerId &worker, const TaskName &task,
                      std::uint32_t run, OrderOutcome outcome)
     {
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -17,6 +17,8 @@
 namespace firefly {
 namespace {
 
+/// Lines of one kind in ten seconds: a line for each job of a small site's usual load.
+constexpr int LogLinesPerInterval = 150;
 constexpr Duration ConfigReadWait = std::chrono::milliseconds(1500);
 /// The balancer needs two failed checks, a second apart, to stop sending connections.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2500);
@@ -59,7 +61,7 @@
         : context(contextIn)
         , settings(std::move(settingsIn))
         , incarnation(makeIncarnation(settings.node))
-        , log(settings.node, LogLevel::Info)
+        , log(settings.node, LogLevel::Info, LogStream::Output, LogLinesPerInterval)
         , curl(context, curlOptions(settings))
         , store(curl, settings.store)
         , workers(curl)
--- a/src/Ops/EventLog.cpp
+++ b/src/Ops/EventLog.cpp
@@ -8,6 +8,10 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
+
+#include <utility>
 
 namespace firefly {
 namespace {
@@ -52,12 +56,15 @@
 
 } // namespace
 
-EventLog::EventLog(std::string process, LogLevel level)
+EventLog::EventLog(std::string process, LogLevel level, LogStream stream, int linesPerInterval)
     : m_process(std::move(process))
+    , m_stream(stream)
+    , m_linesPerInterval(linesPerInterval)
     , m_level(level)
 {
     initializer();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(stream == LogStream::Error, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     auto logger = log4cplus::Logger::getInstance(LoggerName);
     logger.removeAllAppenders();
@@ -67,6 +74,13 @@
 
 EventLog::~EventLog() = default;
 
+bool EventLog::canWrite() const
+{
+    // A pipe that polls as writable takes PIPE_BUF bytes at once, more than any line has.
+    pollfd stream{m_stream == LogStream::Error ? STDERR_FILENO : STDOUT_FILENO, POLLOUT, 0};
+    return poll(&stream, 1, 0) > 0 && (stream.revents & POLLOUT) != 0;
+}
+
 int EventLog::admit(std::string_view component, std::string_view message)
 {
     std::string key(component);
@@ -79,7 +93,7 @@
         suppressed = rate.suppressed;
         rate = Rate{now, 0, 0};
     }
-    if (rate.written >= LinesPerInterval) {
+    if (rate.written >= m_linesPerInterval) {
         ++rate.suppressed;
         return -1;
     }
@@ -97,6 +111,10 @@
     if (suppressed < 0) {
         return;
     }
+    if (!canWrite()) {
+        ++m_dropped;
+        return;
+    }
     nlohmann::json line = fields.is_object() ? fields : nlohmann::json::object();
     line["time"] = log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ",
                                                         log4cplus::helpers::now(), true);
@@ -107,6 +125,9 @@
     if (suppressed > 0) {
         line["suppressed"] = suppressed;
     }
+    if (m_dropped > 0) {
+        line["dropped"] = std::exchange(m_dropped, 0);
+    }
     const auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     auto logger = log4cplus::Logger::getInstance(LoggerName);
     logger.log(toLibraryLevel(level), text);
--- a/src/Ops/EventLog.h
+++ b/src/Ops/EventLog.h
@@ -5,13 +5,20 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 
 namespace firefly {
 
-/// Writes one JSON object a line to standard error, by log4cplus.
+/// Where the lines of an EventLog go.
+enum class LogStream { Output, Error };
+
+/// Writes one JSON object a line, by log4cplus.
+///
+/// A line that the reader's pipe has no room for is dropped and counted, so that a stalled reader
+/// never blocks the process.  The next line says how many were dropped.
 ///
 /// Lines with the same component and message are limited to a number for each interval; the first
 /// line of the next interval says how many were suppressed.  Memory is bounded by the number of
@@ -19,13 +26,15 @@
 class EventLog
 {
 public:
-    /// Lines of one component and message that one interval lets through.
-    static constexpr int LinesPerInterval = 5;
+    /// Default of the lines of one component and message that one interval lets through.
+    static constexpr int DefaultLinesPerInterval = 5;
     static constexpr Duration Interval = std::chrono::seconds(10);
 
     /// \param process names this process in every line.
     /// \param level the least severity that is written.
-    EventLog(std::string process, LogLevel level);
+    /// \param linesPerInterval lines of one component and message that one interval lets through.
+    EventLog(std::string process, LogLevel level, LogStream stream = LogStream::Error,
+             int linesPerInterval = DefaultLinesPerInterval);
     ~EventLog();
     EventLog(const EventLog &) = delete;
     EventLog &operator=(const EventLog &) = delete;
@@ -47,7 +56,13 @@
     /// Number of lines suppressed before this one, or -1 when this one is to be suppressed too.
     int admit(std::string_view component, std::string_view message);
 
+    /// True when the stream takes a line without blocking.
+    bool canWrite() const;
+
     std::string m_process;
+    LogStream m_stream;
+    int m_linesPerInterval;
+    std::uint64_t m_dropped = 0; ///< Since the last line that was written.
     LogLevel m_level;
     std::map<std::string, Rate, std::less<>> m_rates;
 };
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -463,6 +463,7 @@
     }
 
     void send(const PaceTask &) {}
+    void send(const CellNote &) {}
 
     void send(const RenewLease &order)
     {
