Hold fillers in two stages and resume any that may

Every filler of a worker was held after 1.2 s, also those without an effect on the task; and the first held filler that had to stay kept the ones behind it from resuming.

Change: fillers with an effect are held first, all only after 2 s; resume looks at each.

--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -20,8 +20,11 @@
 constexpr Duration CacheTime = std::chrono::milliseconds(400);
 /// A task this long over its target gets relief; the platform tolerates several seconds.
 constexpr Duration FirstRelief = std::chrono::milliseconds(300);
-/// After this long over the target every filler on the worker is held.
+/// After this long over the target every filler with an effect on the task is held, and at last
+/// every filler.
 constexpr Duration FullRelief = std::chrono::milliseconds(1200);
+constexpr Duration LastRelief = std::chrono::milliseconds(2000);
+constexpr int FullPace = 100;
 /// Time for a measure to show in the reported tail, which covers half a second.
 constexpr Duration MeasurePause = std::chrono::milliseconds(600);
 constexpr Duration NoNewFillers = std::chrono::milliseconds(1500);
@@ -203,15 +206,17 @@
 void InterferenceGuard::resume(CellWorker &worker, TimePoint now, std::vector<Measure> &measures)
 {
     for (const TaskRef &it : worker.tasks) {
-        if (!isActiveFiller(it) || it.task().pace == 100) {
+        if (!isActiveFiller(it) || it.task().pace == FullPace) {
             continue;
         }
-        worker.nextMeasure = now + MeasurePause;
         if (isWorthHarm(it.spec(), harmOf(worker, it, now))) {
-            measures.push_back({it, Relief::Pace, 100});
+            measures.push_back({it, Relief::Pace, FullPace});
         } else if (it.spec().isCheckpointing && now - it.task().pacedAt > LongestHold) {
             measures.push_back({it, Relief::Stop, 0});
+        } else {
+            continue;
         }
+        worker.nextMeasure = now + MeasurePause;
         return;
     }
 }
@@ -274,7 +279,7 @@
     }
     const Duration longest = victim ? now - victim->task().overTargetSince : Duration{};
     if (longest >= FullRelief) {
-        holdAll(worker, now, measures);
+        holdFillers(worker, *victim, longest >= LastRelief, now, measures);
     } else if (longest >= FirstRelief) {
         relieveMost(worker, *victim, now, measures);
     } else if (!victim) {
@@ -283,11 +288,14 @@
     return measures;
 }
 
-void InterferenceGuard::holdAll(CellWorker &worker, TimePoint now, std::vector<Measure> &measures)
+void InterferenceGuard::holdFillers(CellWorker &worker, const TaskRef &victim, bool isLast,
+                                    TimePoint now, std::vector<Measure> &measures)
 {
+    refreshEffects(now);
     worker.nextMeasure = now + MeasurePause;
     for (const TaskRef &it : worker.tasks) {
-        if (isActiveFiller(it) && it.task().pace > 0) {
+        const bool isBlamed = isLast || effect(victim.image(), it.image()) >= WeakEffect;
+        if (isActiveFiller(it) && it.task().pace > 0 && isBlamed) {
             measures.push_back({it, Relief::Pace, 0});
         }
     }
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -51,7 +51,8 @@
 private:
     /// Keeps the time that a serving task has been over its target; true while it is.
     static bool noteTail(const TaskRef &ref, TimePoint now);
-    static void holdAll(CellWorker &worker, TimePoint now, std::vector<Measure> &measures);
+    void holdFillers(CellWorker &worker, const TaskRef &victim, bool isLast, TimePoint now,
+                     std::vector<Measure> &measures);
     void relieveMost(CellWorker &worker, const TaskRef &victim, TimePoint now,
                      std::vector<Measure> &measures);
     void resume(CellWorker &worker, TimePoint now, std::vector<Measure> &measures);
