--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -116,7 +116,8 @@
     void takeRunning(CellWorker &worker, const RunningTask &row, TimePoint now);
     void takeEnded(CellWorker &worker, const EndedRun &row, TimePoint now, std::int64_t nowUnixMs);
     void takeDone(const TaskRef &ref, std::int64_t nowUnixMs);
-    void takeFailed(const TaskRef &ref, std::uint32_t run, std::int64_t nowUnixMs);
+    void takeFailed(const TaskRef &ref, const CellWorker &worker, std::uint32_t run,
+                    std::int64_t nowUnixMs);
     void dropVanished(CellWorker &worker, TimePoint sentAt);
     void relieveServing(CellWorker &worker, TimePoint now);
     void acknowledgeEnds(CellWorker &worker, TimePoint now);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -143,7 +143,7 @@
         task.notBefore = isLongRunning ? now + RestartPause : now;
         // An earlier run's failure counts also when a later run was found first.
         if (!isLongRunning && !isFinal(ref->job->state)) {
-            takeFailed(*ref, row.run, nowUnixMs);
+            takeFailed(*ref, worker, row.run, nowUnixMs);
         }
         return;
     }
@@ -168,7 +168,8 @@
     }
 }
 
-void CellScheduler::takeFailed(const TaskRef &ref, std::uint32_t run, std::int64_t nowUnixMs)
+void CellScheduler::takeFailed(const TaskRef &ref, const CellWorker &worker, std::uint32_t run,
+                               std::int64_t nowUnixMs)
 {
     // The members of a gang fail together; the first one counts for all.
     TaskRef counter = ref;
@@ -178,10 +179,10 @@
         return;
     }
     task.failedRuns.push_back(run);
-    m_state.note("run failed", counter,
-                 "run=" + std::to_string(run)
-                     + " failures=" + std::to_string(task.failedRuns.size()) + " of "
-                     + std::to_string(ref.job->spec.policy.maxAttempts));
+    m_state.actions.emplace_back(CellNote{"run failed", ref.name(), worker.info.id.value(), run,
+                                          "failures=" + std::to_string(task.failedRuns.size())
+                                              + " of "
+                                              + std::to_string(ref.job->spec.policy.maxAttempts)});
     if (task.failedRuns.size() >= ref.job->spec.policy.maxAttempts) {
         finalize(*ref.job, JobState::Failed, nowUnixMs);
     } else {
--- a/src/Fleet/CallerRequest.h
+++ b/src/Fleet/CallerRequest.h
@@ -17,7 +17,8 @@
     NoSuchQueue,
     NoSuchJob,
     Malformed,
-    NotRun,  ///< Surely not accepted; the client may come back.
+    NotRun,  ///< Surely not accepted; another try may find an owner at once.
+    Refused, ///< Surely not accepted, and another try now won't be either.
     Unknown, ///< May have been accepted.
 };
 
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -621,7 +621,7 @@
 {
     Private &self = *m_private;
     if (self.isStoreFailing()) {
-        done({CallerVerdict::NotRun, JobState::Queued, 0, "the store is unavailable"});
+        done({CallerVerdict::Refused, JobState::Queued, 0, "the store is unavailable"});
         return;
     }
     self.scheduler.submit(id, std::move(spec), Clock::now(), unixMs(),
@@ -631,7 +631,7 @@
                                   done({CallerVerdict::Done, JobState::Queued, 0, {}});
                                   return;
                               case CellScheduler::Verdict::NotAccepted:
-                                  done({CallerVerdict::NotRun, JobState::Queued, 0, "not stored"});
+                                  done({CallerVerdict::Refused, JobState::Queued, 0, "not stored"});
                                   return;
                               case CellScheduler::Verdict::Unknown:
                                   break;
--- a/src/Node/FrontDesk.cpp
+++ b/src/Node/FrontDesk.cpp
@@ -144,7 +144,8 @@
         const TimePoint limit =
             exchange->isUncertain ? exchange->deadline : exchange->ownerDeadline;
         if (isFinal || now + RetryPause >= limit) {
-            if (!isFinal && exchange->isUncertain) {
+            const bool isRefusal = !isFinal || reply.verdict == CallerVerdict::Refused;
+            if (isRefusal && exchange->isUncertain) {
                 reply.verdict = CallerVerdict::Unknown;
             }
             finish(exchange, reply);
--- a/test/PlatformWire.cpp
+++ b/test/PlatformWire.cpp
@@ -99,6 +99,11 @@
     EXPECT_EQ(response.status, 503);
     ASSERT_EQ(response.headers.size(), 1U);
     EXPECT_EQ(response.headers[0].second, "1");
+    const CallerReply refused{CallerVerdict::Refused, JobState::Queued, 0, "no store"};
+    EXPECT_EQ(toResponse(CallerVerb::Submit, refused, std::chrono::seconds(1)).status, 503);
+    const CallerReply unknown{CallerVerdict::Unknown, JobState::Queued, 0, "no answer"};
+    EXPECT_EQ(toResponse(CallerVerb::Submit, unknown, std::chrono::seconds(1)).status, 504)
+        << "a refusal would say that the job never runs";
 }
 
 TEST(PlatformSettings, AllFindingsComeTogetherWithFileLineAndField)
