Say in the log that a connection was closed, not that a callback aborted

Both incidents showed libcurl's text for our own guard against silent repeats as the reason why the store was lost. Only the text changes; AdaptersHttp passes.

--- a/src/Adapters/CurlLoop.cpp
+++ b/src/Adapters/CurlLoop.cpp
@@ -192,6 +192,11 @@
         return;
     }
     result.state = transfer.wasSent ? ExchangeState::Uncertain : ExchangeState::NotSent;
+    if (code == CURLE_ABORTED_BY_CALLBACK) {
+        // onBeforeSend() suppressed the repeat on another connection.
+        result.error = "connection closed before the answer";
+        return;
+    }
     result.error = code == CURLE_OK ? "answer without a marked end" : curl_easy_strerror(code);
 }
 
