Ask each worker before its tasks start elsewhere, however late the owner is

Change: a worker is given up only after it was asked without an answer.

Ruled out: ends acknowledged before they were stored (no append of the earlier owner was answered after 17.7 s), a stale load (252 jobs, the progress was never stored).

--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -290,7 +290,8 @@
     m_lastCare = now;
     for (auto it = m_state.workers.begin(); it != m_state.workers.end();) {
         CellWorker &worker = *it->second;
-        const bool isExpired = now >= leaseEnd(worker);
+        const bool wasAsked = worker.isContacted || worker.renewFailures > 0;
+        const bool isExpired = wasAsked && now >= leaseEnd(worker);
         if (isExpired && !worker.tasks.empty()) {
             dropTasks(worker);
         }
@@ -310,10 +311,13 @@
     if (!m_state.isLocating) {
         return;
     }
-    const bool isComplete = std::ranges::all_of(m_state.workers, [](const auto &it) {
-        return it.second->isContacted || !it.second->isRecorded;
+    // A worker that answers may list ends that nobody took note of, also after its lease.
+    const bool isLate = now >= m_state.locateUntil;
+    const bool isComplete = std::ranges::all_of(m_state.workers, [isLate](const auto &it) {
+        return it.second->isContacted || !it.second->isRecorded
+               || (isLate && it.second->renewFailures > 0);
     });
-    if (!isComplete && now < m_state.locateUntil) {
+    if (!isComplete) {
         return;
     }
     m_state.isLocating = false;
--- a/test/CellOwnerChange.cpp
+++ b/test/CellOwnerChange.cpp
@@ -59,6 +59,20 @@
     EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
 }
 
+TEST(CellOwnerChange, WorkersAreAskedBeforeTheirTasksStartElsewhereHoweverLateTheOwner)
+{
+    CellWorld world(5);
+    for (auto &[id, worker] : world.workers) {
+        worker->workTime = 4s;
+    }
+    world.submit(JobId("a"), makeChain(1, 8));
+    world.run(500ms);
+    world.newOwner(world.now - 1s);
+    world.run(10s);
+    EXPECT_TRUE(world.isFinished(JobId("a")));
+    EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
+}
+
 TEST(CellOwnerChange, AFailureHeardOfAfterALaterRunWasFoundStillCounts)
 {
     CellWorld world(4, 2);
