--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -130,7 +130,6 @@
     bool isRegistered = false; ///< Listed by the platform now.
     bool isRecorded = false;   ///< The cell's topic names it.
     bool isContacted = false;  ///< Answered this owner at least once.
-    TimePoint firstKnownAt{};
     std::int64_t bornUnixMs = 0;
     std::int64_t clockMs = 0; ///< At clockAt, on the worker's clock.
     TimePoint clockAt{};
@@ -140,7 +139,6 @@
     std::uint64_t durableEnd = 0;       ///< Ends up to this one may be forgotten.
     bool isRestartSuspected = false;    ///< Its clock went back; the next report tells.
     bool isRenewing = false;
-    TimePoint renewSentAt{};
     TimePoint nextRenewal{};
     std::uint32_t renewFailures = 0;
     std::uint64_t reports = 0;
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -48,7 +48,6 @@
     m_now = now;
     m_state.locateUntil = locateUntil;
     m_state.epoch = epoch;
-    m_state.ownedSince = now;
     m_state.isFenced = false;
     m_state.isLocating = true;
     m_interference.restoreLessons({}, now);
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -36,7 +36,6 @@
 {
     CellBounds bounds;
     Epoch epoch = 0;
-    TimePoint ownedSince{};
     TimePoint ordersUntil{}; ///< Leases are granted up to here: after it another owner may act.
     TimePoint locateUntil{}; ///< By then every order of earlier owners has expired.
     bool isLocating = false; ///< Some worker may still run unknown tasks of an earlier owner.
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -71,7 +71,6 @@
     auto &worker = m_state.workers[info.id.value()];
     if (!worker) {
         worker = std::make_unique<CellWorker>();
-        worker->firstKnownAt = now;
     }
     const bool wasReady = worker->isRegistered && !worker->info.isDraining;
     worker->info = info;
@@ -278,7 +277,6 @@
         }
     }
     worker.isRenewing = true;
-    worker.renewSentAt = now;
     m_state.actions.emplace_back(std::move(order));
 }
 
