--- a/src/Core/Clock.cpp
+++ b/src/Core/Clock.cpp
@@ -16,8 +16,7 @@
     if (paused != Running) {
         return time_point(duration(paused));
     }
-    const auto machine = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point(std::chrono::duration_cast<duration>(machine));
+    return machineTime(::clock_gettime);
 }
 
 void Clock::pause(time_point at) noexcept
