Tell the story of one id from the logs, build only lines that are written

fireflyctl explain log ID reads JSON lines of all processes from a file or a pipe and shows one id in the order of time, with the changes of owner, store and configuration around it.

--- a/apps/ctl/Commands.cpp
+++ b/apps/ctl/Commands.cpp
@@ -2,11 +2,13 @@
 
 #include "ctl/InForceWait.h"
 #include "ctl/ListChange.h"
+#include "Ops/LogStory.h"
 #include "ctl/Screen.h"
 
 #include <nlohmann/json.hpp>
 
 #include <fstream>
+#include <iostream>
 #include <iterator>
 
 namespace firefly::ctl {
@@ -196,6 +198,33 @@
     return exitCodeOf(response.status);
 }
 
+ExitCode explainLog(const std::string &id, const std::string &file, std::size_t mostLines,
+                    Output output)
+{
+    std::ifstream fileStream;
+    if (!file.empty()) {
+        fileStream.open(file);
+        if (!fileStream.is_open()) {
+            throw BadChange(file + " cannot be read");
+        }
+    }
+    std::istream &in = file.empty() ? std::cin : fileStream;
+    LogStory story(id);
+    for (std::string it; std::getline(in, it);) {
+        story.add(it);
+    }
+    const std::string text = story.text(mostLines);
+    if (text.empty()) {
+        output.out << "no line names " << id << "\n";
+        return ExitCode::NotFound;
+    }
+    output.out << text;
+    if (story.unreadable() > 0) {
+        output.out << "(" << story.unreadable() << " lines were not understood)\n";
+    }
+    return ExitCode::Done;
+}
+
 ExitCode simpleRequest(const OperatorClient &client, const std::string &method,
                        const std::string &path, Output output)
 {
--- a/apps/ctl/Commands.h
+++ b/apps/ctl/Commands.h
@@ -52,6 +52,9 @@
 ExitCode switchPlannedWork(const OperatorClient &client, const std::string &author,
                            const std::string &customer, const std::string &kind, bool running,
                            Output output);
+/// Tells the story of \a id from the log lines in \a file, or of standard input when it is empty.
+ExitCode explainLog(const std::string &id, const std::string &file, std::size_t mostLines,
+                    Output output);
 /// Sends a request without a body and shows the reply.
 ExitCode simpleRequest(const OperatorClient &client, const std::string &method,
                        const std::string &path, Output output);
--- a/apps/fireflyctl.cpp
+++ b/apps/fireflyctl.cpp
@@ -43,6 +43,8 @@
   fireflyctl [options] job cancel ID
   fireflyctl [options] explain job ID
   fireflyctl [options] explain worker ID
+  fireflyctl [options] explain log ID
+             [--file F] [--lines N]
   fireflyctl [options] drain
   fireflyctl [options] dump
   fireflyctl [options] metrics
@@ -57,7 +59,10 @@
                     or USER.
   --json            Replies as JSON.
   --file F          The whole list, as
-                    YAML.
+                    YAML; or the log,
+                    else standard input.
+  --lines N         Most lines of a
+                    story [default: 40].
   --set C           CUSTOMER=PLAN or
                     PLAN.FIELD=VALUE;
                     nothing behind '='
@@ -206,6 +211,10 @@
                                  text(options, "KIND"), isSet(options, "start"), output);
     }
     if (isSet(options, "explain")) {
+        if (isSet(options, "log")) {
+            return explainLog(text(options, "ID"), text(options, "--file"),
+                              static_cast<std::size_t>(count(options, "--lines")), output);
+        }
         const std::string kind = isSet(options, "worker") ? "worker/" : "job/";
         return simpleRequest(client, "GET", "/ops/explain/" + kind + pathId(options), output);
     }
--- a/src/Ops.h
+++ b/src/Ops.h
@@ -4,5 +4,6 @@
 
 #include "Ops/EventLog.h"
 #include "Ops/LatencyHistogram.h"
+#include "Ops/LogStory.h"
 #include "Ops/Metrics.h"
 #include "Ops/OperatorApi.h"
--- a/src/Ops/EventLog.cpp
+++ b/src/Ops/EventLog.cpp
@@ -101,21 +101,35 @@
     return suppressed;
 }
 
-void EventLog::write(LogLevel level, std::string_view component, std::string_view message,
-                     const nlohmann::json &fields)
+std::optional<int> EventLog::beginLine(LogLevel level, std::string_view component,
+                                       std::string_view message)
 {
     if (level < m_level) {
-        return;
+        return std::nullopt;
     }
     const int suppressed = admit(component, message);
     if (suppressed < 0) {
-        return;
+        return std::nullopt;
     }
     if (!canWrite()) {
         ++m_dropped;
-        return;
+        return std::nullopt;
+    }
+    return suppressed;
+}
+
+void EventLog::write(LogLevel level, std::string_view component, std::string_view message,
+                     const nlohmann::json &fields)
+{
+    write(level, component, message, [&fields] { return fields; });
+}
+
+void EventLog::writeLine(LogLevel level, std::string_view component, std::string_view message,
+                         nlohmann::json line, int suppressed)
+{
+    if (!line.is_object()) {
+        line = nlohmann::json::object();
     }
-    nlohmann::json line = fields.is_object() ? fields : nlohmann::json::object();
     line["time"] = log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ",
                                                         log4cplus::helpers::now(), true);
     line["level"] = toString(level);
--- a/src/Ops/EventLog.h
+++ b/src/Ops/EventLog.h
@@ -3,10 +3,12 @@
 #include "Config/Settings.h"
 #include "Core/Clock.h"
 
-#include <nlohmann/json_fwd.hpp>
+#include <nlohmann/json.hpp>
 
+#include <concepts>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,6 +44,17 @@
     /// Writes a line with the given \a fields, a JSON object.
     void write(LogLevel level, std::string_view component, std::string_view message,
                const nlohmann::json &fields);
+    /// Writes a line with the fields that \a makeFields returns; not called for a line that is
+    /// left out.
+    template <std::invocable MakeFields>
+    void write(LogLevel level, std::string_view component, std::string_view message,
+               const MakeFields &makeFields)
+    {
+        const auto suppressed = beginLine(level, component, message);
+        if (suppressed) {
+            writeLine(level, component, message, makeFields(), *suppressed);
+        }
+    }
     /// Writes a line without further fields.
     void write(LogLevel level, std::string_view component, std::string_view message);
 
@@ -55,6 +68,11 @@
 
     /// Number of lines suppressed before this one, or -1 when this one is to be suppressed too.
     int admit(std::string_view component, std::string_view message);
+    /// Number of lines suppressed before this one; empty when this one is left out.
+    std::optional<int> beginLine(LogLevel level, std::string_view component,
+                                 std::string_view message);
+    void writeLine(LogLevel level, std::string_view component, std::string_view message,
+                   nlohmann::json line, int suppressed);
 
     /// True when the stream takes a line without blocking.
     bool canWrite() const;
--- /dev/null
+++ b/src/Ops/LogStory.cpp
@@ -0,0 +1,143 @@
+#include "Ops/LogStory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+namespace firefly {
+namespace {
+
+using nlohmann::json;
+
+/// Messages that change what a process can do for any id.
+constexpr std::array<std::string_view, 14> ContextMessages{
+    "owner begins",  "owner serves", "owner ends",    "store lost",
+    "store regained", "append failed", "claiming",     "configuration in force",
+    "unreadable configuration", "started", "draining", "stopped",
+    "settings read again", "store refuses this epoch"};
+/// Messages about one worker, told when it had a run of the id.
+constexpr std::array<std::string_view, 3> WorkerMessages{"renewal failed", "worker gone",
+                                                         "worker reborn"};
+/// Fields that stand at the head of a line or say nothing about the event.
+constexpr std::array<std::string_view, 6> HeadFields{"time",      "process", "component",
+                                                     "message",   "level",   "job"};
+
+template <std::size_t Size>
+bool isOneOf(const std::array<std::string_view, Size> &names, std::string_view name)
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+std::string valueText(const json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::string describe(const json &line)
+{
+    std::string text = line.at("message").get<std::string>();
+    for (const auto &[name, value] : line.items()) {
+        const std::string shown = valueText(value);
+        if (!isOneOf(HeadFields, name) && !shown.empty()) {
+            text += " " + name + "=" + shown;
+        }
+    }
+    return text;
+}
+
+/// True if \a line is about \a id, or about a task of the job \a id.
+bool names(const json &line, const std::string &id)
+{
+    if (line.value("job", "") == id || line.value("worker", "") == id) {
+        return true;
+    }
+    const auto task = line.value("task", "");
+    return task == id || task.starts_with(id + ".");
+}
+
+} // namespace
+
+LogStory::LogStory(std::string id)
+    : m_id(std::move(id))
+{}
+
+void LogStory::add(std::string_view line)
+{
+    const auto begin = line.find('{');
+    if (begin == std::string_view::npos) {
+        m_unreadable += line.empty() ? 0 : 1;
+        return;
+    }
+    const json object = json::parse(line.substr(begin), nullptr, false);
+    try {
+        Event event;
+        event.time = object.at("time").get<std::string>();
+        const auto message = object.at("message").get<std::string>();
+        event.process = object.value("process", "");
+        event.worker = object.value("worker", "");
+        event.isOwn = names(object, m_id);
+        event.isContext = isOneOf(ContextMessages, message);
+        if (!event.isOwn && !event.isContext && !isOneOf(WorkerMessages, message)) {
+            return;
+        }
+        event.text = describe(object);
+        if (event.isOwn && !event.worker.empty()) {
+            m_workers.insert(event.worker);
+        }
+        m_events.push_back(std::move(event));
+    } catch (const json::exception &) {
+        // Counted: the command that reads the file says how many lines were not understood.
+        ++m_unreadable;
+    }
+}
+
+std::vector<LogStory::Event> LogStory::chosen() const
+{
+    std::vector<Event> events = m_events;
+    std::ranges::stable_sort(events, {}, &Event::time);
+    const auto first = std::ranges::find_if(events, &Event::isOwn);
+    const auto last = std::find_if(events.rbegin(), events.rend(), [](const Event &it) {
+                          return it.isOwn;
+                      }).base();
+    if (first == events.end()) {
+        return {};
+    }
+    std::vector<Event> result;
+    // The last change of owner before the id appears says who decided first.
+    const auto owner = std::find_if(std::make_reverse_iterator(first), events.rend(),
+                                    [](const Event &it) {
+                                        return it.text.starts_with("owner serves");
+                                    });
+    if (owner != events.rend()) {
+        result.push_back(*owner);
+    }
+    std::copy_if(first, last, std::back_inserter(result), [this](const Event &it) {
+        return it.isOwn || it.isContext || m_workers.contains(it.worker);
+    });
+    return result;
+}
+
+std::string LogStory::text(std::size_t mostLines) const
+{
+    const std::vector<Event> events = chosen();
+    std::string text;
+    const std::size_t half = mostLines / 2;
+    for (std::size_t i = 0; i < events.size(); ++i) {
+        const Event &event = events[i];
+        if (events.size() > mostLines && i >= half && i < events.size() - half) {
+            if (i == half) {
+                text += "... " + std::to_string(events.size() - 2 * half) + " lines left out\n";
+            }
+            continue;
+        }
+        const auto clock = event.time.find('T');
+        text += clock == std::string::npos ? event.time : event.time.substr(clock + 1);
+        text += " " + event.process + " " + event.text + "\n";
+    }
+    return text;
+}
+
+} // namespace firefly
