Drop the barriers of a refused record once they were handed on

Cause: refuseNew() moved the barriers behind a refused record to the next one and then lost the record with its moved-from callbacks: std::bad_function_call ended the process. With nothing else waiting, such a barrier passed and was lost as well. Ruled out: the moved callbacks of PeerJobs (the log's last line is the refusal). Test: CellJournal, two cases; before: bad_function_call, and 1 lost of 0.

--- a/src/Cell/CellJournal.cpp
+++ b/src/Cell/CellJournal.cpp
@@ -84,6 +84,8 @@
             to->barriersLost.push_back(std::move(it));
         }
     }
+    from.barriers.clear();
+    from.barriersLost.clear();
 }
 
 void CellJournal::finish(const Entry &entry)
--- a/test/CellJournal.cpp
+++ b/test/CellJournal.cpp
@@ -90,5 +90,37 @@
     EXPECT_TRUE(journal.isIdle());
 }
 
+TEST(CellJournal, ABarrierBehindARefusedRecordWaitsForTheOthers)
+{
+    CellJournal journal;
+    int refused = 0;
+    int passed = 0;
+    int lost = 0;
+    journal.put({"p", "1"});
+    journal.putRefusable(
+        {"a", "1"}, [] {}, [&](bool) { ++refused; });
+    journal.whenDurable([&] { ++passed; }, [&](bool) { ++lost; });
+    journal.refuseNew();
+    EXPECT_EQ(refused, 1);
+    EXPECT_EQ(passed + lost, 0);
+    journal.next();
+    journal.onOutcome(AppendOutcome::Stored);
+    EXPECT_EQ(passed, 1);
+    EXPECT_EQ(lost, 0);
+}
+
+TEST(CellJournal, ABarrierBehindNothingButARefusedRecordPassesOnce)
+{
+    CellJournal journal;
+    int passed = 0;
+    int lost = 0;
+    journal.putRefusable(
+        {"a", "1"}, [] {}, [](bool) {});
+    journal.whenDurable([&] { ++passed; }, [&](bool) { ++lost; });
+    journal.refuseNew();
+    EXPECT_EQ(passed, 1);
+    EXPECT_EQ(lost, 0);
+}
+
 } // namespace
 } // namespace firefly
