Place lost standing tasks before batch jobs that wait

Ruled out: room on the workers (others started meanwhile), strikes of the worker. Test: StandingTasksFirst, a crowded queue of late batch jobs.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -37,10 +37,13 @@
            - LongRunningUse * longRunning - static_cast<double>(worker.fillerCpu);
 }
 
-/// 0 for a job that can still be in time, 1 for one that will be late, 2 for one whose client
-/// gains nothing any more.
+/// -1 for a long-running job, whose users miss each of its tasks at once; 0 for a job that can
+/// still be in time, 1 for one that will be late, 2 for one whose client gains nothing any more.
 int latenessOf(const CellJob &job, TimePoint now)
 {
+    if (job.isLongRunning()) {
+        return -1;
+    }
     if (now > job.giveUpOrder) {
         return 2;
     }
