--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -37,4 +37,25 @@
     return longestChain(spec, [&steps](std::size_t i) { return !steps[i].isDone(); });
 }
 
+CellLoad CellJob::openDemand(double milliCpu) const
+{
+    CellLoad demand;
+    for (const Occurrence &occurrence : occurrences) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            const StepSpec &step = spec.steps[s];
+            const bool isOpen = std::ranges::all_of(step.after, [&occurrence](std::uint32_t it) {
+                return occurrence.steps[it].isDone();
+            });
+            if (!isOpen) {
+                continue;
+            }
+            const StepRun &run = occurrence.steps[s];
+            const auto count = static_cast<double>(run.tasks.size() - run.doneCount);
+            (step.isFiller ? demand.filling : demand.reserving) +=
+                count * static_cast<double>(step.demand.milliCpu) / milliCpu;
+        }
+    }
+    return demand;
+}
+
 } // namespace firefly
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -96,6 +96,9 @@
     }
     /// Longest chain of estimated work in the steps of the last due occurrence that aren't done.
     Duration remainingChain() const;
+    /// Processor demand of the tasks of due occurrences that aren't done and whose turn has come,
+    /// as shares of \a milliCpu.
+    CellLoad openDemand(double milliCpu) const;
     static Duration longestChainOf(const JobSpec &spec);
     bool isLongRunning() const { return std::ranges::any_of(spec.steps, &StepSpec::isLongRunning); }
 };
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -15,6 +15,20 @@
 /// Number that rises with each owner of a cell; workers refuse orders with a lower one.
 using Epoch = std::uint64_t;
 
+/// Open processor demand as shares of a cell's capacity.
+struct CellLoad
+{
+    double reserving = 0.0; ///< Of tasks that reserve what they use.
+    double filling = 0.0;   ///< Of fillers.
+
+    CellLoad &operator+=(const CellLoad &other)
+    {
+        reserving += other.reserving;
+        filling += other.filling;
+        return *this;
+    }
+};
+
 /// A worker as it registered itself.
 struct WorkerDescription
 {
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -48,6 +48,16 @@
     using OnVerdict = std::function<void(Verdict)>;
     void submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
                 const OnVerdict &onVerdict);
+    /// Records that \a id belongs to \a cell from now on; the verdict is Accepted once that lasts.
+    void refer(const JobId &id, int cell, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
+    /// The cell that a job was referred to, as far as that is durable.
+    std::optional<int> referralOf(const JobId &id) const;
+    bool isReferred(const JobId &id) const { return m_state.referrals.contains(id.value()); }
+    /// What is open now; O(jobs + workers).
+    CellLoad load() const;
+    /// What a new job with all its steps would add.
+    CellLoad loadOf(const JobSpec &spec) const;
+    bool knows(const JobId &id) const { return m_state.jobs.contains(id.value()); }
     /// False when there is no such job.  The verdict is Accepted once the cancel is durable.
     bool cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
     std::optional<JobState> stateOf(const JobId &id) const;
@@ -81,6 +91,7 @@
 private:
     // Jobs
 
+    double capacity() const;
     static CellJournal::OnLost lostVerdict(OnVerdict onVerdict);
     void recordProgress(CellJob &job);
     static std::vector<TaskProgress> progressOf(const CellJob &job);
@@ -93,6 +104,7 @@
     void sendStop(CellWorker &worker, const TaskName &name, std::uint32_t run);
     void openDueOccurrences(CellJob &job, std::int64_t nowUnixMs);
     void dropOldJobs(std::int64_t nowUnixMs);
+    void dropOldReferrals(std::int64_t nowUnixMs);
 
     // Workers
 
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -43,6 +43,13 @@
     bool wantsPlacement = false;
     std::unordered_map<std::string, std::unique_ptr<CellJob>> jobs; ///< By id.
     std::map<std::string, std::unique_ptr<CellWorker>> workers;     ///< By id.
+    /// Jobs that other cells have, by id; entries that aren't durable yet have no cell.
+    struct Referral
+    {
+        std::optional<int> cell;
+        std::int64_t atUnixMs = 0;
+    };
+    std::unordered_map<std::string, Referral> referrals;
     CellJournal journal;
     std::vector<CellAction> actions;
 
--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -1,10 +1,13 @@
 #include "CellLease/CellElection.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace firefly {
 namespace {
 
+/// Further cells of a candidate delay it no more, so that a lone process takes all of them soon.
+constexpr int MostHeadStarts = 3;
 constexpr Duration RetryPause = std::chrono::milliseconds(250);
 /// A worker's clock may be 2 % slow; the rest covers calls under way.
 constexpr Duration ClockMargin = std::chrono::milliseconds(500);
@@ -72,7 +75,8 @@
 
 bool CellElection::isOwner() const
 {
-    return m_claim.holder == m_options.holder && !m_options.holder.empty();
+    return m_claim.holder == m_options.holder && !m_options.holder.empty()
+           && m_claim.epoch > m_givenUpEpoch;
 }
 
 bool CellElection::isSurelyOwner(TimePoint now) const
@@ -89,11 +93,20 @@
 
 bool CellElection::isOpen(TimePoint now) const
 {
+    const Duration headStart =
+        m_options.headStart + std::min(m_cellsBeside, MostHeadStarts) * LongestHeadStart;
     if (!hasOwner() || m_claim.node == m_options.node) {
         // Resigned, never owned, or held by an earlier incarnation of this process.
-        return now >= std::max(m_claimSeenAt, m_contactSince) + m_options.headStart;
+        return now >= std::max(m_claimSeenAt, m_contactSince) + headStart;
     }
-    return now >= std::max(m_claimSeenAt, m_contactSince) + ClaimAfter + m_options.headStart;
+    return now >= std::max(m_claimSeenAt, m_contactSince) + ClaimAfter + headStart;
+}
+
+bool CellElection::isRenewalDue(TimePoint now) const
+{
+    const double change = std::abs(m_load.reserving - m_claim.load.reserving)
+                          + std::abs(m_load.filling - m_claim.load.filling);
+    return now >= m_renewedAt + (change > ClearChange ? LoadInterval : RenewInterval);
 }
 
 std::optional<CellElection::Append> CellElection::next(TimePoint now)
@@ -105,8 +118,9 @@
     append.position = m_position;
     append.claim = m_claim;
     append.claim.pendingByQueue = m_pending;
+    append.claim.load = m_load;
     if (isOwner()) {
-        if (!m_isResigning && now < m_renewedAt + RenewInterval) {
+        if (!m_isResigning && !isRenewalDue(now)) {
             return std::nullopt;
         }
         if (m_isResigning) {
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -19,6 +19,7 @@
     Endpoint endpoint;  ///< Where the owner takes requests of other processes.
     std::uint64_t renewal = 0;
     std::map<std::string, int> pendingByQueue; ///< Jobs without a started task.
+    CellLoad load;
 };
 
 /// Decides who owns a cell, from the records of its ownership topic.
@@ -31,6 +32,9 @@
 {
 public:
     static constexpr Duration RenewInterval = std::chrono::milliseconds(700);
+    /// Earliest renewal to tell others a load that has clearly changed.
+    static constexpr Duration LoadInterval = std::chrono::milliseconds(200);
+    static constexpr double ClearChange = 0.05;
     /// Silence after which others may claim; three renewals and some delay.
     static constexpr Duration ClaimAfter = std::chrono::milliseconds(2200);
     /// Pause before a claim by place in the order of candidates, so that one goes first.
@@ -68,9 +72,16 @@
     std::optional<Append> next(TimePoint now);
     /// Gives the cell up as soon as the next claim is appended.
     void resign() { m_isResigning = true; }
+    /// Ends this process's ownership; it serves the cell again only by a new claim.
+    void giveUp() { m_givenUpEpoch = m_claim.epoch; }
+    /// Candidates that already have cells let others go first, by a head start for each cell.
+    void setCellsBeside(int count) { m_cellsBeside = count; }
     void setPending(std::map<std::string, int> pending) { m_pending = std::move(pending); }
+    void setLoad(const CellLoad &load) { m_load = load; }
 
-    /// The newest claim holds this process and its epoch.
+    /// An append that would make this process owner is under way.
+    bool isClaiming() const { return m_isAppending && !isOwner(); }
+    /// The newest claim holds this process, which has not given it up.
     bool isOwner() const;
     /// True while nobody else can have become owner.
     bool isSurelyOwner(TimePoint now) const;
@@ -85,17 +96,19 @@
 
 private:
     bool isOpen(TimePoint now) const;
+    bool isRenewalDue(TimePoint now) const;
 
     Options m_options;
     OwnershipClaim m_claim;
     TimePoint m_claimSeenAt{};
     TimePoint m_contactSince{};
-    TimePoint m_openSince{};
     bool m_hasContact = false;
     bool m_hasRead = false;
     bool m_isAppending = false;
     bool m_isResigning = false;
     bool m_hasSentResignation = false;
+    int m_cellsBeside = 0;
+    Epoch m_givenUpEpoch = 0;
     std::uint64_t m_position = 0; ///< Where the topic ends, from reads and own appends.
     std::uint64_t m_readEnd = 0;
     std::uint64_t m_renewal = 0;
@@ -104,6 +117,7 @@
     TimePoint m_retryAt{};
     TimePoint m_earlierOrdersEnd{};
     std::map<std::string, int> m_pending;
+    CellLoad m_load;
 };
 
 } // namespace firefly
--- a/src/CellLease/ClaimRecord.cpp
+++ b/src/CellLease/ClaimRecord.cpp
@@ -12,7 +12,8 @@
                           {"address", claim.endpoint.address},
                           {"port", claim.endpoint.port},
                           {"renewal", claim.renewal},
-                          {"pending", claim.pendingByQueue}}
+                          {"pending", claim.pendingByQueue},
+                          {"load", {claim.load.reserving, claim.load.filling}}}
         .dump();
 }
 
@@ -28,6 +29,8 @@
         object.at("port").get_to(claim.endpoint.port);
         object.at("renewal").get_to(claim.renewal);
         object.at("pending").get_to(claim.pendingByQueue);
+        object.at("load").at(0).get_to(claim.load.reserving);
+        object.at("load").at(1).get_to(claim.load.filling);
         return claim;
     } catch (const nlohmann::json::exception &e) {
         throw ClaimRecordError(std::string("ownership claim: ") + e.what());
--- a/src/Core/Clock.h
+++ b/src/Core/Clock.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include <ctime>
-
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace firefly {
 
 /// Span of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
-/// Clock of the whole program that never goes back, usable with `asio::basic_waitable_timer<Clock>`.
+/// Clock of the whole program that never goes back, usable with
+/// `asio::basic_waitable_timer<Clock>`.
 ///
 /// Tests call pause() once and then move time by advance(); the daemon never pauses it.
 /// The deterministic modules do not read it: they take the time as an argument.
--- a/src/Fleet.h
+++ b/src/Fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
-/// \file Queues as operators configure them.
+/// \file Queues as operators configure them, and the split of workers and jobs over cells.
 
+#include "Fleet/CellLayout.h" // IWYU pragma: export
 #include "Fleet/RouteTable.h" // IWYU pragma: export
--- /dev/null
+++ b/src/Fleet/CellLayout.cpp
@@ -0,0 +1,161 @@
+#include "Fleet/CellLayout.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace firefly {
+namespace {
+
+using nlohmann::json;
+
+/// One rack with the workers that it has now.
+struct Rack
+{
+    std::string name;
+    std::string service; ///< Of most of its workers.
+    int workers = 0;
+};
+
+std::vector<Rack> racksOf(std::span<const WorkerDescription> workers)
+{
+    std::map<std::string, std::map<std::string, int>> counts;
+    for (const WorkerDescription &it : workers) {
+        if (!it.rack.empty()) {
+            ++counts[it.rack][it.service];
+        }
+    }
+    std::vector<Rack> racks;
+    for (const auto &[name, services] : counts) {
+        const auto most = std::ranges::max_element(
+            services, {}, [](const auto &it) { return it.second; });
+        Rack rack{name, most->first, 0};
+        for (const auto &[service, count] : services) {
+            rack.workers += count;
+        }
+        racks.push_back(std::move(rack));
+    }
+    std::ranges::stable_sort(racks, std::greater{}, &Rack::workers);
+    return racks;
+}
+
+int pick(std::string_view name, std::size_t count)
+{
+    return static_cast<int>(XXH3_64bits(name.data(), name.size()) % count);
+}
+
+} // namespace
+
+CellLayout CellLayout::plan(std::span<const WorkerDescription> workers, int mostCells,
+                            int workersPerCell)
+{
+    const auto count = static_cast<int>(workers.size());
+    const std::vector<Rack> racks = racksOf(workers);
+    CellLayout layout;
+    const int wanted = (count + workersPerCell / 2) / workersPerCell;
+    layout.m_cellCount =
+        std::clamp(std::min(wanted, static_cast<int>(racks.size())), 1, std::max(1, mostCells));
+    std::map<std::string, std::vector<int>> loads; // By service and cell, in workers.
+    std::vector<int> total(static_cast<std::size_t>(layout.m_cellCount), 0);
+    std::map<std::string, std::set<int>> cells;
+    for (const Rack &it : racks) {
+        auto &load = loads[it.service];
+        load.resize(total.size(), 0);
+        std::size_t best = 0;
+        for (std::size_t i = 1; i < load.size(); ++i) {
+            if (std::pair(load[i], total[i]) < std::pair(load[best], total[best])) {
+                best = i;
+            }
+        }
+        load[best] += it.workers;
+        total[best] += it.workers;
+        layout.m_cellOfRack[it.name] = static_cast<int>(best);
+        cells[it.service].insert(static_cast<int>(best));
+    }
+    for (const auto &[service, set] : cells) {
+        layout.m_cellsOfService[service] = {set.begin(), set.end()};
+    }
+    return layout;
+}
+
+CellLayout CellLayout::decode(std::string_view bytes)
+{
+    try {
+        const json object = json::parse(bytes);
+        CellLayout layout;
+        object.at("cells").get_to(layout.m_cellCount);
+        object.at("racks").get_to(layout.m_cellOfRack);
+        object.at("services").get_to(layout.m_cellsOfService);
+        const auto isCell = [&layout](int it) { return it >= 0 && it < layout.m_cellCount; };
+        for (const auto &[rack, cell] : layout.m_cellOfRack) {
+            if (!isCell(cell)) {
+                throw CellLayoutError("layout: rack " + rack + " has no such cell");
+            }
+        }
+        for (const auto &[service, cells] : layout.m_cellsOfService) {
+            if (cells.empty() || !std::ranges::all_of(cells, isCell)) {
+                throw CellLayoutError("layout: service " + service + " has no such cell");
+            }
+        }
+        if (layout.m_cellCount < 1) {
+            throw CellLayoutError("layout: no cell");
+        }
+        return layout;
+    } catch (const json::exception &e) {
+        throw CellLayoutError(std::string("layout: ") + e.what());
+    }
+}
+
+std::string CellLayout::encode() const
+{
+    return json{{"cells", m_cellCount}, {"racks", m_cellOfRack}, {"services", m_cellsOfService}}
+        .dump();
+}
+
+const std::vector<int> *CellLayout::cellsOf(const std::string &service) const
+{
+    const auto it = m_cellsOfService.find(service);
+    return it == m_cellsOfService.end() ? nullptr : &it->second;
+}
+
+bool CellLayout::hasService(int cell, const std::string &service) const
+{
+    const auto *cells = cellsOf(service);
+    return cells && std::ranges::binary_search(*cells, cell);
+}
+
+int CellLayout::cellOfUnknown(std::string_view name, const std::string &service) const
+{
+    const auto *cells = cellsOf(service);
+    // A service that is new since the layout keeps its workers together, and its jobs with them.
+    return cells ? (*cells)[static_cast<std::size_t>(pick(name, cells->size()))]
+                 : pick(service, static_cast<std::size_t>(m_cellCount));
+}
+
+int CellLayout::cellOf(const WorkerDescription &worker) const
+{
+    const auto *cells = cellsOf(worker.service);
+    const auto it = m_cellOfRack.find(worker.rack);
+    const bool isKnown = it != m_cellOfRack.end();
+    // A rack that serves another service now goes where the jobs of that service are.
+    if (isKnown && cells && std::ranges::binary_search(*cells, it->second)) {
+        return it->second;
+    }
+    return cellOfUnknown(worker.rack.empty() ? worker.id.value() : worker.rack, worker.service);
+}
+
+int CellLayout::cellOf(const JobId &job, const std::string &service,
+                       const std::string &dataRack) const
+{
+    const auto rack = m_cellOfRack.find(dataRack);
+    const auto *cells = cellsOf(service);
+    if (rack != m_cellOfRack.end() && cells && std::ranges::binary_search(*cells, rack->second)) {
+        return rack->second;
+    }
+    return cellOfUnknown(job.value(), service);
+}
+
+} // namespace firefly
--- a/src/Fleet/NodeSettings.h
+++ b/src/Fleet/NodeSettings.h
@@ -22,7 +22,8 @@
     std::vector<std::uint16_t> internalPorts; ///< Free for our own processes; first and last.
     std::string address;                      ///< This VM's IP number.
     Endpoint store;
-    double cpuShare = 1.0; ///< Of one core.
+    int storePartitions = 12; ///< Of a topic, numbered from 0.
+    double cpuShare = 1.0;    ///< Of one core.
     std::size_t maxConnections = 2048;
     Duration gracePeriod = std::chrono::seconds(6); ///< From SIGTERM to SIGKILL.
     CellBounds bounds;
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <chrono>
 #include <optional>
+#include <set>
 
 namespace firefly {
 namespace {
@@ -31,7 +32,7 @@
 /// A store that refuses appends for this long can't take new jobs.
 constexpr Duration ToleratedOutage = std::chrono::milliseconds(400);
 /// The counts of waiting jobs are published with each renewal of the claim.
-constexpr Duration PendingCountInterval = std::chrono::milliseconds(300);
+constexpr Duration PendingCountInterval = std::chrono::milliseconds(200);
 /// Interval of the owner's line on its load.
 constexpr Duration LoadLineInterval = std::chrono::seconds(2);
 /// The candidate with a whole core goes first; one without any waits this long.
@@ -43,11 +44,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-/// Spreads the candidates: by processor share first, by incarnation among equals.
-Duration headStartBefore(double cpuShare, const std::string &incarnation)
+/// Spreads the candidates for a cell: by processor share first, by chance among equals.
+Duration headStartBefore(double cpuShare, const std::string &incarnation, int cell)
 {
     const double share = std::clamp(cpuShare, 0.0, 1.0);
-    const auto spread = static_cast<double>(std::hash<std::string>()(incarnation) % 1000) / 1000.0;
+    const std::string lot = incarnation + "/" + std::to_string(cell);
+    const auto spread = static_cast<double>(std::hash<std::string>()(lot) % 1000) / 1000.0;
     const double part = 0.6 * (1.0 - share) + 0.4 * spread;
     return std::chrono::duration_cast<Duration>(FullHeadStart * part);
 }
@@ -60,7 +62,7 @@
     result.node = settings.node;
     result.endpoint = options.endpoint;
     result.maxLease = settings.bounds.grantedLease();
-    result.headStart = headStartBefore(settings.cpuShare, options.incarnation);
+    result.headStart = headStartBefore(settings.cpuShare, options.incarnation, options.cell);
     return result;
 }
 
@@ -70,6 +72,14 @@
 {
     using Timer = asio::basic_waitable_timer<Clock>;
 
+    /// The run that an order is about; the payload of a start isn't kept for the reply.
+    struct OrderedRun
+    {
+        WorkerId worker;
+        TaskName task;
+        std::uint32_t run = 0;
+    };
+
     Private(asio::io_context &contextIn, const NodeSettings &settingsIn, Options optionsIn,
             platform::StoreClient &storeIn, platform::WorkerClient &workersIn, EventLog &logIn,
             Metrics &metricsIn)
@@ -141,18 +151,18 @@
                 || now >= election.ordersUntil())) {
             endOwnership();
         }
-        if (!isOwning && election.isOwner() && now < election.ordersUntil()
-            && election.epoch() != fencedEpoch) {
+        if (!isOwning && election.isOwner() && now < election.ordersUntil()) {
             beginOwnership(now);
         }
         if (isServing) {
             scheduler.setOrdersUntil(election.ordersUntil());
             scheduler.tick(now, unixMs());
-            sendOrders(now);
+            sendOrders();
             sendJournal();
             if (now - lastPendingCount >= PendingCountInterval) {
                 lastPendingCount = now;
                 election.setPending(scheduler.pendingByQueue());
+                election.setLoad(scheduler.load());
             }
             logLoad(now);
         }
@@ -178,7 +188,9 @@
             return;
         }
         lastLoadLine = now;
-        log.write(LogLevel::Info, "cell", "load", summarizeLoad(scheduler));
+        nlohmann::json fields = summarizeLoad(scheduler);
+        fields["cell"] = options.cell;
+        log.write(LogLevel::Info, "cell", "load", fields);
     }
 
     // Ownership
@@ -198,6 +210,7 @@
 
     void sendClaim(TimePoint now)
     {
+        election.setCellsBeside(options.claimedBeside());
         const auto append = election.next(now);
         if (!append) {
             return;
@@ -248,7 +261,9 @@
                    {"fenced", scheduler.isFenced()},
                    {"owner", election.claim().node},
                    {"owner_epoch", election.epoch()}});
-        fencedEpoch = epoch;
+        if (election.epoch() == epoch) {
+            election.giveUp();
+        }
         isOwning = false;
         isServing = false;
         directory.reset();
@@ -410,13 +425,57 @@
                   isReached ? "store regained" : "store lost", {{"error", error}});
     }
 
+    // Clients
+
+    static CallerReply toReply(CellScheduler::Verdict verdict)
+    {
+        switch (verdict) {
+        case CellScheduler::Verdict::Accepted:
+            return {CallerVerdict::Done, JobState::Queued, 0, {}};
+        case CellScheduler::Verdict::NotAccepted:
+            return {CallerVerdict::Refused, JobState::Queued, 0, "not stored"};
+        case CellScheduler::Verdict::Unknown:
+            break;
+        }
+        return {CallerVerdict::Unknown, JobState::Queued, 0, "owner changed"};
+    }
+
+    /// Sends a new job to a cell with less load; false when it is to stay here.
+    bool refer(const JobId &id, const JobSpec &spec, const OnCallerReply &done)
+    {
+        if (scheduler.knows(id)) {
+            return false;
+        }
+        const bool isNearData = std::ranges::any_of(
+            spec.steps, [](const StepSpec &it) { return !it.dataRack.empty(); });
+        const NewJob job{id, spec.policy.service, scheduler.loadOf(spec)};
+        const auto cell = isNearData ? std::nullopt : options.lighterCell(job, scheduler.load());
+        if (!cell && !scheduler.isReferred(id)) {
+            return false;
+        }
+        scheduler.refer(
+            id, cell.value_or(options.cell), unixMs(),
+            guarded([id, done](Private &self, CellScheduler::Verdict verdict) {
+                const auto target = self.scheduler.referralOf(id);
+                CallerReply reply = toReply(verdict);
+                if (reply.verdict == CallerVerdict::Done && target) {
+                    reply = {CallerVerdict::Elsewhere, JobState::Queued, 0, "referred", *target};
+                }
+                done(reply);
+            }));
+        wake();
+        return true;
+    }
+
     // Workers
 
     void followWorkers()
     {
+        foreignWorkers.clear();
         TopicFollower::Callbacks callbacks;
         callbacks.onRecord = [this](const KeyedRecord &it) { takeWorker(it); };
         callbacks.onSnapshot = [this](const std::set<std::string> &keys) {
+            std::erase_if(foreignWorkers, [&keys](const auto &it) { return !keys.contains(it); });
             std::vector<WorkerId> gone;
             for (const auto &[id, worker] : scheduler.state().workers) {
                 if (worker->isRegistered && !keys.contains(id)) {
@@ -436,22 +495,34 @@
     void takeWorker(const KeyedRecord &record)
     {
         const TimePoint now = Clock::now();
+        if (foreignWorkers.contains(record.key)) {
+            // A worker's rack, and with it its cell, is the same for its whole life.
+            if (!record.value) {
+                foreignWorkers.erase(record.key);
+            }
+            return;
+        }
         if (!record.value) {
             log.write(LogLevel::Info, "cell", "worker gone", {{"worker", record.key}});
             scheduler.onWorkerGone(WorkerId(record.key), now);
             return;
         }
         try {
-            scheduler.onWorkerListed(platform::decodeWorker(record.key, *record.value), now);
+            const WorkerDescription worker = platform::decodeWorker(record.key, *record.value);
+            if (options.layout.cellOf(worker) != options.cell) {
+                foreignWorkers.insert(record.key);
+                return;
+            }
+            scheduler.onWorkerListed(worker, now);
         } catch (const platform::WireError &e) {
             log.write(LogLevel::Warning, "cell", "unreadable worker entry", {{"error", e.what()}});
         }
     }
 
-    void sendOrders(TimePoint now)
+    void sendOrders()
     {
         for (CellAction &action : scheduler.takeActions()) {
-            std::visit([this, now](const auto &order) { send(order, now); }, action);
+            std::visit([this](const auto &order) { send(order); }, action);
         }
     }
 
@@ -463,99 +534,97 @@
                    : std::optional<Endpoint>(it->second->info.endpoint);
     }
 
-    void send(const StartTask &order, TimePoint /*now*/)
+    void send(const StartTask &order)
     {
-        const auto endpoint = endpointOf(order.worker);
-        if (!endpoint) {
-            return;
-        }
-        metrics.add("firefly_task_starts_total");
-        workers.start(*endpoint, order, epoch,
-                      guarded([worker = order.worker, task = order.task,
-                               run = order.run](Private &self, const OrderReply &reply) {
-                          self.noteOutcome("start", worker, task, run, reply.outcome);
-                          self.scheduler.onStartReply(worker, task, run, reply, Clock::now());
-                          self.wake();
-                      }));
+        sendRun(order, "start", &platform::WorkerClient::start,
+                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onStartReply(it.worker, it.task, it.run, reply, now);
+                });
     }
 
-    void send(const StopTask &order, TimePoint /*now*/)
+    void send(const StopTask &order)
     {
-        const auto endpoint = endpointOf(order.worker);
-        if (!endpoint) {
-            return;
-        }
-        metrics.add("firefly_task_stops_total");
-        workers.stop(*endpoint, order, epoch,
-                     guarded([worker = order.worker, task = order.task,
-                              run = order.run](Private &self, const OrderReply &reply) {
-                         self.noteOutcome("stop", worker, task, run, reply.outcome);
-                         self.scheduler.onStopOutcome(worker, task, run, reply.outcome,
-                                                      Clock::now());
-                         self.wake();
-                     }));
+        sendRun(order, "stop", &platform::WorkerClient::stop,
+                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onStopOutcome(it.worker, it.task, it.run, reply.outcome, now);
+                });
     }
 
-    void send(const PaceTask &order, TimePoint /*now*/)
+    void send(const PaceTask &order)
+    {
+        sendRun(order, "pace", &platform::WorkerClient::pace,
+                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onPaceOutcome(it.worker, it.task, it.run, reply.outcome, now);
+                });
+    }
+
+    /// Sends an order about one run and hands its reply to \a take.
+    template <typename Order, typename Take>
+    void sendRun(const Order &order, const char *kind,
+                 void (platform::WorkerClient::*call)(const Endpoint &, const Order &, Epoch,
+                                                      platform::WorkerClient::OnReply),
+                 Take take)
     {
         const auto endpoint = endpointOf(order.worker);
         if (!endpoint) {
             return;
         }
-        metrics.add("firefly_task_paces_total");
-        workers.pace(*endpoint, order, epoch,
-                     guarded([worker = order.worker, task = order.task,
-                              run = order.run](Private &self, const OrderReply &reply) {
-                         self.noteOutcome("pace", worker, task, run, reply.outcome);
-                         self.scheduler.onPaceOutcome(worker, task, run, reply.outcome,
-                                                      Clock::now());
-                     }));
+        metrics.add(std::string("firefly_task_") + kind + "s_total");
+        (workers.*call)(*endpoint, order, epoch,
+                        guarded([ordered = OrderedRun{order.worker, order.task, order.run}, kind,
+                                 take](Private &self, const OrderReply &reply) {
+                            self.noteOutcome(kind, ordered, reply.outcome);
+                            take(self, ordered, reply, Clock::now());
+                            self.wake();
+                        }));
     }
 
-    void send(const RenewLease &order, TimePoint now)
+    void send(const RenewLease &order)
     {
         const auto endpoint = endpointOf(order.worker);
         if (!endpoint) {
             return;
         }
         metrics.add("firefly_lease_renewals_total");
-        workers.renew(
-            *endpoint, order, epoch,
-            guarded([worker = order.worker, now](Private &self, OrderOutcome outcome,
-                                                 const LeaseReport &report) {
-                if (outcome != OrderOutcome::Accepted) {
-                    self.log.write(LogLevel::Warning, "cell", "renewal failed",
-                                   {{"worker", worker.value()}, {"outcome", toString(outcome)}});
-                }
-                self.scheduler.onLeaseReport(worker, outcome, report, now, Clock::now(), unixMs());
-                self.wake();
-            }));
+        workers.renew(*endpoint, order, epoch,
+                      guarded([worker = order.worker, sentAt = Clock::now()](
+                                  Private &self, OrderOutcome outcome, const LeaseReport &report) {
+                          if (outcome != OrderOutcome::Accepted) {
+                              self.log.write(
+                                  LogLevel::Warning, "cell", "renewal failed",
+                                  {{"worker", worker.value()}, {"outcome", toString(outcome)}});
+                          }
+                          self.scheduler.onLeaseReport(worker, outcome, report, sentAt,
+                                                       Clock::now(), unixMs());
+                          self.wake();
+                      }));
     }
 
-    void send(const CellNote &note, TimePoint /*now*/)
+    void send(const CellNote &note)
     {
-        log.write(LogLevel::Info, "cell", note.message,
-                  {{"job", note.task.job.value()},
-                   {"task", platform::taskText(note.task)},
-                   {"run", note.run},
-                   {"worker", note.worker},
-                   {"epoch", epoch},
-                   {"detail", note.detail}});
+        log.write(LogLevel::Info, "cell", note.message, [&] {
+            return nlohmann::json{{"job", note.task.job.value()},
+                                  {"task", platform::taskText(note.task)},
+                                  {"run", note.run},
+                                  {"worker", note.worker},
+                                  {"epoch", epoch},
+                                  {"detail", note.detail}};
+        });
     }
 
-    void noteOutcome(const char *order, const WorkerId &worker, const TaskName &task,
-                     std::uint32_t run, OrderOutcome outcome)
+    void noteOutcome(const char *kind, const OrderedRun &order, OrderOutcome outcome)
     {
         if (outcome == OrderOutcome::Accepted) {
             return;
         }
         metrics.add("firefly_orders_refused_total");
-        log.write(LogLevel::Info, "cell", std::string(order) + " refused",
-                  {{"job", task.job.value()},
-                   {"task", platform::taskText(task)},
-                   {"run", run},
-                   {"worker", worker.value()},
-                   {"outcome", toString(outcome)}});
+        log.write(LogLevel::Info, "cell", std::string(kind) + " refused", [&] {
+            return nlohmann::json{{"job", order.task.job.value()},
+                                  {"task", platform::taskText(order.task)},
+                                  {"run", order.run},
+                                  {"worker", order.worker.value()},
+                                  {"outcome", toString(outcome)}};
+        });
     }
 
     asio::io_context &context;
@@ -569,12 +638,12 @@
     CellScheduler scheduler;
     std::unique_ptr<TopicFollower> claims;
     std::unique_ptr<TopicFollower> directory;
+    std::set<std::string> foreignWorkers; ///< Registered workers of other cells.
     Timer timer;
     Timer journalTimer;
     TimePoint lastLoadLine{};
     TimePoint lastPendingCount{};
     Epoch epoch = 0;
-    Epoch fencedEpoch = 0; ///< Last epoch that this process gave up.
     std::uint64_t generation = 0;
     bool isOwning = false;
     bool isServing = false;
@@ -617,26 +686,19 @@
     return !m_private->isOwning;
 }
 
-void CellHost::submit(const JobId &id, JobSpec spec, OnCallerReply done)
+void CellHost::submit(const JobId &id, JobSpec spec, bool isReferred, OnCallerReply done)
 {
     Private &self = *m_private;
     if (self.isStoreFailing()) {
         done({CallerVerdict::Refused, JobState::Queued, 0, "the store is unavailable"});
         return;
     }
+    if (!isReferred && self.refer(id, spec, done)) {
+        return;
+    }
     self.scheduler.submit(id, std::move(spec), Clock::now(), unixMs(),
                           [done = std::move(done)](CellScheduler::Verdict verdict) {
-                              switch (verdict) {
-                              case CellScheduler::Verdict::Accepted:
-                                  done({CallerVerdict::Done, JobState::Queued, 0, {}});
-                                  return;
-                              case CellScheduler::Verdict::NotAccepted:
-                                  done({CallerVerdict::Refused, JobState::Queued, 0, "not stored"});
-                                  return;
-                              case CellScheduler::Verdict::Unknown:
-                                  break;
-                              }
-                              done({CallerVerdict::Unknown, JobState::Queued, 0, "owner changed"});
+                              done(Private::toReply(verdict));
                           });
     self.wake();
 }
@@ -644,6 +706,10 @@
 void CellHost::query(const JobId &id, const OnCallerReply &done)
 {
     Private &self = *m_private;
+    if (const auto cell = self.scheduler.referralOf(id)) {
+        done({CallerVerdict::Elsewhere, JobState::Queued, 0, "referred", *cell});
+        return;
+    }
     const auto state = self.scheduler.stateOf(id);
     if (state) {
         done({CallerVerdict::Done, *state, 0, {}});
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -3,6 +3,7 @@
 #include "Cell/CellScheduler.h"
 #include "CellLease/CellElection.h"
 #include "Fleet/CallerRequest.h"
+#include "Fleet/CellLayout.h"
 #include "Fleet/NodeSettings.h"
 #include "Ops/EventLog.h"
 #include "Ops/Metrics.h"
@@ -14,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace firefly {
@@ -24,11 +26,23 @@
 class CellHost
 {
 public:
+    /// What a choice of cell needs to know of a job.
+    struct NewJob
+    {
+        JobId id;
+        std::string service;
+        CellLoad load; ///< That it would add.
+    };
+
     struct Options
     {
         int cell = 0;
         std::string incarnation; ///< Unique to this process.
         Endpoint endpoint;       ///< Of this process, for requests of the others.
+        CellLayout layout;
+        /// A cell that would better take a new job than this one with its load \a own.
+        std::function<std::optional<int>(const NewJob &job, const CellLoad &own)> lighterCell;
+        std::function<int()> claimedBeside; ///< Other cells that this process has or claims.
     };
 
     CellHost(asio::io_context &context, const NodeSettings &settings, Options options,
@@ -47,7 +61,8 @@
 
     // Requests, valid while isServing().
 
-    void submit(const JobId &id, JobSpec spec, OnCallerReply done);
+    /// A job that wasn't referred here may be answered with a lighter cell.
+    void submit(const JobId &id, JobSpec spec, bool isReferred, OnCallerReply done);
     void query(const JobId &id, const OnCallerReply &done);
     void cancel(const JobId &id, const OnCallerReply &done);
 
--- a/src/Node/FrontDesk.cpp
+++ b/src/Node/FrontDesk.cpp
@@ -1,11 +1,13 @@
 #include "Node/FrontDesk.h"
 
 #include "platform/CallerHttp.h"
+#include "platform/Wire.h"
 
 #include <asio/basic_waitable_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace firefly {
 namespace {
@@ -37,16 +39,18 @@
         TimePoint deadline{};      ///< The final answer leaves by then.
         TimePoint ownerDeadline{}; ///< Without an owner, it leaves by then.
         bool isUncertain = false;  ///< Some try may have had its effect.
+        std::optional<int> cell;   ///< Asked now; empty until the layout is known.
+        int cellsAsked = 0;        ///< Those that don't know the job.
         int tries = 0;
         asio::basic_waitable_timer<Clock> timer;
     };
     using ExchangePtr = std::shared_ptr<Exchange>;
 
-    Private(asio::io_context &contextIn, const RouteTable &routesIn, CellHost &cellIn,
+    Private(asio::io_context &contextIn, const RouteTable &routesIn, CellSet &cellsIn,
             PeerJobs &peersIn, EventLog &logIn, Metrics &metricsIn)
         : context(contextIn)
         , routes(routesIn)
-        , cell(cellIn)
+        , cells(cellsIn)
         , peers(peersIn)
         , log(logIn)
         , metrics(metricsIn)
@@ -90,11 +94,9 @@
 
     void countPending(const ExchangePtr &exchange)
     {
-        const auto &counts = cell.election().claim().pendingByQueue;
-        const auto it = counts.find(exchange->queue);
         CallerReply reply;
         reply.verdict = CallerVerdict::Done;
-        reply.pending = it == counts.end() ? 0 : it->second;
+        reply.pending = cells.pending(exchange->queue);
         finish(exchange, reply);
     }
 
@@ -106,22 +108,60 @@
                 self->take(exchange, reply);
             }
         };
-        if (cell.isServing()) {
+        CellHost *cell = nullptr;
+        try {
+            cell = findCell(exchange);
+        } catch (const platform::WireError &e) {
+            finish(exchange, {CallerVerdict::Malformed, JobState::Queued, 0, e.what()});
+            return;
+        }
+        if (!cell) {
+            take(exchange, {CallerVerdict::NotRun, JobState::Queued, 0, "no layout yet"});
+            return;
+        }
+        if (cell->isServing()) {
             expectAnswer(exchange);
-            peers.answer(exchange->request, onReply);
+            peers.answer(*cell, exchange->request, onReply);
             return;
         }
-        const CellElection &election = cell.election();
+        const CellElection &election = cell->election();
         if (!election.hasOwner() || election.isOwner()) {
             take(exchange, {CallerVerdict::NotRun, JobState::Queued, 0, "no owner"});
             return;
         }
         const Duration left = exchange->deadline - Clock::now();
-        peers.forward(election.claim().endpoint, exchange->request,
+        peers.forward(election.claim().endpoint, *exchange->cell, exchange->request,
                       std::clamp<Duration>(left, std::chrono::milliseconds(50), TryTimeout),
                       onReply);
     }
 
+    /// The cell to ask now; null while the layout is unknown.
+    CellHost *findCell(const ExchangePtr &exchange)
+    {
+        const CellLayout *layout = cells.layout();
+        if (!layout) {
+            return nullptr;
+        }
+        if (!exchange->cell) {
+            exchange->cell = peers.cellFor(*layout, exchange->request);
+        }
+        return cells.find(*exchange->cell);
+    }
+
+    /// A job may lie elsewhere: near its data, or where its queue's workers were before.
+    bool asksNextCell(const ExchangePtr &exchange, const CallerReply &reply)
+    {
+        const bool isSearch = reply.verdict == CallerVerdict::NoSuchJob && exchange->cell
+                              && !exchange->request.isReferred
+                              && exchange->request.verb != CallerVerb::Submit;
+        if (!isSearch || ++exchange->cellsAsked >= cells.layout()->cellCount()) {
+            return false;
+        }
+        exchange->cell = (*exchange->cell + 1) % cells.layout()->cellCount();
+        attempt(exchange);
+        return true;
+    }
+
     /// Bounds the wait for an answer of this process itself.
     void expectAnswer(const ExchangePtr &exchange)
     {
@@ -137,6 +177,18 @@
 
     void take(const ExchangePtr &exchange, CallerReply reply)
     {
+        if (!exchange->respond) {
+            return;
+        }
+        if (reply.verdict == CallerVerdict::Elsewhere && !exchange->request.isReferred) {
+            exchange->request.isReferred = true;
+            exchange->cell = reply.cell;
+            attempt(exchange);
+            return;
+        }
+        if (asksNextCell(exchange, reply)) {
+            return;
+        }
         const bool isFinal =
             reply.verdict != CallerVerdict::NotRun && reply.verdict != CallerVerdict::Unknown;
         exchange->isUncertain = exchange->isUncertain || reply.verdict == CallerVerdict::Unknown;
@@ -184,20 +236,21 @@
             && verb != CallerVerb::Cancel) {
             return;
         }
-        log.write(LogLevel::Info, "front", verb == CallerVerb::Submit ? "submit" : "request",
-                  {{"job", exchange.request.job.value()},
-                   {"queue", exchange.queue},
-                   {"verdict", static_cast<int>(reply.verdict)},
-                   {"detail", reply.detail},
-                   {"tries", exchange.tries},
-                   {"config", routes.version()},
-                   {"epoch", cell.election().epoch()},
-                   {"ms", took.count() / 1000}});
+        log.write(LogLevel::Info, "front", verb == CallerVerb::Submit ? "submit" : "request", [&] {
+            return nlohmann::json{{"job", exchange.request.job.value()},
+                                  {"queue", exchange.queue},
+                                  {"verdict", toString(reply.verdict)},
+                                  {"detail", reply.detail},
+                                  {"tries", exchange.tries},
+                                  {"config", routes.version()},
+                                  {"cell", exchange.cell.value_or(-1)},
+                                  {"ms", took.count() / 1000}};
+        });
     }
 
     asio::io_context &context;
     const RouteTable &routes;
-    CellHost &cell;
+    CellSet &cells;
     PeerJobs &peers;
     EventLog &log;
     Metrics &metrics;
@@ -205,9 +258,9 @@
     std::size_t inFlight = 0;
 };
 
-FrontDesk::FrontDesk(asio::io_context &context, const RouteTable &routes, CellHost &cell,
+FrontDesk::FrontDesk(asio::io_context &context, const RouteTable &routes, CellSet &cells,
                      PeerJobs &peers, EventLog &log, Metrics &metrics)
-    : m_private(std::make_shared<Private>(context, routes, cell, peers, log, metrics))
+    : m_private(std::make_shared<Private>(context, routes, cells, peers, log, metrics))
 {}
 
 FrontDesk::~FrontDesk() = default;
--- a/src/Node/FrontDesk.h
+++ b/src/Node/FrontDesk.h
@@ -24,7 +24,7 @@
     /// Longest wait for an owner; a change of owner takes about this long.
     static constexpr Duration MaxOwnerWait = std::chrono::milliseconds(1500);
 
-    FrontDesk(asio::io_context &context, const RouteTable &routes, CellHost &cell, PeerJobs &peers,
+    FrontDesk(asio::io_context &context, const RouteTable &routes, CellSet &cells, PeerJobs &peers,
               EventLog &log, Metrics &metrics);
     ~FrontDesk();
     FrontDesk(const FrontDesk &) = delete;
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -1,7 +1,7 @@
 #include "Node/NodeRuntime.h"
 
 #include "Fleet/RouteTable.h"
-#include "Node/CellHost.h"
+#include "Node/CellSet.h"
 #include "Node/FrontDesk.h"
 #include "Node/PeerJobs.h"
 #include "Node/TopicFollower.h"
@@ -65,9 +65,9 @@
         , curl(context, curlOptions(settings))
         , store(curl, settings.store)
         , workers(curl)
-        , cell(context, settings, cellOptions(), store, workers, log, metrics)
-        , peers(curl, cell, &platform::decodeJob)
-        , desk(context, routes, cell, peers, log, metrics)
+        , cells(context, settings, cellOptions(), store, workers, log, metrics)
+        , peers(curl, cells, &platform::decodeJob)
+        , desk(context, routes, cells, peers, log, metrics)
         , internal(context, internalEndpoint(), HttpLimits{}, internalHandler())
         , callers(context, settings.callers, callerLimits(settings), callerHandler())
         , drainTimer(context)
@@ -131,7 +131,7 @@
     {
         return {{"node", settings.node},        {"incarnation", incarnation},
                 {"config", routes.version()},   {"draining", isDraining},
-                {"in_flight", desk.inFlight()}, {"cell", cell.dump()}};
+                {"in_flight", desk.inFlight()}, {"cells", cells.dump()}};
     }
 
     void followConfig()
@@ -171,14 +171,14 @@
         drainBegan = Clock::now();
         log.write(LogLevel::Info, "node", "draining", {{"in_flight", desk.inFlight()}});
         desk.drain();
-        cell.resign();
+        cells.resign();
         pollDrain();
     }
 
     void pollDrain()
     {
         const Duration since = Clock::now() - drainBegan;
-        const bool isQuiet = since >= BalancerNotice && desk.inFlight() == 0 && cell.hasResigned();
+        const bool isQuiet = since >= BalancerNotice && desk.inFlight() == 0 && cells.hasResigned();
         if (isQuiet || since >= settings.gracePeriod - KillMargin) {
             log.write(LogLevel::Info, "node", "stopped", {{"in_flight", desk.inFlight()}});
             context.stop();
@@ -201,7 +201,7 @@
     platform::StoreClient store;
     platform::WorkerClient workers;
     RouteTable routes;
-    CellHost cell;
+    CellSet cells;
     PeerJobs peers;
     FrontDesk desk;
     HttpServer internal;
--- a/src/Node/PeerJobs.cpp
+++ b/src/Node/PeerJobs.cpp
@@ -4,13 +4,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace firefly {
 namespace {
 
 using nlohmann::json;
 
-constexpr const char *JobsPath = "/jobs/";
+/// Followed by the cell and the job.
+constexpr const char *JobsPath = "jobs";
 constexpr const char *PolicyHeader = "Firefly-Policy";
+constexpr const char *ReferredHeader = "Firefly-Referred";
 
 std::string encodePolicy(const QueuePolicy &policy)
 {
@@ -35,7 +39,7 @@
 std::string encodeReply(const CallerReply &reply)
 {
     return json::array({static_cast<int>(reply.verdict), static_cast<int>(reply.state),
-                        reply.pending, reply.detail})
+                        reply.pending, reply.detail, reply.cell})
         .dump();
 }
 
@@ -45,7 +49,7 @@
         return {CallerVerdict::NotRun, JobState::Queued, 0, "the owner is unreachable"};
     }
     const json row = json::parse(result.body, nullptr, false);
-    const bool isReply = result.isSuccess() && row.is_array() && row.size() == 4;
+    const bool isReply = result.isSuccess() && row.is_array() && row.size() == 5;
     if (!isReply) {
         return {CallerVerdict::Unknown, JobState::Queued, 0, "no answer from the owner"};
     }
@@ -54,6 +58,7 @@
     reply.state = static_cast<JobState>(row.at(1).get<int>());
     row.at(2).get_to(reply.pending);
     row.at(3).get_to(reply.detail);
+    row.at(4).get_to(reply.cell);
     return reply;
 }
 
@@ -73,20 +78,34 @@
 
 } // namespace
 
-PeerJobs::PeerJobs(CurlLoop &loop, CellHost &cell, JobParser parser)
+PeerJobs::PeerJobs(CurlLoop &loop, CellSet &cells, JobParser parser)
     : m_loop(loop)
-    , m_cell(cell)
+    , m_cells(cells)
     , m_parser(std::move(parser))
 {}
 
-void PeerJobs::forward(const Endpoint &owner, const ForwardedRequest &request, Duration timeout,
-                       OnCallerReply done)
+int PeerJobs::cellFor(const CellLayout &layout, const ForwardedRequest &request) const
+{
+    std::string dataRack;
+    if (layout.cellCount() > 1 && request.verb == CallerVerb::Submit) {
+        const JobSpec spec = m_parser(request.body);
+        for (const StepSpec &it : spec.steps) {
+            dataRack = dataRack.empty() ? it.dataRack : dataRack;
+        }
+    }
+    return layout.cellOf(request.job, request.policy.service, dataRack);
+}
+
+void PeerJobs::forward(const Endpoint &owner, int cell, const ForwardedRequest &request,
+                       Duration timeout, OnCallerReply done)
 {
     HttpExchange exchange;
     exchange.method = methodOf(request.verb);
-    exchange.url = baseUrl(owner) + JobsPath + request.job.value();
+    exchange.url =
+        baseUrl(owner) + "/" + JobsPath + "/" + std::to_string(cell) + "/" + request.job.value();
     if (request.verb == CallerVerb::Submit) {
-        exchange.headers = {{PolicyHeader, encodePolicy(request.policy)}};
+        exchange.headers = {{PolicyHeader, encodePolicy(request.policy)},
+                            {ReferredHeader, request.isReferred ? "1" : "0"}};
         exchange.body = request.body;
     }
     exchange.timeout = timeout;
@@ -94,14 +113,14 @@
                  [done = std::move(done)](const HttpResult &result) { done(decodeReply(result)); });
 }
 
-void PeerJobs::answer(const ForwardedRequest &request, OnCallerReply done)
+void PeerJobs::answer(CellHost &cell, const ForwardedRequest &request, OnCallerReply done)
 {
     switch (request.verb) {
     case CallerVerb::Submit:
         try {
             JobSpec spec = m_parser(request.body);
             spec.policy = request.policy;
-            m_cell.submit(request.job, std::move(spec), std::move(done));
+            cell.submit(request.job, std::move(spec), request.isReferred, std::move(done));
         } catch (const InvariantViolation &) {
             throw;
         } catch (const std::exception &e) {
@@ -109,13 +128,13 @@
         }
         return;
     case CallerVerb::Cancel:
-        m_cell.cancel(request.job, done);
+        cell.cancel(request.job, done);
         return;
     case CallerVerb::Query:
     case CallerVerb::CountPending:
         break;
     }
-    m_cell.query(request.job, done);
+    cell.query(request.job, done);
 }
 
 void PeerJobs::handle(const HttpRequest &request, HttpServer::Respond respond)
@@ -125,15 +144,22 @@
         response.body = encodeReply(it);
         respond(std::move(response));
     };
-    if (!m_cell.isServing()) {
+    const auto segments = request.segments();
+    int number = -1;
+    if (segments.size() == 3 && segments[0] == JobsPath) {
+        std::from_chars(segments[1].data(), segments[1].data() + segments[1].size(), number);
+    }
+    CellHost *cell = m_cells.find(number);
+    if (!cell || !cell->isServing()) {
         reply({CallerVerdict::NotRun, JobState::Queued, 0, "not the owner"});
         return;
     }
     ForwardedRequest forwarded;
-    forwarded.job = JobId(std::string_view(request.path).substr(std::string_view(JobsPath).size()));
+    forwarded.job = JobId(segments[2]);
     if (request.method == "POST") {
         forwarded.verb = CallerVerb::Submit;
         forwarded.body = request.body;
+        forwarded.isReferred = request.header(ReferredHeader) == "1";
         try {
             forwarded.policy = decodePolicy(request.header(PolicyHeader));
         } catch (const json::exception &e) {
@@ -143,7 +169,7 @@
     } else if (request.method == "DELETE") {
         forwarded.verb = CallerVerb::Cancel;
     }
-    answer(forwarded, reply);
+    answer(*cell, forwarded, reply);
 }
 
 } // namespace firefly
--- a/src/Ops/LogStory.cpp
+++ b/src/Ops/LogStory.cpp
@@ -13,17 +13,26 @@
 using nlohmann::json;
 
 /// Messages that change what a process can do for any id.
-constexpr std::array<std::string_view, 14> ContextMessages{
-    "owner begins",  "owner serves", "owner ends",    "store lost",
-    "store regained", "append failed", "claiming",     "configuration in force",
-    "unreadable configuration", "started", "draining", "stopped",
-    "settings read again", "store refuses this epoch"};
+constexpr std::array<std::string_view, 14> ContextMessages{"owner begins",
+                                                           "owner serves",
+                                                           "owner ends",
+                                                           "store lost",
+                                                           "store regained",
+                                                           "append failed",
+                                                           "claiming",
+                                                           "configuration in force",
+                                                           "unreadable configuration",
+                                                           "started",
+                                                           "draining",
+                                                           "stopped",
+                                                           "settings read again",
+                                                           "store refuses this epoch"};
 /// Messages about one worker, told when it had a run of the id.
 constexpr std::array<std::string_view, 3> WorkerMessages{"renewal failed", "worker gone",
                                                          "worker reborn"};
 /// Fields that stand at the head of a line or say nothing about the event.
-constexpr std::array<std::string_view, 6> HeadFields{"time",      "process", "component",
-                                                     "message",   "level",   "job"};
+constexpr std::array<std::string_view, 6> HeadFields{"time",    "process", "component",
+                                                     "message", "level",   "job"};
 
 template <std::size_t Size>
 bool isOneOf(const std::array<std::string_view, Size> &names, std::string_view name)
@@ -107,10 +116,9 @@
     }
     std::vector<Event> result;
     // The last change of owner before the id appears says who decided first.
-    const auto owner = std::find_if(std::make_reverse_iterator(first), events.rend(),
-                                    [](const Event &it) {
-                                        return it.text.starts_with("owner serves");
-                                    });
+    const auto owner =
+        std::find_if(std::make_reverse_iterator(first), events.rend(),
+                     [](const Event &it) { return it.text.starts_with("owner serves"); });
     if (owner != events.rend()) {
         result.push_back(*owner);
     }
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -10,6 +10,7 @@
 constexpr char SpecPrefix = 'j';
 constexpr char ProgressPrefix = 'p';
 constexpr char WorkerPrefix = 'w';
+constexpr char ReferralPrefix = 'r';
 constexpr char LessonsPrefix = 'l';
 
 // Positions in the arrays below are the format; new fields go at the end.
@@ -76,6 +77,26 @@
     return LessonsPrefix + std::string("interference");
 }
 
+std::string referralKey(const JobId &job)
+{
+    return ReferralPrefix + job.value();
+}
+
+std::string encodeReferral(const JobReferral &referral)
+{
+    return nlohmann::json{referral.cell, referral.atUnixMs}.dump();
+}
+
+JobReferral decodeReferral(std::string_view bytes)
+{
+    try {
+        const auto row = nlohmann::json::parse(bytes);
+        return {row.at(0).get<int>(), row.at(1).get<std::int64_t>()};
+    } catch (const nlohmann::json::exception &e) {
+        throw JobRecordError(std::string("referral record: ") + e.what());
+    }
+}
+
 ParsedKey parseKey(std::string_view key)
 {
     if (key.size() < 2) {
@@ -90,6 +111,9 @@
     case ProgressPrefix:
         parsed.kind = KeyKind::Progress;
         break;
+    case ReferralPrefix:
+        parsed.kind = KeyKind::Referral;
+        break;
     case WorkerPrefix:
         parsed.kind = KeyKind::Worker;
         break;
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -38,6 +38,13 @@
 };
 
 /// Records of the cell's topic, by key.  Bodies are CBOR.
+/// Where a cell has sent a job that it didn't take itself.
+struct JobReferral
+{
+    int cell = 0;
+    std::int64_t atUnixMs = 0;
+};
+
 namespace JobRecords {
 
 std::string specKey(const JobId &job);
@@ -46,7 +53,7 @@
 /// Key of what the cell has learned about interference.
 std::string lessonsKey();
 
-enum class KeyKind { Spec, Progress, Worker, Lessons, Unknown };
+enum class KeyKind { Spec, Progress, Worker, Lessons, Referral, Unknown };
 struct ParsedKey
 {
     KeyKind kind = KeyKind::Unknown;
@@ -54,6 +61,12 @@
 };
 ParsedKey parseKey(std::string_view key);
 
+/// Key of the cell that a job was referred to.
+std::string referralKey(const JobId &job);
+std::string encodeReferral(const JobReferral &referral);
+/// \throws JobRecordError
+JobReferral decodeReferral(std::string_view bytes);
+
 std::string encodeSpec(const JobSpec &spec, std::int64_t submittedAtUnixMs);
 /// \throws JobRecordError
 JobSpec decodeSpec(std::string_view bytes, std::int64_t &submittedAtUnixMs);
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -143,5 +143,44 @@
     EXPECT_THROW(decodeClaim("{"), ClaimRecordError);
 }
 
+TEST(CellElection, ACandidateThatHasCellsLetsOthersGoFirst)
+{
+    const TimePoint start{10s};
+    CellElection busy = makeElection("busy");
+    CellElection idle = makeElection("idle");
+    busy.setCellsBeside(1);
+    busy.onRead(0, start);
+    idle.onRead(0, start);
+    EXPECT_FALSE(busy.next(start).has_value());
+    EXPECT_TRUE(idle.next(start).has_value());
+    EXPECT_TRUE(idle.isClaiming());
+}
+
+TEST(CellElection, ALoneCandidateTakesCellAfterCellSoon)
+{
+    const TimePoint start{10s};
+    CellElection election = makeElection("lone");
+    election.setCellsBeside(11);
+    election.onRead(0, start);
+    EXPECT_TRUE(election.next(start + 3 * CellElection::LongestHeadStart).has_value());
+}
+
+TEST(CellElection, AnOwnerThatGaveUpDoesNotRenewButClaimsAnew)
+{
+    CellElection election = makeElection("a");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    election.onRead(0, now);
+    ASSERT_TRUE(claimOnce(election, now, end));
+    ASSERT_TRUE(election.isOwner());
+    election.giveUp();
+    EXPECT_FALSE(election.isOwner());
+    EXPECT_EQ(election.ordersUntil(), TimePoint{});
+    now += CellElection::RenewInterval;
+    const auto append = election.next(now);
+    ASSERT_TRUE(append.has_value());
+    EXPECT_EQ(append->claim.epoch, 2U);
+}
+
 } // namespace
 } // namespace firefly
--- /dev/null
+++ b/test/CellReferral.cpp
@@ -0,0 +1,77 @@
+#include "fakes/CellWorld.h"
+
+#include <gtest/gtest.h>
+
+namespace firefly {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Refers \a id to \a cell and says what came of it.
+std::optional<CellScheduler::Verdict> refer(CellWorld &world, const JobId &id, int cell)
+{
+    std::optional<CellScheduler::Verdict> result;
+    world.owner->refer(id, cell, world.unixMs(),
+                       [&result](CellScheduler::Verdict verdict) { result = verdict; });
+    world.run(500ms);
+    return result;
+}
+
+TEST(CellReferral, TheFirstChoiceStays)
+{
+    CellWorld world(1);
+    EXPECT_EQ(refer(world, JobId("a"), 2), CellScheduler::Verdict::Accepted);
+    EXPECT_EQ(refer(world, JobId("a"), 3), CellScheduler::Verdict::Accepted);
+    EXPECT_EQ(world.owner->referralOf(JobId("a")), 2);
+}
+
+TEST(CellReferral, TheNextOwnerKnowsIt)
+{
+    CellWorld world(1);
+    refer(world, JobId("a"), 2);
+    world.newOwner(world.now);
+    EXPECT_EQ(world.owner->referralOf(JobId("a")), 2);
+    EXPECT_FALSE(world.owner->knows(JobId("a")));
+}
+
+TEST(CellReferral, ItCountsOnlyOnceItIsStored)
+{
+    CellWorld world(1);
+    world.isStoreDown = true;
+    EXPECT_EQ(refer(world, JobId("a"), 2), std::nullopt);
+    EXPECT_EQ(world.owner->referralOf(JobId("a")), std::nullopt);
+    EXPECT_TRUE(world.owner->isReferred(JobId("a"))) << "a second submission must not stay here";
+    world.isStoreDown = false;
+    world.run(1s);
+    EXPECT_EQ(world.owner->referralOf(JobId("a")), 2);
+}
+
+TEST(CellReferral, ARefusedOneLeavesNothing)
+{
+    CellWorld world(1);
+    world.isStoreDown = true;
+    std::optional<CellScheduler::Verdict> result;
+    world.owner->refer(JobId("a"), 2, world.unixMs(),
+                       [&result](CellScheduler::Verdict verdict) { result = verdict; });
+    world.owner->journal().refuseNew();
+    EXPECT_EQ(result, CellScheduler::Verdict::NotAccepted);
+    EXPECT_FALSE(world.owner->isReferred(JobId("a")));
+}
+
+TEST(CellReferral, LoadIsTheOpenDemandOverTheCapacity)
+{
+    CellWorld world(1, 4);
+    EXPECT_EQ(world.owner->load().reserving, 0.0);
+    for (auto &[id, worker] : world.workers) {
+        worker->workTime = 60s;
+    }
+    // Two steps of 8 tasks of one core on 4 workers of 8 cores; only the first step is open.
+    world.submit(JobId("a"), makeChain(2, 8));
+    world.run(1s);
+    EXPECT_DOUBLE_EQ(world.owner->load().reserving, 8.0 / 32.0);
+    EXPECT_DOUBLE_EQ(world.owner->loadOf(makeChain(2, 8)).reserving, 16.0 / 32.0);
+    EXPECT_EQ(world.owner->load().filling, 0.0);
+}
+
+} // namespace
+} // namespace firefly
