Add the fault soak of real processes

fleetsoak runs three fireflynode on loopback addresses of its own, with the platform in its process: a store (platform/standins/StoreStandin), workers (WorkerStandin around the simulated worker of the cell tests) and clients, each link through a proxy. Faults: freezes, kills, planned stops, settings and configurations that change, cut, silent, slow and reset links, a refusing or slow store, worker crashes and drains.

--- a/apps/ctl/Commands.cpp
+++ b/apps/ctl/Commands.cpp
@@ -2,8 +2,8 @@
 
 #include "ctl/InForceWait.h"
 #include "ctl/ListChange.h"
-#include "Ops/LogStory.h"
 #include "ctl/Screen.h"
+#include "Ops/LogStory.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/soak/NodeProcess.cpp
@@ -0,0 +1,73 @@
+#include "NodeProcess.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+#include <utility>
+
+namespace firefly::soak {
+
+NodeProcess::NodeProcess(std::string program, std::filesystem::path settings,
+                         std::filesystem::path log)
+    : m_program(std::move(program))
+    , m_settings(std::move(settings))
+    , m_log(std::move(log))
+{}
+
+NodeProcess::~NodeProcess()
+{
+    if (isRunning()) {
+        signal(SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+    }
+}
+
+void NodeProcess::start()
+{
+    constexpr mode_t LogMode = 0644;
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, m_log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, LogMode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    std::string settings = m_settings.string();
+    std::string option = "--settings";
+    std::array<char *, 4> arguments{m_program.data(), option.data(), settings.data(), nullptr};
+    const int ec = posix_spawn(&m_pid, m_program.c_str(), &actions, nullptr, arguments.data(),
+                               environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (ec != 0) {
+        m_pid = 0;
+        throw std::system_error(ec, std::generic_category(), m_program);
+    }
+    m_isKilled = false;
+}
+
+void NodeProcess::signal(int number)
+{
+    if (m_pid == 0) {
+        return;
+    }
+    m_isKilled = m_isKilled || number == SIGKILL;
+    ::kill(m_pid, number);
+}
+
+bool NodeProcess::isRunning()
+{
+    int status = 0;
+    if (m_pid == 0 || ::waitpid(m_pid, &status, WNOHANG) == 0) {
+        return m_pid != 0;
+    }
+    m_pid = 0;
+    const bool isGraceful = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    m_hasCrashed = m_hasCrashed || (!isGraceful && !m_isKilled);
+    return false;
+}
+
+} // namespace firefly::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,104 @@
+/// \file A randomised soak of the real processes on one machine, under faults from outside them.
+
+#include "FaultSchedule.h"
+#include "SoakCallers.h"
+#include "SoakFleet.h"
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <map>
+
+namespace {
+
+using namespace firefly;
+using namespace firefly::soak;
+
+constexpr const char *Usage = R"(Runs fireflynode processes under faults and checks what they promise.
+
+Usage:
+  fleetsoak --node PROGRAM [--seed N] [--faults-s N] [--nodes N] [--workers N] [--cells N]
+            [--directory DIR]
+
+Options:
+  --node PROGRAM   The fireflynode to run.
+  --seed N         Draws the faults and the jobs [default: 1].
+  --faults-s N     Seconds in which faults begin [default: 15].
+  --nodes N        Processes [default: 3].
+  --workers N      Workers [default: 6].
+  --cells N        Cells that the workers are split over [default: 2].
+  --directory DIR  For settings and logs of the processes [default: fleetsoak.out].
+
+Exit codes: 0 all promises kept, 1 some broken (one line each), 2 bad command line or no start.
+)";
+
+constexpr int ExitBroken = 1;
+constexpr int ExitUsage = 2;
+/// For a process to start and read the store before the first fault.
+constexpr Duration StartUp = std::chrono::seconds(2);
+constexpr Duration CheckInterval = std::chrono::milliseconds(100);
+
+SoakOptions readOptions(const std::map<std::string, docopt::value> &options)
+{
+    SoakOptions result;
+    result.program = options.at("--node").asString();
+    result.seed = static_cast<std::uint64_t>(options.at("--seed").asLong());
+    result.directory =
+        std::filesystem::path(options.at("--directory").asString()) / std::to_string(result.seed);
+    result.nodes = static_cast<int>(options.at("--nodes").asLong());
+    result.workers = static_cast<int>(options.at("--workers").asLong());
+    result.cells = static_cast<int>(options.at("--cells").asLong());
+    result.faults = std::chrono::seconds(options.at("--faults-s").asLong());
+    return result;
+}
+
+/// Runs \a context until \a isOver or \a limit.
+template <typename IsOver>
+void runUntil(asio::io_context &context, TimePoint limit, IsOver isOver)
+{
+    while (Clock::now() < limit && !isOver()) {
+        context.run_for(CheckInterval);
+    }
+}
+
+int play(const SoakOptions &options)
+{
+    const TimePoint beganAt = Clock::now();
+    asio::io_context context(1);
+    SoakFleet fleet(context, options);
+    fleet.start();
+    SoakCallers callers(context, fleet, options.seed);
+    callers.start();
+    runUntil(context, beganAt + StartUp, [] { return false; });
+    FaultSchedule faults(context, fleet, options.seed);
+    faults.start(Clock::now() + options.faults);
+    runUntil(context, TimePoint::max(), [&faults] { return faults.isOver(); });
+    callers.stopSubmitting();
+    const TimePoint mendedAt = Clock::now();
+    runUntil(context, mendedAt + options.settling, [&callers] { return callers.isSettled(); });
+    const Duration settling = Clock::now() - mendedAt;
+    callers.checkPromises();
+    fleet.stop();
+    std::cout << "seed " << options.seed << ": " << fleet.audit.violations.size() << " broken; "
+              << callers.summary() << "; settled in " << settling.count() / 1000 << " ms; "
+              << faults.summary() << '\n';
+    for (const std::string &it : fleet.audit.violations) {
+        std::cout << "  " << it << '\n';
+    }
+    return fleet.audit.violations.empty() ? 0 : ExitBroken;
+}
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return play(readOptions(docopt::docopt(Usage, {argv + 1, argv + argc}, true)));
+    } catch (const std::exception &e) {
+        std::cerr << "fleetsoak: " << e.what() << '\n';
+        return ExitUsage;
+    }
+}
--- a/src/Fleet/CellLayout.cpp
+++ b/src/Fleet/CellLayout.cpp
@@ -30,8 +30,8 @@
     }
     std::vector<Rack> racks;
     for (const auto &[name, services] : counts) {
-        const auto most = std::ranges::max_element(
-            services, {}, [](const auto &it) { return it.second; });
+        const auto most =
+            std::ranges::max_element(services, {}, [](const auto &it) { return it.second; });
         Rack rack{name, most->first, 0};
         for (const auto &[service, count] : services) {
             rack.workers += count;
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-CellSet::CellSet(asio::io_context &context, const NodeSettings &settings,
-                 CellHost::Options options, platform::StoreClient &store,
-                 platform::WorkerClient &workers, EventLog &log, Metrics &metrics)
+CellSet::CellSet(asio::io_context &context, const NodeSettings &settings, CellHost::Options options,
+                 platform::StoreClient &store, platform::WorkerClient &workers, EventLog &log,
+                 Metrics &metrics)
     : m_context(context)
     , m_settings(settings)
     , m_options(std::move(options))
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -247,12 +247,12 @@
             });
             return;
         }
-        after(EndCheckInterval, [this, until, order, report, execute, sentAt, outcome,
-                                 sender = m_generation] {
-            if (sender == m_generation) {
-                awaitEnd(until, order, report, execute, sentAt, outcome);
-            }
-        });
+        after(EndCheckInterval,
+              [this, until, order, report, execute, sentAt, outcome, sender = m_generation] {
+                  if (sender == m_generation) {
+                      awaitEnd(until, order, report, execute, sentAt, outcome);
+                  }
+              });
     }
 
     void append()
