Split CellHost by duty: records, orders, directory of workers

CellRecords fences, loads and appends; OrderSender sends and takes replies; WorkerDirectory picks a cell's workers; each lives as long as one ownership, which ends their callbacks. The three send() of one shape are one template. CellReferrals holds that part of CellScheduler.

--- a/bench/cell.cpp
+++ b/bench/cell.cpp
@@ -26,7 +26,7 @@
   --fillers N  Of them, each Nth only fills unused processor time [default: 2].
 )";
 
-constexpr int WorkerCores = 32;
+constexpr std::int64_t WorkerMilliCpu = 32'000;
 constexpr int Width = 20;
 
 JobSpec makeJob(bool isFiller, std::uint32_t number)
@@ -68,7 +68,7 @@
     const auto fillers = static_cast<std::uint32_t>(options.at("--fillers").asLong());
     CellWorld world(1, workers);
     for (auto &[id, worker] : world.workers) {
-        worker->capacity = {WorkerCores * 1000, 125'000, 0};
+        worker->capacity = {WorkerMilliCpu, 125'000, 0};
         worker->workTime = std::chrono::milliseconds(2500);
         world.owner->onWorkerListed(worker->describe(), world.now);
     }
--- a/soak/LinkProxy.cpp
+++ b/soak/LinkProxy.cpp
@@ -1,14 +1,9 @@
 #include "LinkProxy.h"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-#include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 
 #include <array>
-#include <string_view>
 #include <utility>
 
 namespace firefly::soak {
@@ -24,77 +19,106 @@
     return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
-asio::awaitable<void> pause(asio::io_context &context, Duration duration)
+} // namespace
+
+/// One direction of one connection.
+struct LinkProxy::Pump : std::enable_shared_from_this<Pump>
 {
-    asio::steady_timer timer(context, duration);
-    co_await timer.async_wait(asio::use_awaitable);
-}
+    Pump(const LinkProxy &proxyIn, SocketPtr sourceIn, SocketPtr sinkIn, const bool &isCutIn)
+        : proxy(proxyIn)
+        , source(std::move(sourceIn))
+        , sink(std::move(sinkIn))
+        , isCut(isCutIn)
+        , timer(proxyIn.m_context)
+    {}
 
-} // namespace
+    void read()
+    {
+        source->async_read_some(asio::buffer(buf),
+                                [self = shared_from_this()](asio::error_code ec, std::size_t n) {
+                                    if (self->proxy.delay > Duration::zero()) {
+                                        self->later(self->proxy.delay, ec, n);
+                                    } else {
+                                        self->deliver(ec, n);
+                                    }
+                                });
+    }
+
+    void later(Duration pause, asio::error_code ec, std::size_t n)
+    {
+        timer.expires_after(pause);
+        timer.async_wait(
+            [self = shared_from_this(), ec, n](asio::error_code) { self->deliver(ec, n); });
+    }
+
+    void deliver(asio::error_code ec, std::size_t n)
+    {
+        if (isCut) {
+            later(CutCheckInterval, ec, n);
+            return;
+        }
+        asio::error_code ignored; // The peer may have closed; its own direction ends then.
+        if (ec) {
+            sink->shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        asio::async_write(*sink, asio::buffer(buf.data(), n),
+                          [self = shared_from_this()](asio::error_code failure, std::size_t) {
+                              if (!failure) {
+                                  self->read();
+                                  return;
+                              }
+                              asio::error_code closed; // Closing can't help any further.
+                              self->source->close(closed);
+                          });
+    }
+
+    const LinkProxy &proxy;
+    SocketPtr source;
+    SocketPtr sink;
+    const bool &isCut;
+    asio::steady_timer timer;
+    std::array<char, BufferBytes> buf{};
+};
 
 LinkProxy::LinkProxy(asio::io_context &context, const Endpoint &from, const Endpoint &to)
     : m_context(context)
     , m_to(toAsio(to))
     , m_acceptor(context, toAsio(from))
 {
-    asio::co_spawn(context, accept(), asio::detached);
+    accept();
 }
 
-asio::awaitable<void> LinkProxy::accept()
+void LinkProxy::accept()
 {
-    while (true) {
-        const auto client = std::make_shared<Socket>(m_context);
-        asio::error_code ec;
-        co_await m_acceptor.async_accept(*client, asio::redirect_error(asio::use_awaitable, ec));
+    const auto client = std::make_shared<Socket>(m_context);
+    m_acceptor.async_accept(*client, [this, client](asio::error_code ec) {
+        if (ec == asio::error::operation_aborted) {
+            return;
+        }
         if (!ec && !isRefusing) {
-            asio::co_spawn(m_context, connect(client), asio::detached);
+            connect(client);
         }
-    }
+        accept();
+    });
 }
 
-asio::awaitable<void> LinkProxy::connect(SocketPtr client)
+void LinkProxy::connect(const SocketPtr &client)
 {
     const auto server = std::make_shared<Socket>(m_context);
-    asio::error_code ec;
-    co_await server->async_connect(m_to, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-        co_return;
-    }
-    asio::error_code ignored; // Without it the link is slower, not wrong.
-    client->set_option(tcp::no_delay(true), ignored);
-    server->set_option(tcp::no_delay(true), ignored);
-    std::erase_if(m_open, [](const auto &it) { return it.expired(); });
-    m_open.push_back(client);
-    m_open.push_back(server);
-    asio::co_spawn(m_context, pump(client, server, isRequestCut), asio::detached);
-    asio::co_spawn(m_context, pump(server, client, isAnswerCut), asio::detached);
-}
-
-asio::awaitable<void> LinkProxy::pump(SocketPtr source, SocketPtr sink, const bool &isCut)
-{
-    std::array<char, BufferBytes> buf{};
-    while (true) {
-        asio::error_code ec;
-        const std::size_t n = co_await source->async_read_some(
-            asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
-        if (delay > Duration::zero()) {
-            co_await pause(m_context, delay);
-        }
-        while (isCut) {
-            co_await pause(m_context, CutCheckInterval);
-        }
-        asio::error_code ignored; // The peer may have closed; its own pump ends then.
+    server->async_connect(m_to, [this, client, server](asio::error_code ec) {
         if (ec) {
-            sink->shutdown(tcp::socket::shutdown_send, ignored);
-            co_return;
+            return;
         }
-        co_await asio::async_write(*sink, asio::buffer(buf.data(), n),
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        if (ec) {
-            source->close(ignored);
-            co_return;
-        }
-    }
+        asio::error_code ignored; // Without it the link is slower, not wrong.
+        client->set_option(tcp::no_delay(true), ignored);
+        server->set_option(tcp::no_delay(true), ignored);
+        std::erase_if(m_open, [](const auto &it) { return it.expired(); });
+        m_open.push_back(client);
+        m_open.push_back(server);
+        std::make_shared<Pump>(*this, client, server, isRequestCut)->read();
+        std::make_shared<Pump>(*this, server, client, isAnswerCut)->read();
+    });
 }
 
 void LinkProxy::reset()
--- a/soak/LinkProxy.h
+++ b/soak/LinkProxy.h
@@ -3,7 +3,6 @@
 #include "Core/Clock.h"
 #include "Core/VmInfo.h"
 
-#include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
@@ -33,9 +32,10 @@
     using Socket = asio::ip::tcp::socket;
     using SocketPtr = std::shared_ptr<Socket>;
 
-    asio::awaitable<void> accept();
-    asio::awaitable<void> connect(SocketPtr client);
-    asio::awaitable<void> pump(SocketPtr source, SocketPtr sink, const bool &isCut);
+    struct Pump;
+
+    void accept();
+    void connect(const SocketPtr &client);
 
     asio::io_context &m_context;
     asio::ip::tcp::endpoint m_to;
--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -39,8 +39,8 @@
     std::string settings = m_settings.string();
     std::string option = "--settings";
     std::array<char *, 4> arguments{m_program.data(), option.data(), settings.data(), nullptr};
-    const int ec = posix_spawn(&m_pid, m_program.c_str(), &actions, nullptr, arguments.data(),
-                               environ);
+    const int ec =
+        posix_spawn(&m_pid, m_program.c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (ec != 0) {
         m_pid = 0;
--- a/soak/SoakCallers.cpp
+++ b/soak/SoakCallers.cpp
@@ -127,8 +127,8 @@
         std::uniform_int_distribution<std::size_t>(0, m_fleet.nodes.size() - 1)(m_random);
     HttpExchange exchange;
     exchange.method = method;
-    exchange.url = baseUrl(m_fleet.nodes[n].callersEndpoint) + SoakFleet::PathPrefix
-                   + order.id.value();
+    exchange.url =
+        baseUrl(m_fleet.nodes[n].callersEndpoint) + SoakFleet::PathPrefix + order.id.value();
     exchange.headers = {{"Host", SoakFleet::Host}, {"Content-Type", "application/json"}};
     exchange.body = std::move(body);
     exchange.timeout = CallTimeout;
@@ -149,11 +149,11 @@
             order.acceptedAt = Clock::now();
             return;
         }
-        const bool isRejection = result.isWhole()
-                                 && (result.statusCode == 503 || result.statusCode == 429
-                                     || result.statusCode == 404);
-        order.isUncertain = order.isUncertain
-                            || (!isRejection && result.state != ExchangeState::NotSent);
+        const bool isRejection =
+            result.isWhole()
+            && (result.statusCode == 503 || result.statusCode == 429 || result.statusCode == 404);
+        order.isUncertain =
+            order.isUncertain || (!isRejection && result.state != ExchangeState::NotSent);
         if (result.isWhole() && result.statusCode == 400) {
             violate("a valid job was called malformed", order);
         }
@@ -229,8 +229,8 @@
             continue;
         }
         const bool isRunning =
-            std::ranges::any_of(m_fleet.audit.runningOn, [&order](const auto &it) {
-                return it.first.job == order->id && !it.second.empty();
+            std::ranges::any_of(m_fleet.audit.runningOn, [&job = order->id](const auto &it) {
+                return it.first.job == job && !it.second.empty();
             });
         if (isRunning) {
             violate("runs on after its cancel", *order);
--- a/soak/SoakFleet.cpp
+++ b/soak/SoakFleet.cpp
@@ -2,8 +2,8 @@
 
 #include "Fleet/CellLayout.h"
 #include "Node/LayoutKeeper.h"
-#include "platform/StoreClient.h"
 #include "platform/standins/PartnerWire.h"
+#include "platform/StoreClient.h"
 
 #include <unistd.h>
 
@@ -123,8 +123,8 @@
                                         const HttpServer::Respond &respond) {
             standin->handle(request, respond);
         });
-    entry.link = std::make_unique<LinkProxy>(m_context, entry.worker->endpoint,
-                                             Endpoint{own, WorkerPort});
+    entry.link =
+        std::make_unique<LinkProxy>(m_context, entry.worker->endpoint, Endpoint{own, WorkerPort});
     workers.push_back(std::move(entry));
 }
 
--- a/soak/SoakFleet.h
+++ b/soak/SoakFleet.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "fakes/CellAudit.h"
+#include "fakes/FakeCellWorker.h"
 #include "Fleet/RouteTable.h"
 #include "LinkProxy.h"
 #include "NodeProcess.h"
-#include "fakes/CellAudit.h"
-#include "fakes/FakeCellWorker.h"
 #include "platform/standins/StoreStandin.h"
 #include "platform/standins/WorkerStandin.h"
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -16,7 +16,8 @@
 using namespace firefly;
 using namespace firefly::soak;
 
-constexpr const char *Usage = R"(Runs fireflynode processes under faults and checks what they promise.
+constexpr const char *Usage =
+    R"(Runs fireflynode processes under faults and checks what they promise.
 
 Usage:
   fleetsoak --node PROGRAM [--seed N] [--faults-s N] [--nodes N] [--workers N] [--cells N]
--- /dev/null
+++ b/src/Cell/CellReferrals.cpp
@@ -0,0 +1,93 @@
+#include "Cell/CellScheduler.h"
+#include "Workload/JobRecords.h"
+
+#include <algorithm>
+
+namespace firefly {
+namespace {
+
+/// A referred job is found through all cells afterwards; repeated submissions come within minutes.
+constexpr Duration ReferralKept = std::chrono::hours(1);
+
+} // namespace
+
+void CellScheduler::refer(const JobId &id, int cell, std::int64_t nowUnixMs,
+                          const OnVerdict &onVerdict)
+{
+    const std::string key = JobRecords::referralKey(id);
+    if (m_state.referrals.contains(id.value())) {
+        const bool isWaiting = m_state.journal.follow(
+            key, [onVerdict] { onVerdict(Verdict::Accepted); }, lostVerdict(onVerdict));
+        if (!isWaiting) {
+            onVerdict(Verdict::Accepted);
+        }
+        return;
+    }
+    m_state.referrals[id.value()] = {std::nullopt, nowUnixMs};
+    m_state.journal.putRefusable(
+        {key, JobRecords::encodeReferral({cell, nowUnixMs})},
+        [this, id, cell, onVerdict] {
+            m_state.referrals[id.value()].cell = cell;
+            onVerdict(Verdict::Accepted);
+        },
+        [this, id, onLost = lostVerdict(onVerdict)](bool isSurelyLost) {
+            const auto it = m_state.referrals.find(id.value());
+            if (it != m_state.referrals.end() && !it->second.cell) {
+                m_state.referrals.erase(it);
+            }
+            onLost(isSurelyLost);
+        });
+}
+
+double CellScheduler::capacity() const
+{
+    std::int64_t milliCpu = 0;
+    for (const auto &[id, worker] : m_state.workers) {
+        milliCpu += worker->info.isDraining ? 0 : worker->info.capacity.milliCpu;
+    }
+    return std::max(1.0, static_cast<double>(milliCpu));
+}
+
+CellLoad CellScheduler::load() const
+{
+    const double milliCpu = capacity();
+    CellLoad sum;
+    for (const auto &[id, job] : m_state.jobs) {
+        if (!isFinal(job->state)) {
+            sum += job->openDemand(milliCpu);
+        }
+    }
+    return sum;
+}
+
+CellLoad CellScheduler::loadOf(const JobSpec &spec) const
+{
+    const double milliCpu = capacity();
+    CellLoad sum;
+    for (const StepSpec &it : spec.steps) {
+        (it.isFiller ? sum.filling : sum.reserving) +=
+            it.taskCount * static_cast<double>(it.demand.milliCpu) / milliCpu;
+    }
+    return sum;
+}
+
+std::optional<int> CellScheduler::referralOf(const JobId &id) const
+{
+    const auto it = m_state.referrals.find(id.value());
+    return it == m_state.referrals.end() ? std::nullopt : it->second.cell;
+}
+
+void CellScheduler::dropOldReferrals(std::int64_t nowUnixMs)
+{
+    const auto keptMs = std::chrono::duration_cast<std::chrono::milliseconds>(ReferralKept).count();
+    for (auto it = m_state.referrals.begin(); it != m_state.referrals.end();) {
+        if (!it->second.cell || nowUnixMs - it->second.atUnixMs < keptMs) {
+            ++it;
+            continue;
+        }
+        m_state.journal.put({JobRecords::referralKey(JobId(it->first)), std::nullopt});
+        it = m_state.referrals.erase(it);
+    }
+}
+
+} // namespace firefly
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -1,8 +1,12 @@
 #include "Node/CellHost.h"
 
 #include "CellLease/ClaimRecord.h"
+#include "Core/UnixTime.h"
 #include "Node/CellDump.h"
+#include "Node/CellRecords.h"
+#include "Node/OrderSender.h"
 #include "Node/TopicFollower.h"
+#include "Node/WorkerDirectory.h"
 #include "platform/Wire.h"
 
 #include <asio/basic_waitable_timer.hpp>
@@ -19,18 +23,10 @@
 
 /// Longest wait of a read of the claims; an owner's silence is noticed by the clock.
 constexpr Duration ClaimReadWait = std::chrono::milliseconds(1000);
-/// Registrations change every few heartbeats; reading them in groups saves calls.
-constexpr Duration WorkerReadPause = std::chrono::milliseconds(400);
-constexpr Duration WorkerReadWait = std::chrono::milliseconds(1000);
 /// Longest time without a look at the clock, as owner and otherwise.
 constexpr Duration OwnerTick = std::chrono::milliseconds(40);
 constexpr Duration CandidateTick = std::chrono::milliseconds(100);
-/// An append without an answer is repeated after this; the store answers a repeat as the first.
-constexpr Duration ShortAppendTimeout = std::chrono::milliseconds(400);
-constexpr Duration LongAppendTimeout = std::chrono::milliseconds(1600);
-constexpr Duration AppendRetryPause = std::chrono::milliseconds(60);
-/// A store that refuses appends for this long can't take new jobs.
-constexpr Duration ToleratedOutage = std::chrono::milliseconds(400);
+constexpr Duration ClaimTimeout = std::chrono::milliseconds(1600);
 /// The counts of waiting jobs are published with each renewal of the claim.
 constexpr Duration PendingCountInterval = std::chrono::milliseconds(200);
 /// Interval of the owner's line on its load.
@@ -38,12 +34,6 @@
 /// The candidate with a whole core goes first; one without any waits this long.
 constexpr Duration FullHeadStart = CellElection::LongestHeadStart;
 
-std::int64_t unixMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 /// Spreads the candidates for a cell: by processor share first, by chance among equals.
 Duration headStartBefore(double cpuShare, const std::string &incarnation, int cell)
 {
@@ -72,14 +62,6 @@
 {
     using Timer = asio::basic_waitable_timer<Clock>;
 
-    /// The run that an order is about; the payload of a start isn't kept for the reply.
-    struct OrderedRun
-    {
-        WorkerId worker;
-        TaskName task;
-        std::uint32_t run = 0;
-    };
-
     Private(asio::io_context &contextIn, const NodeSettings &settingsIn, Options optionsIn,
             platform::StoreClient &storeIn, platform::WorkerClient &workersIn, EventLog &logIn,
             Metrics &metricsIn)
@@ -93,7 +75,6 @@
         , election(electionOptions(settings, options))
         , scheduler(settings.bounds)
         , timer(contextIn)
-        , journalTimer(contextIn)
     {}
 
     void begin()
@@ -154,11 +135,11 @@
         if (!isOwning && election.isOwner() && now < election.ordersUntil()) {
             beginOwnership(now);
         }
-        if (isServing) {
+        if (isServing && orders && records) {
             scheduler.setOrdersUntil(election.ordersUntil());
             scheduler.tick(now, unixMs());
-            sendOrders();
-            sendJournal();
+            orders->sendAll();
+            records->append();
             if (now - lastPendingCount >= PendingCountInterval) {
                 lastPendingCount = now;
                 election.setPending(scheduler.pendingByQueue());
@@ -227,7 +208,7 @@
         platform::AppendGuard guard;
         guard.position = append->position;
         metrics.add("firefly_store_appends_total{topic=\"claims\"}");
-        store.append(platform::claimTopic(options.cell), guard, {&record, 1}, LongAppendTimeout,
+        store.append(platform::claimTopic(options.cell), guard, {&record, 1}, ClaimTimeout,
                      [weak = weak_from_this()](const platform::AppendResult &result) {
                          const auto self = weak.lock();
                          if (!self) {
@@ -250,7 +231,28 @@
             LogLevel::Info, "cell", "owner begins",
             {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
         scheduler.beginOwnership(epoch, now, election.earlierOrdersEnd());
-        fencePartition();
+        orders = std::make_unique<OrderSender>(scheduler, workers, log, metrics, epoch,
+                                               guarded([](Private &self) { self.wake(); }));
+        CellRecords::Callbacks callbacks;
+        callbacks.onLoaded = guarded([](Private &self) { self.serve(); });
+        callbacks.onFenced = guarded([](Private &self) { self.endOwnership(); });
+        callbacks.onSettled = guarded([](Private &self) { self.wake(); });
+        records = std::make_unique<CellRecords>(context, store, scheduler, log, metrics,
+                                                options.cell, epoch, std::move(callbacks));
+    }
+
+    void serve()
+    {
+        isServing = true;
+        log.write(LogLevel::Info, "cell", "owner serves",
+                  {{"cell", options.cell},
+                   {"epoch", epoch},
+                   {"jobs", scheduler.state().jobs.size()},
+                   {"workers", scheduler.state().workers.size()}});
+        directory = std::make_unique<WorkerDirectory>(context, store, scheduler, log,
+                                                      options.layout, options.cell,
+                                                      guarded([](Private &self) { self.wake(); }));
+        wake();
     }
 
     void endOwnership()
@@ -268,151 +270,9 @@
         isServing = false;
         directory.reset();
         scheduler.endOwnership();
+        // Their callbacks may be running: they end with the generation, the objects a moment later.
         ++generation;
-        isJournalBusy = false;
-    }
-
-    platform::AppendGuard writerGuard(std::uint64_t sequence) const
-    {
-        platform::AppendGuard guard;
-        guard.writer = "cell-" + std::to_string(options.cell);
-        guard.epoch = epoch;
-        guard.sequence = sequence;
-        return guard;
-    }
-
-    /// Keeps writers with lower epochs out of the partition, then loads it.
-    void fencePartition()
-    {
-        store.append(platform::jobTopic(options.cell), writerGuard(0), {}, LongAppendTimeout,
-                     guarded([](Private &self, const platform::AppendResult &result) {
-                         if (result.outcome == AppendOutcome::Stored) {
-                             self.loadJobs({});
-                             return;
-                         }
-                         self.noteAppendFailure(result);
-                         self.afterPause(&Private::fencePartition);
-                     }));
-    }
-
-    void loadJobs(const std::string &afterKey)
-    {
-        store.newest(platform::jobTopic(options.cell), afterKey,
-                     guarded([afterKey](Private &self, const platform::NewestPage &page) {
-                         self.takeJobs(afterKey, page);
-                     }));
-    }
-
-    void takeJobs(const std::string &afterKey, const platform::NewestPage &page)
-    {
-        if (!page.isOk) {
-            log.write(LogLevel::Warning, "cell", "can't load jobs", {{"error", page.error}});
-            journalTimer.expires_after(AppendRetryPause);
-            journalTimer.async_wait(
-                guarded([afterKey](Private &self, asio::error_code) { self.loadJobs(afterKey); }));
-            return;
-        }
-        for (const KeyedRecord &it : page.records) {
-            try {
-                scheduler.restore(it.key, it.value.value_or(std::string()));
-            } catch (const std::exception &e) {
-                log.write(LogLevel::Error, "cell", "unreadable record",
-                          {{"key", it.key}, {"error", e.what()}});
-            }
-        }
-        if (page.hasMore && !page.records.empty()) {
-            loadJobs(page.records.back().key);
-            return;
-        }
-        scheduler.restored(Clock::now(), unixMs());
-        isServing = true;
-        log.write(LogLevel::Info, "cell", "owner serves",
-                  {{"cell", options.cell},
-                   {"epoch", epoch},
-                   {"jobs", scheduler.state().jobs.size()},
-                   {"workers", scheduler.state().workers.size()}});
-        followWorkers();
-        wake();
-    }
-
-    void afterPause(void (Private::*next)())
-    {
-        journalTimer.expires_after(AppendRetryPause);
-        journalTimer.async_wait(guarded([next](Private &self, asio::error_code ec) {
-            if (!ec) {
-                (self.*next)();
-            }
-        }));
-    }
-
-    // Journal
-
-    void sendJournal()
-    {
-        if (isJournalBusy) {
-            return;
-        }
-        const auto batch = scheduler.journal().next();
-        if (!batch) {
-            return;
-        }
-        isJournalBusy = true;
-        metrics.add("firefly_store_appends_total{topic=\"jobs\"}");
-        metrics.add("firefly_store_records_total", batch->records.size());
-        store.append(
-            platform::jobTopic(options.cell), writerGuard(batch->sequence), batch->records,
-            appendTimeout,
-            guarded([sentAt = Clock::now()](Private &self, const platform::AppendResult &result) {
-                self.takeAppend(result, sentAt);
-            }));
-    }
-
-    void takeAppend(const platform::AppendResult &result, TimePoint sentAt)
-    {
-        scheduler.journal().onOutcome(result.outcome);
-        if (result.outcome == AppendOutcome::Stored) {
-            isJournalBusy = false;
-            appendTimeout = std::clamp<Duration>(4 * (Clock::now() - sentAt), ShortAppendTimeout,
-                                                 LongAppendTimeout);
-            storeFailingSince.reset();
-            wake();
-            return;
-        }
-        noteAppendFailure(result);
-        if (result.outcome == AppendOutcome::Unknown) {
-            appendTimeout = std::min(LongAppendTimeout, 2 * appendTimeout);
-        }
-        if (result.outcome == AppendOutcome::Fenced) {
-            log.write(LogLevel::Warning, "cell", "store refuses this epoch", {{"epoch", epoch}});
-            endOwnership();
-            return;
-        }
-        if (!storeFailingSince) {
-            storeFailingSince = Clock::now();
-        }
-        if (isStoreFailing()) {
-            scheduler.journal().refuseNew();
-        }
-        journalTimer.expires_after(AppendRetryPause);
-        journalTimer.async_wait(guarded([](Private &self, asio::error_code ec) {
-            if (!ec) {
-                self.isJournalBusy = false;
-                self.wake();
-            }
-        }));
-    }
-
-    bool isStoreFailing() const
-    {
-        return storeFailingSince && Clock::now() - *storeFailingSince >= ToleratedOutage;
-    }
-
-    void noteAppendFailure(const platform::AppendResult &result)
-    {
-        metrics.add("firefly_store_append_failures_total");
-        log.write(
-            LogLevel::Warning, "cell", "append failed",
-            {{"error", result.error}, {"maybe_stored", result.outcome == AppendOutcome::Unknown}});
+        asio::post(context, [ended = std::move(orders), records = std::move(records)] {});
     }
 
     void noteStoreContact(bool isReached, const std::string &error)
@@ -467,166 +327,6 @@
         return true;
     }
 
-    // Workers
-
-    void followWorkers()
-    {
-        foreignWorkers.clear();
-        TopicFollower::Callbacks callbacks;
-        callbacks.onRecord = [this](const KeyedRecord &it) { takeWorker(it); };
-        callbacks.onSnapshot = [this](const std::set<std::string> &keys) {
-            std::erase_if(foreignWorkers, [&keys](const auto &it) { return !keys.contains(it); });
-            std::vector<WorkerId> gone;
-            for (const auto &[id, worker] : scheduler.state().workers) {
-                if (worker->isRegistered && !keys.contains(id)) {
-                    gone.push_back(worker->info.id);
-                }
-            }
-            for (const WorkerId &it : gone) {
-                scheduler.onWorkerGone(it, Clock::now());
-            }
-        };
-        callbacks.onRead = [this](std::uint64_t) { wake(); };
-        directory =
-            std::make_unique<TopicFollower>(context, store, platform::workerTopic(), WorkerReadWait,
-                                            WorkerReadPause, std::move(callbacks));
-    }
-
-    void takeWorker(const KeyedRecord &record)
-    {
-        const TimePoint now = Clock::now();
-        if (foreignWorkers.contains(record.key)) {
-            // A worker's rack, and with it its cell, is the same for its whole life.
-            if (!record.value) {
-                foreignWorkers.erase(record.key);
-            }
-            return;
-        }
-        if (!record.value) {
-            log.write(LogLevel::Info, "cell", "worker gone", {{"worker", record.key}});
-            scheduler.onWorkerGone(WorkerId(record.key), now);
-            return;
-        }
-        try {
-            const WorkerDescription worker = platform::decodeWorker(record.key, *record.value);
-            if (options.layout.cellOf(worker) != options.cell) {
-                foreignWorkers.insert(record.key);
-                return;
-            }
-            scheduler.onWorkerListed(worker, now);
-        } catch (const platform::WireError &e) {
-            log.write(LogLevel::Warning, "cell", "unreadable worker entry", {{"error", e.what()}});
-        }
-    }
-
-    void sendOrders()
-    {
-        for (CellAction &action : scheduler.takeActions()) {
-            std::visit([this](const auto &order) { send(order); }, action);
-        }
-    }
-
-    std::optional<Endpoint> endpointOf(const WorkerId &id) const
-    {
-        const auto it = scheduler.state().workers.find(id.value());
-        return it == scheduler.state().workers.end()
-                   ? std::nullopt
-                   : std::optional<Endpoint>(it->second->info.endpoint);
-    }
-
-    void send(const StartTask &order)
-    {
-        sendRun(order, "start", &platform::WorkerClient::start,
-                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
-                    self.scheduler.onStartReply(it.worker, it.task, it.run, reply, now);
-                });
-    }
-
-    void send(const StopTask &order)
-    {
-        sendRun(order, "stop", &platform::WorkerClient::stop,
-                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
-                    self.scheduler.onStopOutcome(it.worker, it.task, it.run, reply.outcome, now);
-                });
-    }
-
-    void send(const PaceTask &order)
-    {
-        sendRun(order, "pace", &platform::WorkerClient::pace,
-                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
-                    self.scheduler.onPaceOutcome(it.worker, it.task, it.run, reply.outcome, now);
-                });
-    }
-
-    /// Sends an order about one run and hands its reply to \a take.
-    template <typename Order, typename Take>
-    void sendRun(const Order &order, const char *kind,
-                 void (platform::WorkerClient::*call)(const Endpoint &, const Order &, Epoch,
-                                                      platform::WorkerClient::OnReply),
-                 Take take)
-    {
-        const auto endpoint = endpointOf(order.worker);
-        if (!endpoint) {
-            return;
-        }
-        metrics.add(std::string("firefly_task_") + kind + "s_total");
-        (workers.*call)(*endpoint, order, epoch,
-                        guarded([ordered = OrderedRun{order.worker, order.task, order.run}, kind,
-                                 take](Private &self, const OrderReply &reply) {
-                            self.noteOutcome(kind, ordered, reply.outcome);
-                            take(self, ordered, reply, Clock::now());
-                            self.wake();
-                        }));
-    }
-
-    void send(const RenewLease &order)
-    {
-        const auto endpoint = endpointOf(order.worker);
-        if (!endpoint) {
-            return;
-        }
-        metrics.add("firefly_lease_renewals_total");
-        workers.renew(*endpoint, order, epoch,
-                      guarded([worker = order.worker, sentAt = Clock::now()](
-                                  Private &self, OrderOutcome outcome, const LeaseReport &report) {
-                          if (outcome != OrderOutcome::Accepted) {
-                              self.log.write(
-                                  LogLevel::Warning, "cell", "renewal failed",
-                                  {{"worker", worker.value()}, {"outcome", toString(outcome)}});
-                          }
-                          self.scheduler.onLeaseReport(worker, outcome, report, sentAt,
-                                                       Clock::now(), unixMs());
-                          self.wake();
-                      }));
-    }
-
-    void send(const CellNote &note)
-    {
-        log.write(LogLevel::Info, "cell", note.message, [&] {
-            return nlohmann::json{{"job", note.task.job.value()},
-                                  {"task", platform::taskText(note.task)},
-                                  {"run", note.run},
-                                  {"worker", note.worker},
-                                  {"epoch", epoch},
-                                  {"detail", note.detail}};
-        });
-    }
-
-    void noteOutcome(const char *kind, const OrderedRun &order, OrderOutcome outcome)
-    {
-        if (outcome == OrderOutcome::Accepted) {
-            return;
-        }
-        metrics.add("firefly_orders_refused_total");
-        log.write(LogLevel::Info, "cell", std::string(kind) + " refused", [&] {
-            return nlohmann::json{{"job", order.task.job.value()},
-                                  {"task", platform::taskText(order.task)},
-                                  {"run", order.run},
-                                  {"worker", order.worker.value()},
-                                  {"outcome", toString(outcome)}};
-        });
-    }
-
     asio::io_context &context;
     const NodeSettings &settings;
     Options options;
@@ -636,11 +336,11 @@
     Metrics &metrics;
     CellElection election;
     CellScheduler scheduler;
+    std::unique_ptr<OrderSender> orders;  ///< While owning.
+    std::unique_ptr<CellRecords> records; ///< While owning.
     std::unique_ptr<TopicFollower> claims;
-    std::unique_ptr<TopicFollower> directory;
-    std::set<std::string> foreignWorkers; ///< Registered workers of other cells.
+    std::unique_ptr<WorkerDirectory> directory; ///< While serving.
     Timer timer;
-    Timer journalTimer;
     TimePoint lastLoadLine{};
     TimePoint lastPendingCount{};
     Epoch epoch = 0;
@@ -648,10 +348,7 @@
     bool isOwning = false;
     bool isServing = false;
     bool isAwake = false;
-    bool isJournalBusy = false;
     bool hasStoreContact = true;
-    Duration appendTimeout = ShortAppendTimeout;
-    std::optional<TimePoint> storeFailingSince;
 };
 
 CellHost::CellHost(asio::io_context &context, const NodeSettings &settings, Options options,
@@ -689,7 +386,7 @@
 void CellHost::submit(const JobId &id, JobSpec spec, bool isReferred, OnCallerReply done)
 {
     Private &self = *m_private;
-    if (self.isStoreFailing()) {
+    if (self.records && self.records->isFailing()) {
         done({CallerVerdict::Refused, JobState::Queued, 0, "the store is unavailable"});
         return;
     }
--- /dev/null
+++ b/src/Node/CellRecords.cpp
@@ -0,0 +1,218 @@
+#include "Node/CellRecords.h"
+
+#include "Core/UnixTime.h"
+
+#include <asio/basic_waitable_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace firefly {
+namespace {
+
+/// An append without an answer is repeated after this; the store answers a repeat as the first.
+constexpr Duration ShortAppendTimeout = std::chrono::milliseconds(400);
+constexpr Duration LongAppendTimeout = std::chrono::milliseconds(1600);
+constexpr Duration AppendRetryPause = std::chrono::milliseconds(60);
+/// A store that refuses appends for this long can't take new jobs.
+constexpr Duration ToleratedOutage = std::chrono::milliseconds(400);
+
+} // namespace
+
+struct CellRecords::Private : std::enable_shared_from_this<Private>
+{
+    Private(asio::io_context &context, platform::StoreClient &storeIn, CellScheduler &schedulerIn,
+            EventLog &logIn, Metrics &metricsIn, int cellIn, Epoch epochIn, Callbacks callbacksIn)
+        : store(storeIn)
+        , scheduler(schedulerIn)
+        , log(logIn)
+        , metrics(metricsIn)
+        , cell(cellIn)
+        , epoch(epochIn)
+        , callbacks(std::move(callbacksIn))
+        , timer(context)
+    {}
+
+    /// A callback that does nothing once this ownership has ended.
+    template <typename F>
+    auto guarded(F callback)
+    {
+        return [weak = weak_from_this(), callback = std::move(callback)](const auto &...args) {
+            const auto self = weak.lock();
+            if (self) {
+                callback(*self, args...);
+            }
+        };
+    }
+
+    platform::AppendGuard writerGuard(std::uint64_t sequence) const
+    {
+        platform::AppendGuard guard;
+        guard.writer = "cell-" + std::to_string(cell);
+        guard.epoch = epoch;
+        guard.sequence = sequence;
+        return guard;
+    }
+
+    /// Keeps writers with lower epochs out of the partition, then loads it.
+    void fencePartition()
+    {
+        store.append(platform::jobTopic(cell), writerGuard(0), {}, LongAppendTimeout,
+                     guarded([](Private &self, const platform::AppendResult &result) {
+                         if (result.outcome == AppendOutcome::Stored) {
+                             self.loadJobs({});
+                             return;
+                         }
+                         self.noteAppendFailure(result);
+                         self.afterPause(&Private::fencePartition);
+                     }));
+    }
+
+    void loadJobs(const std::string &afterKey)
+    {
+        store.newest(platform::jobTopic(cell), afterKey,
+                     guarded([afterKey](Private &self, const platform::NewestPage &page) {
+                         self.takeJobs(afterKey, page);
+                     }));
+    }
+
+    void takeJobs(const std::string &afterKey, const platform::NewestPage &page)
+    {
+        if (!page.isOk) {
+            log.write(LogLevel::Warning, "cell", "can't load jobs", {{"error", page.error}});
+            timer.expires_after(AppendRetryPause);
+            timer.async_wait(
+                guarded([afterKey](Private &self, asio::error_code) { self.loadJobs(afterKey); }));
+            return;
+        }
+        for (const KeyedRecord &it : page.records) {
+            try {
+                scheduler.restore(it.key, it.value.value_or(std::string()));
+            } catch (const std::exception &e) {
+                log.write(LogLevel::Error, "cell", "unreadable record",
+                          {{"key", it.key}, {"error", e.what()}});
+            }
+        }
+        if (page.hasMore && !page.records.empty()) {
+            loadJobs(page.records.back().key);
+            return;
+        }
+        scheduler.restored(Clock::now(), unixMs());
+        callbacks.onLoaded();
+    }
+
+    void afterPause(void (Private::*next)())
+    {
+        timer.expires_after(AppendRetryPause);
+        timer.async_wait(guarded([next](Private &self, asio::error_code ec) {
+            if (!ec) {
+                (self.*next)();
+            }
+        }));
+    }
+
+    void append()
+    {
+        if (isBusy) {
+            return;
+        }
+        const auto batch = scheduler.journal().next();
+        if (!batch) {
+            return;
+        }
+        isBusy = true;
+        metrics.add("firefly_store_appends_total{topic=\"jobs\"}");
+        metrics.add("firefly_store_records_total", batch->records.size());
+        store.append(
+            platform::jobTopic(cell), writerGuard(batch->sequence), batch->records, appendTimeout,
+            guarded([sentAt = Clock::now()](Private &self, const platform::AppendResult &result) {
+                self.takeAppend(result, sentAt);
+            }));
+    }
+
+    void takeAppend(const platform::AppendResult &result, TimePoint sentAt)
+    {
+        scheduler.journal().onOutcome(result.outcome);
+        if (result.outcome == AppendOutcome::Stored) {
+            isBusy = false;
+            appendTimeout = std::clamp<Duration>(4 * (Clock::now() - sentAt), ShortAppendTimeout,
+                                                 LongAppendTimeout);
+            failingSince.reset();
+            callbacks.onSettled();
+            return;
+        }
+        noteAppendFailure(result);
+        if (result.outcome == AppendOutcome::Unknown) {
+            appendTimeout = std::min(LongAppendTimeout, 2 * appendTimeout);
+        }
+        if (result.outcome == AppendOutcome::Fenced) {
+            log.write(LogLevel::Warning, "cell", "store refuses this epoch", {{"epoch", epoch}});
+            callbacks.onFenced();
+            return;
+        }
+        if (!failingSince) {
+            failingSince = Clock::now();
+        }
+        if (isFailing()) {
+            scheduler.journal().refuseNew();
+        }
+        timer.expires_after(AppendRetryPause);
+        timer.async_wait(guarded([](Private &self, asio::error_code ec) {
+            if (!ec) {
+                self.isBusy = false;
+                self.callbacks.onSettled();
+            }
+        }));
+    }
+
+    bool isFailing() const
+    {
+        return failingSince && Clock::now() - *failingSince >= ToleratedOutage;
+    }
+
+    void noteAppendFailure(const platform::AppendResult &result)
+    {
+        metrics.add("firefly_store_append_failures_total");
+        log.write(
+            LogLevel::Warning, "cell", "append failed",
+            {{"error", result.error}, {"maybe_stored", result.outcome == AppendOutcome::Unknown}});
+    }
+
+    platform::StoreClient &store;
+    CellScheduler &scheduler;
+    EventLog &log;
+    Metrics &metrics;
+    int cell;
+    Epoch epoch;
+    Callbacks callbacks;
+    asio::basic_waitable_timer<Clock> timer;
+    bool isBusy = false;
+    Duration appendTimeout = ShortAppendTimeout;
+    std::optional<TimePoint> failingSince;
+};
+
+CellRecords::CellRecords(asio::io_context &context, platform::StoreClient &store,
+                         CellScheduler &scheduler, EventLog &log, Metrics &metrics, int cell,
+                         Epoch epoch, Callbacks callbacks)
+    : m_private(std::make_shared<Private>(context, store, scheduler, log, metrics, cell, epoch,
+                                          std::move(callbacks)))
+{
+    m_private->fencePartition();
+}
+
+CellRecords::~CellRecords() = default;
+
+void CellRecords::append()
+{
+    m_private->append();
+}
+
+bool CellRecords::isFailing() const
+{
+    return m_private->isFailing();
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Node/OrderSender.cpp
@@ -0,0 +1,173 @@
+#include "Node/OrderSender.h"
+
+#include "Core/UnixTime.h"
+#include "Node/CellDump.h"
+#include "platform/Wire.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace firefly {
+namespace {
+
+/// The run that an order is about; the payload of a start isn't kept for the reply.
+struct OrderedRun
+{
+    WorkerId worker;
+    TaskName task;
+    std::uint32_t run = 0;
+};
+
+} // namespace
+
+struct OrderSender::Private : std::enable_shared_from_this<Private>
+{
+    Private(CellScheduler &schedulerIn, platform::WorkerClient &workersIn, EventLog &logIn,
+            Metrics &metricsIn, Epoch epochIn, std::function<void()> wakeIn)
+        : scheduler(schedulerIn)
+        , workers(workersIn)
+        , log(logIn)
+        , metrics(metricsIn)
+        , epoch(epochIn)
+        , wake(std::move(wakeIn))
+    {}
+
+    /// A callback that does nothing once this ownership has ended.
+    template <typename F>
+    auto guarded(F callback)
+    {
+        return [weak = weak_from_this(), callback = std::move(callback)](const auto &...args) {
+            const auto self = weak.lock();
+            if (self) {
+                callback(*self, args...);
+            }
+        };
+    }
+
+    std::optional<Endpoint> endpointOf(const WorkerId &id) const
+    {
+        const auto it = scheduler.state().workers.find(id.value());
+        return it == scheduler.state().workers.end()
+                   ? std::nullopt
+                   : std::optional<Endpoint>(it->second->info.endpoint);
+    }
+
+    void send(const StartTask &order)
+    {
+        sendRun(order, "start", &platform::WorkerClient::start,
+                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onStartReply(it.worker, it.task, it.run, reply, now);
+                });
+    }
+
+    void send(const StopTask &order)
+    {
+        sendRun(order, "stop", &platform::WorkerClient::stop,
+                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onStopOutcome(it.worker, it.task, it.run, reply.outcome, now);
+                });
+    }
+
+    void send(const PaceTask &order)
+    {
+        sendRun(order, "pace", &platform::WorkerClient::pace,
+                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onPaceOutcome(it.worker, it.task, it.run, reply.outcome, now);
+                });
+    }
+
+    /// Sends an order about one run and hands its reply to \a take.
+    template <typename Order, typename Take>
+    void sendRun(const Order &order, const char *kind,
+                 void (platform::WorkerClient::*call)(const Endpoint &, const Order &, Epoch,
+                                                      platform::WorkerClient::OnReply),
+                 Take take)
+    {
+        const auto endpoint = endpointOf(order.worker);
+        if (!endpoint) {
+            return;
+        }
+        metrics.add(std::string("firefly_task_") + kind + "s_total");
+        (workers.*call)(*endpoint, order, epoch,
+                        guarded([ordered = OrderedRun{order.worker, order.task, order.run}, kind,
+                                 take](Private &self, const OrderReply &reply) {
+                            self.noteOutcome(kind, ordered, reply.outcome);
+                            take(self, ordered, reply, Clock::now());
+                            self.wake();
+                        }));
+    }
+
+    void send(const RenewLease &order)
+    {
+        const auto endpoint = endpointOf(order.worker);
+        if (!endpoint) {
+            return;
+        }
+        metrics.add("firefly_lease_renewals_total");
+        workers.renew(*endpoint, order, epoch,
+                      guarded([worker = order.worker, sentAt = Clock::now()](
+                                  Private &self, OrderOutcome outcome, const LeaseReport &report) {
+                          if (outcome != OrderOutcome::Accepted) {
+                              self.log.write(
+                                  LogLevel::Warning, "cell", "renewal failed",
+                                  {{"worker", worker.value()}, {"outcome", toString(outcome)}});
+                          }
+                          self.scheduler.onLeaseReport(worker, outcome, report, sentAt,
+                                                       Clock::now(), unixMs());
+                          self.wake();
+                      }));
+    }
+
+    void send(const CellNote &note)
+    {
+        log.write(LogLevel::Info, "cell", note.message, [&] {
+            return nlohmann::json{{"job", note.task.job.value()},
+                                  {"task", platform::taskText(note.task)},
+                                  {"run", note.run},
+                                  {"worker", note.worker},
+                                  {"epoch", epoch},
+                                  {"detail", note.detail}};
+        });
+    }
+
+    void noteOutcome(const char *kind, const OrderedRun &order, OrderOutcome outcome)
+    {
+        if (outcome == OrderOutcome::Accepted) {
+            return;
+        }
+        metrics.add("firefly_orders_refused_total");
+        log.write(LogLevel::Info, "cell", std::string(kind) + " refused", [&] {
+            return nlohmann::json{{"job", order.task.job.value()},
+                                  {"task", platform::taskText(order.task)},
+                                  {"run", order.run},
+                                  {"worker", order.worker.value()},
+                                  {"outcome", toString(outcome)}};
+        });
+    }
+
+    CellScheduler &scheduler;
+    platform::WorkerClient &workers;
+    EventLog &log;
+    Metrics &metrics;
+    Epoch epoch;
+    std::function<void()> wake;
+};
+
+OrderSender::OrderSender(CellScheduler &scheduler, platform::WorkerClient &workers, EventLog &log,
+                         Metrics &metrics, Epoch epoch, std::function<void()> wake)
+    : m_private(std::make_shared<Private>(scheduler, workers, log, metrics, epoch, std::move(wake)))
+{}
+
+OrderSender::~OrderSender() = default;
+
+void OrderSender::sendAll()
+{
+    for (CellAction &action : m_private->scheduler.takeActions()) {
+        std::visit([this](const auto &order) { m_private->send(order); }, action);
+    }
+}
+
+} // namespace firefly
--- a/src/Ops/LogStory.cpp
+++ b/src/Ops/LogStory.cpp
@@ -51,7 +51,7 @@
     for (const auto &[name, value] : line.items()) {
         const std::string shown = valueText(value);
         if (!isOneOf(HeadFields, name) && !shown.empty()) {
-            text += " " + name + "=" + shown;
+            text.append(" ").append(name).append("=").append(shown);
         }
     }
     return text;
--- a/test/CellLayout.cpp
+++ b/test/CellLayout.cpp
@@ -22,6 +22,7 @@
 std::vector<WorkerDescription> makeWorkers(int count, const std::string &service)
 {
     std::vector<WorkerDescription> workers;
+    workers.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         workers.push_back(makeWorker(i, service));
     }
@@ -52,7 +53,7 @@
         EXPECT_EQ(cellOfRack.try_emplace(it.rack, cell).first->second, cell);
     }
     for (const auto &[cell, count] : load) {
-        EXPECT_NEAR(count, 490 / 4, 8) << "cell " << cell;
+        EXPECT_NEAR(count, 490.0 / 4, 8) << "cell " << cell;
     }
 }
 
@@ -60,6 +61,7 @@
 {
     EXPECT_EQ(CellLayout::plan(makeWorkers(4000, "a"), 12).cellCount(), 12);
     std::vector<WorkerDescription> oneRack;
+    oneRack.reserve(300);
     for (int i = 0; i < 300; ++i) {
         oneRack.push_back(makeWorker(i, "a", 1000));
     }
@@ -117,7 +119,7 @@
     }
     ASSERT_EQ(load.size(), 4U);
     for (const auto &[cell, count] : load) {
-        EXPECT_NEAR(count, Jobs / 4, Jobs / 40);
+        EXPECT_NEAR(count, Jobs / 4.0, Jobs / 40.0);
     }
 }
 
