Log why a long-running task waits

A long-running task that waits for a second gets a log line with its demand, the free and the largest free processor time and the number of workers by obstacle, one more every 3 s, and one when it is placed. The load line gains the free and largest free processor time of usable workers and the numbers of unlocated and of pending long-running tasks. No decision changes.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -43,6 +43,8 @@
     TimePoint paceChangedAt{}; ///< Latest change of pace.
     TimePoint progressAt{};    ///< Latest sign of progress; a change of pace counts as one.
     TimePoint notBefore{};     ///< Earliest time of the next start.
+    TimePoint waitingSince{};  ///< Long-running tasks: since when no worker can take it; else zero.
+    TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
     int percent = 0;
     int pace = 100;              ///< Percent of its demand that a filler may use.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <tuple>
 
 namespace firefly {
@@ -23,6 +24,11 @@
 /// Score lost per serving task that is expected to exceed its target.
 constexpr double ViolationWeight = 4.0;
 
+/// Time without a worker after which the log reports a long-running task, and the interval of the
+/// further reports.
+constexpr Duration FirstWaitReport = std::chrono::milliseconds(1000);
+constexpr Duration WaitReportInterval = std::chrono::milliseconds(3000);
+
 std::int64_t toMs(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -132,11 +138,13 @@
         }
         const TaskRef ref{&job, occurrence, step, i};
         if (isKnownUnplaceable(ref)) {
+            reportWait(ref, now);
             return;
         }
         CellWorker *worker = chooseWorker(ref, now);
         if (!worker) {
             recordUnplaceable(ref);
+            reportWait(ref, now);
             return;
         }
         start(ref, *worker, TaskLedger::nextRun(task, m_state.epoch), now);
@@ -202,7 +210,7 @@
     CellWorker *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
     for (const auto &[id, worker] : m_state.workers) {
-        if (!mayHost(*worker, ref, now)) {
+        if (findObstacle(*worker, ref, now)) {
             continue;
         }
         const auto value = score(*worker, ref, now);
@@ -214,34 +222,94 @@
     return best;
 }
 
-bool Placement::mayHost(const CellWorker &worker, const TaskRef &ref, TimePoint now) const
+std::optional<Placement::Obstacle> Placement::findObstacle(const CellWorker &worker,
+                                                           const TaskRef &ref, TimePoint now)
 {
     const StepSpec &spec = ref.spec();
     if (!worker.isRegistered || !worker.isContacted || worker.info.isDraining
-        || worker.avoidUntil > now || worker.renewFailures > 0
-        || worker.info.service != ref.job->spec.policy.service
-        || !worker.freeRoom().fits(spec.reservation())) {
-        return false;
+        || worker.info.service != ref.job->spec.policy.service) {
+        return Obstacle::Unavailable;
+    }
+    if (worker.renewFailures > 0) {
+        return Obstacle::Unresponsive;
+    }
+    if (worker.avoidUntil > now) {
+        return Obstacle::Avoided;
+    }
+    if (!worker.freeRoom().fits(spec.reservation())) {
+        return Obstacle::Capacity;
     }
     if (spec.isFiller
         && (worker.noFillersUntil > now
             || expectedUnusedCpu(worker)
                    < MinUnusedFillerShare * static_cast<double>(spec.demand.milliCpu))) {
-        return false;
+        return Obstacle::Fillers;
     }
     if (!spec.requiredLabel.empty()
         && std::ranges::find(worker.info.labels, spec.requiredLabel) == worker.info.labels.end()) {
-        return false;
+        return Obstacle::Label;
     }
     if (spec.maxPerWorker > 0) {
         const auto same = std::ranges::count_if(worker.tasks, [&ref](const TaskRef &it) {
             return it.job == ref.job && it.occurrence == ref.occurrence && it.step == ref.step;
         });
         if (same >= static_cast<std::ptrdiff_t>(spec.maxPerWorker)) {
-            return false;
+            return Obstacle::TaskLimit;
         }
     }
-    return true;
+    return std::nullopt;
+}
+
+void Placement::reportWait(const TaskRef &ref, TimePoint now) const
+{
+    CellTask &task = ref.task();
+    if (!ref.spec().isLongRunning) {
+        return;
+    }
+    if (task.waitingSince == TimePoint{}) {
+        task.waitingSince = now;
+        task.nextWaitReport = now + FirstWaitReport;
+        return;
+    }
+    if (now < task.nextWaitReport) {
+        return;
+    }
+    task.nextWaitReport = now + WaitReportInterval;
+    m_state.logDecision("long-running task waits", ref, describeObstacles(ref, now));
+}
+
+std::string Placement::describeObstacles(const TaskRef &ref, TimePoint now) const
+{
+    static constexpr std::pair<Obstacle, const char *> Names[] = {
+        {Obstacle::Unavailable, "unavailable"}, {Obstacle::Unresponsive, "unresponsive"},
+        {Obstacle::Avoided, "avoided"},         {Obstacle::Capacity, "full"},
+        {Obstacle::Fillers, "fillers"},         {Obstacle::Label, "label"},
+        {Obstacle::TaskLimit, "task_limit"}};
+    std::map<Obstacle, int> counts;
+    std::int64_t freeCpu = 0;
+    std::int64_t largestFreeCpu = 0;
+    for (const auto &[id, worker] : m_state.workers) {
+        const auto obstacle = findObstacle(*worker, ref, now);
+        if (!obstacle) {
+            continue;
+        }
+        ++counts[*obstacle];
+        if (*obstacle == Obstacle::Capacity) {
+            freeCpu += worker->freeRoom().milliCpu;
+            largestFreeCpu = std::max(largestFreeCpu, worker->freeRoom().milliCpu);
+        }
+    }
+    const ResourceVector &demand = ref.spec().demand;
+    std::string text = "waited_ms=" + std::to_string(toMs(now - ref.task().waitingSince))
+                       + " cpu=" + std::to_string(demand.milliCpu) + " memory_mb="
+                       + std::to_string(demand.memoryMb) + " free_cpu=" + std::to_string(freeCpu)
+                       + " largest_free_cpu=" + std::to_string(largestFreeCpu);
+    for (const auto &[obstacle, name] : Names) {
+        if (const auto it = counts.find(obstacle); it != counts.end()) {
+            text += std::string(" ") + name + "=" + std::to_string(it->second);
+        }
+    }
+    return text;
 }
 
 std::optional<double> Placement::score(CellWorker &worker, const TaskRef &ref, TimePoint now) const
@@ -274,6 +342,11 @@
     TaskLedger::place(ref, worker, TaskState::Starting, run);
     CellTask &task = ref.task();
     task.startedAt = now;
+    if (task.waitingSince != TimePoint{} && now - task.waitingSince >= FirstWaitReport) {
+        m_state.logDecision("long-running task placed", ref,
+                            "waited_ms=" + std::to_string(toMs(now - task.waitingSince)));
+    }
+    task.waitingSince = {};
     const Duration left = std::min(StartValidity, m_state.ordersUntil - now);
     task.startDeadlineMs = worker.clockAtLeast(now) + std::max<std::int64_t>(1, toMs(left));
     worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, task.startDeadlineMs);
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -3,6 +3,10 @@
 #include "Cell/CellState.h"
 #include "Cell/InterferenceGuard.h"
 
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace firefly {
 
 /// Chooses workers for pending tasks and starts them.
@@ -24,7 +28,21 @@
     void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     CellWorker *chooseWorker(const TaskRef &ref, TimePoint now) const;
-    bool mayHost(const CellWorker &worker, const TaskRef &ref, TimePoint now) const;
+    /// Why a worker can't take a task.
+    enum class Obstacle {
+        Unavailable,  ///< Not registered, not contacted yet, draining, or of another service.
+        Unresponsive, ///< Its last renewal failed.
+        Avoided,      ///< It refused a start or failed runs a short time ago.
+        Capacity,
+        Fillers, ///< It takes no fillers, or has too little idle processor time for this one.
+        Label,
+        TaskLimit, ///< It runs as many tasks of the step as the step allows.
+    };
+    static std::optional<Obstacle> findObstacle(const CellWorker &worker, const TaskRef &ref,
+                                                TimePoint now);
+    /// Logs at intervals why the long-running task \a ref still waits; O(workers) per log line.
+    void reportWait(const TaskRef &ref, TimePoint now) const;
+    std::string describeObstacles(const TaskRef &ref, TimePoint now) const;
     /// Preference for \a worker, higher is better; none if the task must not run there.
     std::optional<double> score(CellWorker &worker, const TaskRef &ref, TimePoint now) const;
     void start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now);
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace firefly {
@@ -79,11 +80,17 @@
     std::int64_t capacity = 0;
     std::int64_t reserved = 0;
     std::int64_t fillers = 0;
+    std::int64_t freeCpu = 0;
+    std::int64_t largestFreeCpu = 0;
     int usable = 0;
     int overTarget = 0;
     int paced = 0;
     for (const auto &[id, it] : state.workers) {
-        usable += it->isRegistered && it->isContacted && !it->info.isDraining ? 1 : 0;
+        if (it->isRegistered && it->isContacted && !it->info.isDraining) {
+            ++usable;
+            freeCpu += it->freeRoom().milliCpu;
+            largestFreeCpu = std::max(largestFreeCpu, it->freeRoom().milliCpu);
+        }
         capacity += it->info.capacity.milliCpu;
         reserved += it->reserved.milliCpu;
         fillers += it->fillerCpu;
@@ -94,6 +101,8 @@
     }
     int pendingFillers = 0;
     int pendingOthers = 0;
+    int pendingLongRunning = 0;
+    int unlocated = 0;
     int activeJobs = 0;
     for (const auto &[id, job] : state.jobs) {
         if (isFinal(job->state)) {
@@ -104,6 +113,11 @@
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
                 const auto pending = static_cast<int>(occurrence.steps[s].pendingCount);
                 (job->spec.steps[s].isFiller ? pendingFillers : pendingOthers) += pending;
+                pendingLongRunning += job->spec.steps[s].isLongRunning ? pending : 0;
+                if (state.isLocating) {
+                    unlocated += static_cast<int>(std::ranges::count(
+                        occurrence.steps[s].tasks, TaskState::Unlocated, &CellTask::state));
+                }
             }
         }
     }
@@ -114,6 +128,10 @@
             {"jobs", activeJobs},
             {"pending_fillers", pendingFillers},
             {"pending_others", pendingOthers},
+            {"pending_long_running", pendingLongRunning},
+            {"unlocated", unlocated},
+            {"free_cpu", freeCpu},
+            {"largest_free_cpu", largestFreeCpu},
             {"over_target", overTarget},
             {"paced", paced},
             {"locating", state.isLocating}};
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -110,6 +110,7 @@
     std::map<std::string, std::string> store;
     std::set<std::string> accepted; ///< Ids of the jobs whose submission was accepted.
     std::unique_ptr<CellScheduler> owner;
+    std::vector<LogDecision> decisions; ///< Log lines of all owners.
     Epoch epoch = 0;
     double lateOrderFraction =
         0.0; ///< Fraction of orders that time out and are carried out seconds later.
@@ -219,7 +220,7 @@
     }
 
     void send(const PaceTask &) {}
-    void send(const LogDecision &) {}
+    void send(const LogDecision &decision) { decisions.push_back(decision); }
 
     void send(const RenewLease &order)
     {
