Reserve and make room for long-running tasks that no single worker can take

Cause: a task that is stopped gives up its capacity and then has no claim to any. Placement takes workers with enough room at the moment of a pass only. In a cell at 95 % no worker has 6 to 10 cores free at once, since smaller tasks take each piece as it becomes free, and tasks that run never move. The class of fault is starvation by fragmentation and backfill without reservation.

Change: - CapacityReservations keeps capacity of one worker for one task, for 4 s at most. - Defragmenter reserves a worker for a long-running task that no worker can take: one whose batch tasks end soon, or one from which a smaller long-running task can move to a worker with room. The destination is reserved before the stop. Tasks that ran before go first. Steps keep their limit of unavailable tasks, gangs stay, a task moves once in 10 s at most. - Tasks that an evacuation stops get their reservation while they stop. - PlacementRules holds the conditions that placement and moves share.

Why it works: the sum of free capacity counts instead of its largest piece. A move interrupts one smaller task for about a second and can't set off others, as its destination is taken before and the moved task is smaller than the waiting one.

The first test of LongRunningTaskRestart had a setup without a solution: the tasks that had to move were barred from all other workers by their limit per worker. It now makes the same fragmentation with tasks that may share a worker, and checks as much.

--- /dev/null
+++ b/src/Cell/CapacityReservations.cpp
@@ -0,0 +1,89 @@
+#include "Cell/CapacityReservations.h"
+
+#include "Core/Assert.h"
+
+#include <algorithm>
+
+namespace firefly {
+
+void CapacityReservations::add(const TaskRef &ref, CellWorker &worker, TimePoint now)
+{
+    FIREFLY_ASSERT(!contains(ref), "a task can hold one reservation only");
+    const ResourceVector amount = ref.spec().reservation();
+    m_entries.push_back({ref.name(), worker.info.id, amount, now + Timeout});
+    worker.held.add(amount);
+}
+
+void CapacityReservations::removeObsolete(TimePoint now)
+{
+    std::erase_if(m_entries, [&](const Entry &it) { return !isNeeded(it, now); });
+    for (auto &[id, worker] : m_state.workers) {
+        worker->held = {};
+    }
+    for (const Entry &it : m_entries) {
+        m_state.findWorker(it.worker)->held.add(it.amount);
+    }
+}
+
+void CapacityReservations::remove(const TaskRef &ref)
+{
+    const Entry *entry = find(ref.name());
+    if (!entry) {
+        return;
+    }
+    if (CellWorker *worker = m_state.findWorker(entry->worker)) {
+        worker->held.subtract(entry->amount);
+    }
+    m_entries.erase(m_entries.begin() + (entry - m_entries.data()));
+}
+
+bool CapacityReservations::contains(const TaskRef &ref) const
+{
+    return !m_entries.empty() && find(ref.name());
+}
+
+std::vector<TaskRef> CapacityReservations::pendingTasks() const
+{
+    std::vector<TaskRef> tasks;
+    for (const Entry &it : m_entries) {
+        const auto ref = m_state.findTask(it.task);
+        if (ref && ref->task().state == TaskState::Pending) {
+            tasks.push_back(*ref);
+        }
+    }
+    return tasks;
+}
+
+ResourceVector CapacityReservations::availableTo(const TaskRef &ref, const CellWorker &worker) const
+{
+    ResourceVector available = worker.freeRoom();
+    if (worker.held == ResourceVector{}) {
+        return available;
+    }
+    available.subtract(worker.held);
+    const Entry *own = find(ref.name());
+    if (own && own->worker == worker.info.id) {
+        available.add(own->amount);
+    }
+    return available;
+}
+
+bool CapacityReservations::isNeeded(const Entry &entry, TimePoint now) const
+{
+    const auto ref = m_state.findTask(entry.task);
+    const CellWorker *worker = m_state.findWorker(entry.worker);
+    if (!ref || isFinal(ref->job->state) || !worker || now >= entry.expiresAt) {
+        return false;
+    }
+    const TaskState state = ref->task().state;
+    return (state == TaskState::Pending || state == TaskState::Stopping) && worker->isRegistered
+           && !worker->info.isDraining && worker->renewFailures == 0;
+}
+
+const CapacityReservations::Entry *CapacityReservations::find(const TaskName &task) const
+{
+    const auto it = std::ranges::find(m_entries, task, &Entry::task);
+    return it == m_entries.end() ? nullptr : &*it;
+}
+
+} // namespace firefly
--- /dev/null
+++ b/src/Cell/CapacityReservations.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Cell/CellState.h"
+
+#include <vector>
+
+namespace firefly {
+
+/// Capacity of workers that is kept for single tasks until they start.
+///
+/// Other tasks can't use it.  A task holds at most one reservation.
+class CapacityReservations
+{
+public:
+    /// Time after which the capacity of a task that hasn't started is given back.
+    static constexpr Duration Timeout = std::chrono::milliseconds(4000);
+
+    explicit CapacityReservations(CellState &state)
+        : m_state(state)
+    {}
+
+    /// Keeps the demand of \a ref on \a worker, which need not be free yet.
+    void add(const TaskRef &ref, CellWorker &worker, TimePoint now);
+    /// Drops the reservations whose task no longer needs one, whose worker takes no tasks any more,
+    /// or whose time is up.  O(workers).
+    void removeObsolete(TimePoint now);
+    void remove(const TaskRef &ref);
+    void clear() { m_entries.clear(); }
+
+    bool contains(const TaskRef &ref) const;
+    std::size_t size() const { return m_entries.size(); }
+    /// Tasks with a reservation that wait for their start.
+    std::vector<TaskRef> pendingTasks() const;
+    /// Capacity of \a worker that \a ref may use; components are negative as far as kept capacity
+    /// isn't free yet.
+    ResourceVector availableTo(const TaskRef &ref, const CellWorker &worker) const;
+
+private:
+    struct Entry
+    {
+        TaskName task;
+        WorkerId worker;
+        ResourceVector amount;
+        TimePoint expiresAt{};
+    };
+
+    /// Workers and jobs may have been erased since the entry was made.
+    bool isNeeded(const Entry &entry, TimePoint now) const;
+    const Entry *find(const TaskName &task) const;
+
+    CellState &m_state;
+    std::vector<Entry> m_entries;
+};
+
+} // namespace firefly
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -44,6 +44,7 @@
     TimePoint progressAt{};    ///< Latest sign of progress; a change of pace counts as one.
     TimePoint notBefore{};     ///< Earliest time of the next start.
     TimePoint waitingSince{};  ///< Long-running tasks: since when no worker can take it; else zero.
+    TimePoint movedAt{};       ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
     int percent = 0;
@@ -154,6 +155,7 @@
     std::uint32_t renewFailures = 0; ///< Consecutive failed renewals.
     std::uint64_t reportCount = 0;   ///< Reports applied by this owner.
     ResourceVector reserved;         ///< Capacity reserved by placed tasks.
+    ResourceVector held;             ///< Capacity kept for other tasks, by CapacityReservations.
     std::int64_t fillerCpu = 0;      ///< Demand of the placed fillers, in thousandths of a core.
     std::int64_t longRunningCpu = 0; ///< CPU reserved by long-running tasks, same unit.
     std::vector<TaskRef> tasks;      ///< Placed tasks.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -63,6 +63,7 @@
     m_state.referrals.clear();
     m_state.actions.clear();
     m_state.epoch = 0;
+    m_placement.reset();
 }
 
 void CellScheduler::restore(std::string_view key, std::string_view value)
@@ -322,13 +323,7 @@
 
 void CellScheduler::sendStop(const TaskRef &ref)
 {
-    CellTask &task = ref.task();
-    FIREFLY_ASSERT(isPlaced(task.state), "only a placed task can be stopped");
-    if (task.state != TaskState::Unsettled && task.state != TaskState::Starting) {
-        task.state = TaskState::Stopping;
-    }
-    task.stopSentAt = m_now;
-    sendStop(*task.worker, ref.name(), task.run);
+    TaskLedger::orderStop(m_state, ref, m_now);
 }
 
 void CellScheduler::sendStop(CellWorker &worker, const TaskName &name, std::uint32_t run)
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -1,5 +1,6 @@
 #include "Cell/Placement.h"
 
+#include "Cell/PlacementRules.h"
 #include "Cell/TaskLedger.h"
 
 #include <algorithm>
@@ -8,14 +9,13 @@
 #include <tuple>
 
 namespace firefly {
+
+using PlacementRules::Obstacle;
+
 namespace {
 
 /// Time from sending a start to its deadline, after which it can't take effect any more.
 constexpr Duration StartValidity = std::chrono::milliseconds(1500);
-/// Fraction of its reservation that a long-running task is expected to use.
-constexpr double LongRunningUtilization = 0.5;
-/// Share of a filler's demand that must be unused on its worker.
-constexpr double MinUnusedFillerShare = 0.6;
 /// Score of the rack that holds the data; other scores mostly lie between 0 and 1.
 constexpr double DataRackBonus = 10.0;
 /// Score of a serving task on a worker with serving tasks of its own image, and of another image.
@@ -34,15 +34,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-/// Processor capacity of \a worker that is expected to stay unused, in thousandths of a core.
-double expectedUnusedCpu(const CellWorker &worker)
-{
-    const auto longRunning = static_cast<double>(worker.longRunningCpu);
-    const auto otherTasks = static_cast<double>(worker.reserved.milliCpu) - longRunning;
-    return static_cast<double>(worker.info.capacity.milliCpu) - otherTasks
-           - LongRunningUtilization * longRunning - static_cast<double>(worker.fillerCpu);
-}
-
 /// Order of jobs of one priority: -1 for a long-running job, as its users notice a missing task at
 /// once; 0 for a job that can still meet its objective, 1 for one that will be late, 2 for one that
 /// has no more value for its client.
@@ -78,6 +69,10 @@
 void Placement::run(TimePoint now, std::int64_t nowUnixMs)
 {
     m_unplaceable.clear();
+    m_reservations.removeObsolete(now);
+    m_defragmenter.beginPass(now);
+    startReserved(now);
+    reserveForEvacuated(now);
     for (CellJob *job : jobsInOrder(now)) {
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
             if (job->occurrences[k].dueUnixMs > nowUnixMs) {
@@ -98,6 +93,39 @@
     }
 }
 
+void Placement::startReserved(TimePoint now)
+{
+    for (const TaskRef &ref : m_reservations.pendingTasks()) {
+        if (ref.task().notBefore > now) {
+            continue;
+        }
+        if (CellWorker *worker = chooseWorker(ref, now)) {
+            m_reservations.remove(ref);
+            start(ref, *worker, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
+        }
+    }
+}
+
+void Placement::reserveForEvacuated(TimePoint now)
+{
+    for (const auto &[id, draining] : m_state.workers) {
+        if (!draining->info.isDraining) {
+            continue;
+        }
+        for (const TaskRef &ref : draining->tasks) {
+            if (ref.task().state != TaskState::Stopping || !ref.spec().isLongRunning
+                || ref.spec().isGang || isFinal(ref.job->state) || m_reservations.contains(ref)) {
+                continue;
+            }
+            if (CellWorker *worker = chooseWorker(ref, now)) {
+                m_reservations.add(ref, *worker, now);
+            } else {
+                m_defragmenter.makeRoom(ref, now);
+            }
+        }
+    }
+}
+
 std::vector<CellJob *> Placement::jobsInOrder(TimePoint now) const
 {
     std::vector<CellJob *> order;
@@ -137,14 +165,17 @@
             continue;
         }
         const TaskRef ref{&job, occurrence, step, i};
+        if (ref.spec().isLongRunning && m_reservations.contains(ref)) {
+            continue;
+        }
         if (isKnownUnplaceable(ref)) {
-            reportWait(ref, now);
+            onUnplaceable(ref, now);
             return;
         }
         CellWorker *worker = chooseWorker(ref, now);
         if (!worker) {
             recordUnplaceable(ref);
-            reportWait(ref, now);
+            onUnplaceable(ref, now);
             return;
         }
         start(ref, *worker, TaskLedger::nextRun(task, m_state.epoch), now);
@@ -205,12 +236,15 @@
     }
 }
 
-CellWorker *Placement::chooseWorker(const TaskRef &ref, TimePoint now) const
+CellWorker *Placement::chooseWorker(const TaskRef &ref, TimePoint now,
+                                    const CellWorker *excluded) const
 {
     CellWorker *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
     for (const auto &[id, worker] : m_state.workers) {
-        if (findObstacle(*worker, ref, now)) {
+        const ResourceVector available = m_reservations.availableTo(ref, *worker);
+        if (worker.get() == excluded
+            || PlacementRules::findObstacle(*worker, available, ref, now)) {
             continue;
         }
         const auto value = score(*worker, ref, now);
@@ -222,50 +256,17 @@
     return best;
 }
 
-std::optional<Placement::Obstacle> Placement::findObstacle(const CellWorker &worker,
-                                                           const TaskRef &ref, TimePoint now)
+void Placement::onUnplaceable(const TaskRef &ref, TimePoint now)
 {
-    const StepSpec &spec = ref.spec();
-    if (!worker.isRegistered || !worker.isContacted || worker.info.isDraining
-        || worker.info.service != ref.job->spec.policy.service) {
-        return Obstacle::Unavailable;
-    }
-    if (worker.renewFailures > 0) {
-        return Obstacle::Unresponsive;
-    }
-    if (worker.avoidUntil > now) {
-        return Obstacle::Avoided;
+    if (ref.spec().isLongRunning) {
+        reportWait(ref, now);
+        m_defragmenter.makeRoom(ref, now);
     }
-    if (!worker.freeRoom().fits(spec.reservation())) {
-        return Obstacle::Capacity;
-    }
-    if (spec.isFiller
-        && (worker.noFillersUntil > now
-            || expectedUnusedCpu(worker)
-                   < MinUnusedFillerShare * static_cast<double>(spec.demand.milliCpu))) {
-        return Obstacle::Fillers;
-    }
-    if (!spec.requiredLabel.empty()
-        && std::ranges::find(worker.info.labels, spec.requiredLabel) == worker.info.labels.end()) {
-        return Obstacle::Label;
-    }
-    if (spec.maxPerWorker > 0) {
-        const auto same = std::ranges::count_if(worker.tasks, [&ref](const TaskRef &it) {
-            return it.job == ref.job && it.occurrence == ref.occurrence && it.step == ref.step;
-        });
-        if (same >= static_cast<std::ptrdiff_t>(spec.maxPerWorker)) {
-            return Obstacle::TaskLimit;
-        }
-    }
-    return std::nullopt;
 }
 
 void Placement::reportWait(const TaskRef &ref, TimePoint now) const
 {
     CellTask &task = ref.task();
-    if (!ref.spec().isLongRunning) {
-        return;
-    }
     if (task.waitingSince == TimePoint{}) {
         task.waitingSince = now;
         task.nextWaitReport = now + FirstWaitReport;
@@ -289,7 +290,8 @@
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
     for (const auto &[id, worker] : m_state.workers) {
-        const auto obstacle = findObstacle(*worker, ref, now);
+        const auto obstacle = PlacementRules::findObstacle(
+            *worker, m_reservations.availableTo(ref, *worker), ref, now);
         if (!obstacle) {
             continue;
         }
@@ -319,7 +321,7 @@
         std::max<double>(1.0, static_cast<double>(worker.info.capacity.milliCpu));
     double value = 0.0;
     if (spec.isFiller) {
-        value = expectedUnusedCpu(worker) / capacity;
+        value = PlacementRules::expectedUnusedCpu(worker) / capacity;
         const double violations = m_interference.expectedViolations(worker, ref, now);
         if (!InterferenceGuard::isWorthwhile(spec, violations)) {
             return std::nullopt;
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "Cell/CellState.h"
+#include "Cell/CapacityReservations.h"
+#include "Cell/Defragmenter.h"
 #include "Cell/InterferenceGuard.h"
 
 #include <optional>
@@ -16,30 +17,32 @@
     Placement(CellState &state, InterferenceGuard &interference)
         : m_state(state)
         , m_interference(interference)
+        , m_reservations(state)
+        , m_defragmenter(state, m_reservations,
+                         [this](const TaskRef &ref, TimePoint now, const CellWorker *excluded) {
+                             return chooseWorker(ref, now, excluded);
+                         })
     {}
+    Placement(const Placement &) = delete;
+    Placement &operator=(const Placement &) = delete;
 
     /// Starts pending tasks in the order of their jobs, as far as they fit.
     /// O(pending tasks x workers).
     void run(TimePoint now, std::int64_t nowUnixMs);
+    /// Forgets what earlier passes left, since the state is another owner's.
+    void reset() { m_reservations.clear(); }
 
 private:
     /// Durable jobs with pending tasks, by priority, lateness and objective.
     std::vector<CellJob *> jobsInOrder(TimePoint now) const;
     void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
-    CellWorker *chooseWorker(const TaskRef &ref, TimePoint now) const;
-    /// Why a worker can't take a task.
-    enum class Obstacle {
-        Unavailable,  ///< Not registered, not contacted yet, draining, or of another service.
-        Unresponsive, ///< Its last renewal failed.
-        Avoided,      ///< It refused a start or failed runs a short time ago.
-        Capacity,
-        Fillers, ///< It takes no fillers, or has too little idle processor time for this one.
-        Label,
-        TaskLimit, ///< It runs as many tasks of the step as the step allows.
-    };
-    static std::optional<Obstacle> findObstacle(const CellWorker &worker, const TaskRef &ref,
-                                                TimePoint now);
+    void startReserved(TimePoint now);
+    /// Reserves workers for the long-running tasks that draining workers are about to end.
+    void reserveForEvacuated(TimePoint now);
+    void onUnplaceable(const TaskRef &ref, TimePoint now);
+    CellWorker *chooseWorker(const TaskRef &ref, TimePoint now,
+                             const CellWorker *excluded = nullptr) const;
     /// Logs at intervals why the long-running task \a ref still waits; O(workers) per log line.
     void reportWait(const TaskRef &ref, TimePoint now) const;
     std::string describeObstacles(const TaskRef &ref, TimePoint now) const;
@@ -60,6 +63,8 @@
 
     CellState &m_state;
     InterferenceGuard &m_interference;
+    CapacityReservations m_reservations;
+    Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
 };
 
--- /dev/null
+++ b/src/Cell/PlacementRules.cpp
@@ -0,0 +1,61 @@
+#include "Cell/PlacementRules.h"
+
+#include <algorithm>
+
+namespace firefly::PlacementRules {
+namespace {
+
+/// Fraction of its reservation that a long-running task is expected to use.
+constexpr double LongRunningUtilization = 0.5;
+/// Share of a filler's demand that must be unused on its worker.
+constexpr double MinUnusedFillerShare = 0.6;
+
+} // namespace
+
+double expectedUnusedCpu(const CellWorker &worker)
+{
+    const auto longRunning = static_cast<double>(worker.longRunningCpu);
+    const auto otherTasks = static_cast<double>(worker.reserved.milliCpu) - longRunning;
+    return static_cast<double>(worker.info.capacity.milliCpu) - otherTasks
+           - LongRunningUtilization * longRunning - static_cast<double>(worker.fillerCpu);
+}
+
+std::optional<Obstacle> findObstacle(const CellWorker &worker, const ResourceVector &available,
+                                     const TaskRef &ref, TimePoint now)
+{
+    const StepSpec &spec = ref.spec();
+    if (!worker.isRegistered || !worker.isContacted || worker.info.isDraining
+        || worker.info.service != ref.job->spec.policy.service) {
+        return Obstacle::Unavailable;
+    }
+    if (worker.renewFailures > 0) {
+        return Obstacle::Unresponsive;
+    }
+    if (worker.avoidUntil > now) {
+        return Obstacle::Avoided;
+    }
+    if (!available.fits(spec.reservation())) {
+        return Obstacle::Capacity;
+    }
+    if (spec.isFiller
+        && (worker.noFillersUntil > now
+            || expectedUnusedCpu(worker)
+                   < MinUnusedFillerShare * static_cast<double>(spec.demand.milliCpu))) {
+        return Obstacle::Fillers;
+    }
+    if (!spec.requiredLabel.empty()
+        && std::ranges::find(worker.info.labels, spec.requiredLabel) == worker.info.labels.end()) {
+        return Obstacle::Label;
+    }
+    if (spec.maxPerWorker > 0) {
+        const auto same = std::ranges::count_if(worker.tasks, [&ref](const TaskRef &it) {
+            return it.job == ref.job && it.occurrence == ref.occurrence && it.step == ref.step;
+        });
+        if (same >= static_cast<std::ptrdiff_t>(spec.maxPerWorker)) {
+            return Obstacle::TaskLimit;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace firefly::PlacementRules
--- /dev/null
+++ b/src/Cell/PlacementRules.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Cell/CellState.h"
+
+#include <optional>
+
+namespace firefly {
+
+/// Conditions that a worker must meet to take a task.
+namespace PlacementRules {
+
+/// Why a worker can't take a task.
+enum class Obstacle {
+    Unavailable,  ///< Not registered, not contacted yet, draining, or of another service.
+    Unresponsive, ///< Its last renewal failed.
+    Avoided,      ///< It refused a start or failed runs a short time ago.
+    Capacity,
+    Fillers, ///< It takes no fillers, or has too little idle processor time for this one.
+    Label,
+    TaskLimit, ///< It runs as many tasks of the step as the step allows.
+};
+
+/// The first obstacle that keeps \a ref off \a worker, of which it may use \a available; none if it
+/// can run there.  O(tasks on the worker).
+std::optional<Obstacle> findObstacle(const CellWorker &worker, const ResourceVector &available,
+                                     const TaskRef &ref, TimePoint now);
+
+/// Processor capacity of \a worker that is expected to stay unused, in thousandths of a core.
+double expectedUnusedCpu(const CellWorker &worker);
+
+} // namespace PlacementRules
+} // namespace firefly
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -83,6 +83,17 @@
     setState(ref, state);
 }
 
+void orderStop(CellState &state, const TaskRef &ref, TimePoint now)
+{
+    CellTask &task = ref.task();
+    FIREFLY_ASSERT(isPlaced(task.state), "only a placed task can be stopped");
+    if (task.state != TaskState::Unsettled && task.state != TaskState::Starting) {
+        task.state = TaskState::Stopping;
+    }
+    task.stopSentAt = now;
+    state.actions.emplace_back(StopTask{task.worker->info.id, ref.name(), task.run});
+}
+
 void release(const TaskRef &ref)
 {
     FIREFLY_ASSERT(isPlaced(ref.task().state), "only a placed task can be released");
--- a/src/Cell/TaskLedger.h
+++ b/src/Cell/TaskLedger.h
@@ -11,6 +11,8 @@
 
 /// Assigns \a ref to \a worker and reserves its capacity there; \a state must satisfy isPlaced().
 void place(const TaskRef &ref, CellWorker &worker, TaskState state, std::uint32_t run);
+/// Queues a stop order for a placed task; its worker's reports decide when it is released.
+void orderStop(CellState &state, const TaskRef &ref, TimePoint now);
 /// Removes a placed task from its worker and makes it Pending.
 void release(const TaskRef &ref);
 /// Makes a task Done, and with it all other members of its gang.
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -405,6 +405,7 @@
         if (it.spec().isLongRunning || std::chrono::milliseconds(workMs) > left) {
             m_state.logDecision("evacuated", it, "work_ms=" + std::to_string(workMs));
             sendStop(it);
+            m_state.wantsPlacement = true;
         }
     }
 }
--- a/test/LongRunningTaskRestart.cpp
+++ b/test/LongRunningTaskRestart.cpp
@@ -32,6 +32,26 @@
     world.owner->onWorkerListed(world.workers.at(worker)->describe(), world.now);
 }
 
+/// Leaves 3000 free on each of w1, w2 and w3, beside a large and a small long-running task.
+void fillEvenly(CellWorld &world)
+{
+    world.submit(JobId("large"), makeLongRunning(3, 3000));
+    // Batch tasks that take the room of a second small task on each worker, for two seconds.
+    JobSpec blocker = makeChain(1, 3);
+    blocker.steps.front().demand.milliCpu = 3000;
+    blocker.steps.front().maxPerWorker = 1;
+    for (auto &[id, worker] : world.workers) {
+        worker->workTime = 2s;
+    }
+    world.submit(JobId("blocker"), blocker);
+    world.run(500ms);
+    for (int i = 0; i < 3; ++i) {
+        world.submit(JobId("small" + std::to_string(i)), makeLongRunning(1, 2000));
+    }
+    world.run(3s);
+    ASSERT_TRUE(world.isFinished(JobId("blocker")));
+}
+
 /// Advances the simulated time by \a span; batch tasks that start meanwhile end one by one.
 void runWithVariedWork(CellWorld &world, Duration span)
 {
@@ -56,16 +76,15 @@
         world.run(500ms);
         world.submit(JobId("displaced"), makeLongRunning(1, 5000));
         world.run(1s);
-        world.submit(JobId("large"), makeLongRunning(3, 3000));
-        world.submit(JobId("small"), makeLongRunning(3, 2000));
-        world.run(1s);
+        fillEvenly(world);
         ASSERT_FALSE(world.workers.at("w0")->isIdle());
         drain(world, "w0");
         world.run(MaxDowntime);
         EXPECT_TRUE(isRunning(world, {JobId("displaced"), 0, 0, 0})) << "seed " << seed;
         for (std::uint32_t i = 0; i < 3; ++i) {
             EXPECT_TRUE(isRunning(world, {JobId("large"), 0, 0, i})) << "seed " << seed;
-            EXPECT_TRUE(isRunning(world, {JobId("small"), 0, 0, i})) << "seed " << seed;
+            EXPECT_TRUE(isRunning(world, {JobId("small" + std::to_string(i)), 0, 0, 0}))
+                << "seed " << seed;
         }
         EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
     }
