Move up to two tasks for a lost one, and search in the order of loss

Cause: a task of more than twice the largest free piece can't be helped by one move; and tasks that nothing could help, first in line, used up the searches of each pass, so that smaller ones behind them never got one.

Change: a search may move two tasks of one worker, with both destinations reserved before the first stop. Searches run after the pass, for tasks that ran before first; a demand that found nothing is skipped for 500 ms, with all larger ones. Tasks that have never run get a single move at most.

--- a/src/Cell/Defragmenter.cpp
+++ b/src/Cell/Defragmenter.cpp
@@ -17,13 +17,16 @@
 constexpr Duration MinMoveInterval = std::chrono::milliseconds(10000);
 /// Time without a worker after which a task that has never run gets a reservation.
 constexpr Duration FirstStartPatience = std::chrono::milliseconds(2000);
+/// Tasks that may move for one task, and for one that has never run.
+constexpr std::size_t MaxMoves = 2;
+constexpr std::size_t MaxMovesForFirstStart = 1;
 /// Open reservations per worker of the cell, and their smallest limit.
 constexpr std::size_t WorkersPerReservation = 16;
 constexpr std::size_t MinReservations = 2;
 /// Bounds of the processor time for searches.
 constexpr int MaxSearchesPerPass = 2;
-constexpr int MaxDestinationsPerSearch = 8;
-constexpr Duration SearchRetryInterval = std::chrono::milliseconds(250);
+constexpr int MaxPlansPerSearch = 8;
+constexpr Duration SearchRetryInterval = std::chrono::milliseconds(500);
 constexpr int StartedPercent = 100;
 
 /// True for a task that has run before, so that its clients miss it.
@@ -34,31 +37,59 @@
 
 } // namespace
 
-void Defragmenter::beginPass(TimePoint now)
+void Defragmenter::makeRoom(std::vector<TaskRef> waiting, TimePoint now)
 {
-    m_searchesLeft = now < m_retryAt ? 0 : MaxSearchesPerPass;
+    std::ranges::sort(waiting, {}, [](const TaskRef &it) {
+        return std::tuple(!isDisplaced(it), it.task().waitingSince);
+    });
+    std::erase_if(m_failedSearches, [now](const FailedSearch &it) { return now >= it.retryAt; });
+    int searchesLeft = MaxSearchesPerPass;
+    for (const TaskRef &it : waiting) {
+        if (!mayReserve(it, now) || isKnownToFail(it)) {
+            continue;
+        }
+        if (!makeRoomFor(it, now)) {
+            m_failedSearches.push_back(
+                {it.job->spec.policy.service, it.spec().reservation(), now + SearchRetryInterval});
+        }
+        if (--searchesLeft == 0) {
+            return;
+        }
+    }
 }
 
-void Defragmenter::makeRoom(const TaskRef &ref, TimePoint now)
+bool Defragmenter::mayReserve(const TaskRef &ref, TimePoint now) const
 {
     const CellTask &task = ref.task();
     const bool isWaitingLong =
         task.waitingSince != TimePoint{} && now - task.waitingSince >= FirstStartPatience;
-    if (m_searchesLeft == 0 || m_reservations.size() >= maxReservations(ref)
-        || (!isDisplaced(ref) && !isWaitingLong)) {
-        return;
-    }
-    --m_searchesLeft;
-    int destinationsLeft = MaxDestinationsPerSearch;
+    return m_reservations.size() < maxReservations(ref) && (isDisplaced(ref) || isWaitingLong);
+}
+
+bool Defragmenter::isKnownToFail(const TaskRef &ref) const
+{
+    return std::ranges::any_of(m_failedSearches, [&ref](const FailedSearch &it) {
+        return it.service == ref.job->spec.policy.service
+               && ref.spec().reservation().fits(it.demand);
+    });
+}
+
+bool Defragmenter::makeRoomFor(const TaskRef &ref, TimePoint now)
+{
+    const std::size_t maxMoves = isDisplaced(ref) ? MaxMoves : MaxMovesForFirstStart;
+    int attemptsLeft = MaxPlansPerSearch;
     for (const Plan &it : findPlans(ref, now)) {
+        if (it.moved.size() > maxMoves) {
+            continue;
+        }
         if (carryOut(ref, it, now)) {
-            return;
+            return true;
         }
-        if (--destinationsLeft == 0) {
-            break;
+        if (--attemptsLeft == 0) {
+            return false;
         }
     }
-    m_retryAt = now + SearchRetryInterval;
+    return false;
 }
 
 std::size_t Defragmenter::maxReservations(const TaskRef &ref) const
@@ -72,53 +103,105 @@
 {
     std::vector<Plan> plans;
     const ResourceVector demand = ref.spec().reservation();
+    const std::int64_t largestFreeCpu = findLargestFreeCpu(ref);
+    std::vector<TaskRef> movable;
     for (const auto &[id, worker] : m_state.workers) {
         if (PlacementRules::findObstacle(*worker, worker->info.capacity, ref, now)) {
             continue;
         }
         ResourceVector room = m_reservations.availableTo(ref, *worker);
-        Plan plan{worker.get(), std::nullopt, {}};
+        Plan plan{worker.get(), {}, {}};
+        movable.clear();
         for (const TaskRef &it : worker->tasks) {
             if (const auto left = timeToEnd(it)) {
                 room.add(it.spec().reservation());
                 plan.wait = std::max(plan.wait, *left);
+            } else if (it.spec().demand.milliCpu <= largestFreeCpu && isMovable(it, now)) {
+                movable.push_back(it);
             }
         }
         if (room.fits(demand)) {
-            plans.push_back(plan);
-            continue;
-        }
-        for (const TaskRef &it : worker->tasks) {
-            ResourceVector roomAfterMove = room;
-            roomAfterMove.add(it.spec().reservation());
-            if (roomAfterMove.fits(demand) && isMovable(it, now)) {
-                plan.moved = it;
-                plans.push_back(plan);
-            }
+            plans.push_back(std::move(plan));
+        } else {
+            addMoves(plans, plan, room, demand, movable);
         }
     }
-    // Moves interrupt other tasks, the fewer processors the better.
     const TimePoint since = ref.task().waitingSince;
     const bool prefersMoves = since != TimePoint{} && now - since >= MaxPatience;
     const auto key = [prefersMoves](const Plan &it) {
-        return std::tuple(it.moved.has_value() != prefersMoves,
-                          it.moved ? it.moved->spec().demand.milliCpu : 0, it.wait);
+        // Moves interrupt other tasks, so the fewer and the smaller the better.
+        std::int64_t movedCpu = 0;
+        for (const TaskRef &moved : it.moved) {
+            movedCpu += moved.spec().demand.milliCpu;
+        }
+        return std::tuple(it.moved.empty() == prefersMoves, it.moved.size(), movedCpu, it.wait);
     };
     std::ranges::sort(plans, {}, key);
     return plans;
 }
 
+void Defragmenter::addMoves(std::vector<Plan> &plans, const Plan &worker,
+                            const ResourceVector &room, const ResourceVector &demand,
+                            std::span<const TaskRef> movable) const
+{
+    const std::size_t countBefore = plans.size();
+    const auto addIfSufficient = [&](std::vector<TaskRef> moved) {
+        ResourceVector roomAfterMoves = room;
+        for (const TaskRef &it : moved) {
+            roomAfterMoves.add(it.spec().reservation());
+        }
+        if (roomAfterMoves.fits(demand)) {
+            plans.push_back({worker.worker, std::move(moved), worker.wait});
+        }
+    };
+    for (const TaskRef &it : movable) {
+        addIfSufficient({it});
+    }
+    if (plans.size() > countBefore) {
+        return;
+    }
+    for (std::size_t i = 0; i < movable.size(); ++i) {
+        for (std::size_t j = i + 1; j < movable.size(); ++j) {
+            const bool isSameStep =
+                movable[i].job == movable[j].job && movable[i].step == movable[j].step;
+            if (!isSameStep || movable[i].spec().maxUnavailable == 0) {
+                addIfSufficient({movable[i], movable[j]});
+            }
+        }
+    }
+}
+
+std::int64_t Defragmenter::findLargestFreeCpu(const TaskRef &ref) const
+{
+    std::int64_t largest = 0;
+    for (const auto &[id, worker] : m_state.workers) {
+        largest = std::max(largest, m_reservations.availableTo(ref, *worker).milliCpu);
+    }
+    return largest;
+}
+
 bool Defragmenter::carryOut(const TaskRef &ref, const Plan &plan, TimePoint now)
 {
-    if (plan.moved) {
-        const TaskRef &moved = *plan.moved;
-        CellWorker *destination = m_chooseWorker(moved, now, plan.worker);
+    std::vector<CellWorker *> destinations;
+    for (const TaskRef &it : plan.moved) {
+        CellWorker *destination = m_chooseWorker(it, now, plan.worker);
         if (!destination) {
-            return false;
+            break;
+        }
+        m_reservations.add(it, *destination, now);
+        destinations.push_back(destination);
+    }
+    if (destinations.size() < plan.moved.size()) {
+        for (std::size_t i = 0; i < destinations.size(); ++i) {
+            m_reservations.remove(plan.moved[i]);
         }
-        m_reservations.add(moved, *destination, now);
+        return false;
+    }
+    for (std::size_t i = 0; i < destinations.size(); ++i) {
+        const TaskRef &moved = plan.moved[i];
         m_state.logDecision("task moves", moved,
-                            "to=" + destination->info.id.value() + " for=" + ref.job->id.value());
+                            "to=" + destinations[i]->info.id.value()
+                                + " for=" + ref.job->id.value());
         moved.task().movedAt = now;
         TaskLedger::orderStop(m_state, moved, now);
     }
@@ -126,7 +209,7 @@
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(plan.wait).count();
     m_state.logDecision("capacity reserved", ref,
                         "on=" + plan.worker->info.id.value() + " wait_ms=" + std::to_string(waitMs)
-                            + " moves=" + (plan.moved ? "1" : "0"));
+                            + " moves=" + std::to_string(plan.moved.size()));
     return true;
 }
 
--- a/src/Cell/Defragmenter.h
+++ b/src/Cell/Defragmenter.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <optional>
+#include <span>
+#include <string>
 #include <vector>
 
 namespace firefly {
@@ -11,10 +13,10 @@
 /// Makes room for long-running tasks that no single worker can take although the cell as a whole
 /// has enough free capacity.
 ///
-/// It reserves a worker whose batch tasks end soon, or one from which a smaller long-running task
-/// can move to another worker; that task restarts as soon as its worker has stopped it.  A move
-/// always relocates a smaller task than the one it makes room for, and the destination is reserved
-/// before the stop, so moves don't cause each other.
+/// It reserves a worker whose batch tasks end soon, or one from which one or two smaller
+/// long-running tasks can move to other workers; these restart as soon as their worker has stopped
+/// them.  A move always relocates a smaller task than the one it makes room for, and the
+/// destination is reserved before the stop, so moves don't cause each other.
 class Defragmenter
 {
 public:
@@ -28,23 +30,38 @@
         , m_chooseWorker(std::move(chooseWorker))
     {}
 
-    /// Begins a placement pass.
-    void beginPass(TimePoint now);
-    /// Reserves a worker for \a ref, which needs one to run, and orders the move that makes room
-    /// there, if any.  Does nothing while enough other reservations are open.
-    /// O(workers x tasks on a worker).
-    void makeRoom(const TaskRef &ref, TimePoint now);
+    /// Makes room for some of the tasks \a waiting, which no worker can take: those that have run
+    /// before first, then the ones that have waited longest.  Does nothing while enough other
+    /// reservations are open.  O(workers x pairs of tasks on a worker).
+    void makeRoom(std::vector<TaskRef> waiting, TimePoint now);
 
 private:
     /// A worker that would have room for the task.
     struct Plan
     {
         CellWorker *worker = nullptr;
-        std::optional<TaskRef> moved; ///< Task that has to move first.
-        Duration wait{};              ///< Until the batch tasks that are in the way have ended.
+        std::vector<TaskRef> moved; ///< Tasks that have to move first.
+        Duration wait{};            ///< Until the batch tasks that are in the way have ended.
     };
 
+    /// Demand for which the latest search found no plan.
+    struct FailedSearch
+    {
+        std::string service;
+        ResourceVector demand;
+        TimePoint retryAt{};
+    };
+
+    bool mayReserve(const TaskRef &ref, TimePoint now) const;
+    bool isKnownToFail(const TaskRef &ref) const;
+    /// Reserves a worker for \a ref and orders the moves that make room there; false if there is
+    /// no way.
+    bool makeRoomFor(const TaskRef &ref, TimePoint now);
     std::vector<Plan> findPlans(const TaskRef &ref, TimePoint now) const;
+    /// Appends the plans that move one task off \a worker, else those that move two.
+    void addMoves(std::vector<Plan> &plans, const Plan &worker, const ResourceVector &room,
+                  const ResourceVector &demand, std::span<const TaskRef> movable) const;
+    std::int64_t findLargestFreeCpu(const TaskRef &ref) const;
     bool carryOut(const TaskRef &ref, const Plan &plan, TimePoint now);
     bool isMovable(const TaskRef &ref, TimePoint now) const;
     std::optional<Duration> timeToEnd(const TaskRef &ref) const;
@@ -53,8 +70,7 @@
     CellState &m_state;
     CapacityReservations &m_reservations;
     ChooseWorker m_chooseWorker;
-    TimePoint m_retryAt{};  ///< No searches before this time, as the latest one found nothing.
-    int m_searchesLeft = 0; ///< In this pass.
+    std::vector<FailedSearch> m_failedSearches;
 };
 
 } // namespace firefly
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -70,7 +70,7 @@
 {
     m_unplaceable.clear();
     m_reservations.removeObsolete(now);
-    m_defragmenter.beginPass(now);
+    m_waiting.clear();
     startReserved(now);
     reserveForEvacuated(now);
     for (CellJob *job : jobsInOrder(now)) {
@@ -91,6 +91,9 @@
             }
         }
     }
+    if (!m_waiting.empty()) {
+        m_defragmenter.makeRoom(m_waiting, now);
+    }
 }
 
 void Placement::startReserved(TimePoint now)
@@ -120,7 +123,7 @@
             if (CellWorker *worker = chooseWorker(ref, now)) {
                 m_reservations.add(ref, *worker, now);
             } else {
-                m_defragmenter.makeRoom(ref, now);
+                m_waiting.push_back(ref);
             }
         }
     }
@@ -260,7 +263,7 @@
 {
     if (ref.spec().isLongRunning) {
         reportWait(ref, now);
-        m_defragmenter.makeRoom(ref, now);
+        m_waiting.push_back(ref);
     }
 }
 
@@ -290,15 +293,15 @@
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
     for (const auto &[id, worker] : m_state.workers) {
-        const auto obstacle = PlacementRules::findObstacle(
-            *worker, m_reservations.availableTo(ref, *worker), ref, now);
+        const ResourceVector available = m_reservations.availableTo(ref, *worker);
+        const auto obstacle = PlacementRules::findObstacle(*worker, available, ref, now);
         if (!obstacle) {
             continue;
         }
         ++counts[*obstacle];
         if (*obstacle == Obstacle::Capacity) {
-            freeCpu += worker->freeRoom().milliCpu;
-            largestFreeCpu = std::max(largestFreeCpu, worker->freeRoom().milliCpu);
+            freeCpu += std::max<std::int64_t>(0, available.milliCpu);
+            largestFreeCpu = std::max(largestFreeCpu, available.milliCpu);
         }
     }
     const ResourceVector &demand = ref.spec().demand;
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -66,6 +66,7 @@
     CapacityReservations m_reservations;
     Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
+    std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
 
 } // namespace firefly
--- a/test/Defragmenter.cpp
+++ b/test/Defragmenter.cpp
@@ -62,20 +62,22 @@
     EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
 }
 
-/// A worker with a task of the step "small", and a task that needs it to move; the step may miss
-/// one of its three tasks.
+/// A task of 7000 waits.  w0 has 6000 free beside a task of the step "small", which may miss one of
+/// its three tasks; w1 has 4000 free; w2 has room for one task of the step only.
 class DefragmenterLimitTest : public ::testing::Test
 {
 protected:
     DefragmenterLimitTest()
         : reservations(state)
         , defragmenter(state, reservations,
-                       [this](const TaskRef &, TimePoint, const CellWorker *excluded) {
+                       [this](const TaskRef &ref, TimePoint, const CellWorker *excluded) {
                            CellWorker *w1 = state.workers.at("w1").get();
-                           return w1 == excluded ? nullptr : w1;
+                           const bool hasRoom =
+                               reservations.availableTo(ref, *w1).fits(ref.spec().reservation());
+                           return w1 == excluded || !hasRoom ? nullptr : w1;
                        })
     {
-        for (const char *id : {"w0", "w1"}) {
+        for (const char *id : {"w0", "w1", "w2"}) {
             auto &worker = state.workers[id];
             worker = std::make_unique<CellWorker>();
             worker->info.id = WorkerId(id);
@@ -84,7 +86,8 @@
             worker->isRegistered = true;
             worker->isContacted = true;
         }
-        state.workers.at("w1")->reserved = {5000, 100, 0};
+        state.workers.at("w1")->reserved = {2000, 100, 0};
+        state.workers.at("w2")->info.capacity = {2000, 64000, 0};
         JobSpec small = makeLongRunning(3, 2000);
         small.steps.front().maxUnavailable = 1;
         addJob("small", small);
@@ -118,8 +121,7 @@
 
     bool makesRoomByMove()
     {
-        defragmenter.beginPass(now);
-        defragmenter.makeRoom(*state.findTask({JobId("waiting"), 0, 0, 0}), now);
+        defragmenter.makeRoom({*state.findTask({JobId("waiting"), 0, 0, 0})}, now);
         return task("small", 0).state == TaskState::Stopping;
     }
 
@@ -131,10 +133,54 @@
 
 TEST_F(DefragmenterLimitTest, ATaskMovesWhileNoOtherOfItsStepIsAway)
 {
-    run(2, "w1");
+    run(2, "w2");
     EXPECT_TRUE(makesRoomByMove());
 }
 
+// A task of more than twice the largest free piece needs two moves.
+TEST_F(DefragmenterLimitTest, TwoTasksMoveWhereOneDoesNotSuffice)
+{
+    addJob("other", makeLongRunning(1, 2000));
+    TaskLedger::place(*state.findTask({JobId("other"), 0, 0, 0}), *state.workers.at("w0"),
+                      TaskState::Running, 1);
+    task("other", 0).percent = 100;
+    run(2, "w2");
+    EXPECT_TRUE(makesRoomByMove());
+    EXPECT_EQ(task("other", 0).state, TaskState::Stopping);
+    EXPECT_EQ(reservations.size(), 3U);
+}
+
+TEST_F(DefragmenterLimitTest, NothingMovesUnlessAllDestinationsHaveRoom)
+{
+    addJob("other", makeLongRunning(1, 2000));
+    TaskLedger::place(*state.findTask({JobId("other"), 0, 0, 0}), *state.workers.at("w0"),
+                      TaskState::Running, 1);
+    task("other", 0).percent = 100;
+    run(2, "w2");
+    state.workers.at("w1")->info.capacity.milliCpu -= 2000;
+    EXPECT_FALSE(makesRoomByMove());
+    EXPECT_EQ(reservations.size(), 0U);
+}
+
+// A task that no move helps must not keep the searches from a smaller task behind it.
+TEST_F(DefragmenterLimitTest, ATaskWithoutAPlanDoesNotBlockTheNextOne)
+{
+    run(2, "w2");
+    std::vector<TaskRef> waiting;
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "hopeless" + std::to_string(i);
+        addJob(id, makeLongRunning(1, 8100 + i));
+        task(id, 0).run = 1;
+        waiting.push_back(*state.findTask({JobId(id), 0, 0, 0}));
+    }
+    waiting.push_back(*state.findTask({JobId("waiting"), 0, 0, 0}));
+    for (int pass = 0; pass < 2; ++pass) {
+        defragmenter.makeRoom(waiting, now);
+        now += 20ms;
+    }
+    EXPECT_EQ(task("small", 0).state, TaskState::Stopping);
+}
+
 // A step whose limit of unavailable tasks is used up must not lose another task to a move.
 TEST_F(DefragmenterLimitTest, ATaskAtTheLimitOfItsStepStays)
 {
@@ -143,7 +189,7 @@
 
 TEST_F(DefragmenterLimitTest, AMovedTaskStaysForTheMoveInterval)
 {
-    run(2, "w1");
+    run(2, "w2");
     task("small", 0).movedAt = now - 9s;
     EXPECT_FALSE(makesRoomByMove());
     now += 1s;
