--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -6,11 +6,12 @@
 
 namespace firefly {
 
-void CapacityReservations::add(const TaskRef &ref, CellWorker &worker, TimePoint now)
+void CapacityReservations::add(const TaskRef &ref, CellWorker &worker, Kind kind, TimePoint now,
+                               Duration timeout)
 {
     FIREFLY_ASSERT(!contains(ref), "a task can hold one reservation only");
     const ResourceVector amount = ref.spec().reservation();
-    m_entries.push_back({ref.name(), worker.info.id, amount, now + Timeout});
+    m_entries.push_back({ref.name(), worker.info.id, amount, kind, now + timeout});
     worker.held.add(amount);
 }
 
@@ -42,6 +43,21 @@
     return !m_entries.empty() && find(ref.name());
 }
 
+std::size_t CapacityReservations::count(Kind kind) const
+{
+    return static_cast<std::size_t>(std::ranges::count(m_entries, kind, &Entry::kind));
+}
+
+std::size_t CapacityReservations::countOfStep(const TaskRef &ref, const CellWorker &worker) const
+{
+    const TaskName name = ref.name();
+    return static_cast<std::size_t>(std::ranges::count_if(m_entries, [&](const Entry &it) {
+        return it.worker == worker.info.id && it.task.job == name.job
+               && it.task.occurrence == name.occurrence && it.task.step == name.step
+               && it.task.index != name.index;
+    }));
+}
+
 std::vector<TaskRef> CapacityReservations::pendingTasks() const
 {
     std::vector<TaskRef> tasks;
@@ -77,7 +93,7 @@
     }
     const TaskState state = ref->task().state;
     return (state == TaskState::Pending || state == TaskState::Stopping) && worker->isRegistered
-           && !worker->info.isDraining && worker->renewFailures == 0;
+           && !worker->info.isDraining;
 }
 
 const CapacityReservations::Entry *CapacityReservations::find(const TaskName &task) const
--- a/src/Cell/CapacityReservations.h
+++ b/src/Cell/CapacityReservations.h
@@ -19,8 +19,16 @@
         : m_state(state)
     {}
 
-    /// Keeps the demand of \a ref on \a worker, which need not be free yet.
-    void add(const TaskRef &ref, CellWorker &worker, TimePoint now);
+    /// What the kept capacity depends on.
+    enum class Kind {
+        Free,      ///< It is free now.
+        BatchEnds, ///< It becomes free as batch tasks end.
+        Move,      ///< It becomes free as other tasks move.
+    };
+
+    /// Keeps the demand of \a ref on \a worker for \a timeout.
+    void add(const TaskRef &ref, CellWorker &worker, Kind kind, TimePoint now,
+             Duration timeout = Timeout);
     /// Drops the reservations whose task no longer needs one, whose worker takes no tasks any more,
     /// or whose time is up.  O(workers).
     void removeObsolete(TimePoint now);
@@ -29,6 +37,9 @@
 
     bool contains(const TaskRef &ref) const;
     std::size_t size() const { return m_entries.size(); }
+    std::size_t count(Kind kind) const;
+    /// Number of other tasks of the step of \a ref that hold capacity of \a worker.
+    std::size_t countOfStep(const TaskRef &ref, const CellWorker &worker) const;
     /// Tasks with a reservation that wait for their start.
     std::vector<TaskRef> pendingTasks() const;
     /// Capacity of \a worker that \a ref may use; components are negative as far as kept capacity
@@ -41,6 +52,7 @@
         TaskName task;
         WorkerId worker;
         ResourceVector amount;
+        Kind kind = Kind::Free;
         TimePoint expiresAt{};
     };
 
--- a/src/Cell/Defragmenter.cpp
+++ b/src/Cell/Defragmenter.cpp
@@ -11,6 +11,8 @@
 
 /// A batch task that ends within this time need not be in the way of a reservation.
 constexpr Duration MaxBatchWait = std::chrono::milliseconds(2000);
+/// Added to the estimated end of the batch tasks for the timeout of a reservation.
+constexpr Duration BatchEndMargin = std::chrono::milliseconds(1000);
 /// Once a task has waited this long, a move is preferred to waiting for batch tasks.
 constexpr Duration MaxPatience = std::chrono::milliseconds(2000);
 /// Shortest time between two moves of one task.
@@ -20,13 +22,14 @@
 /// Tasks that may move for one task, and for one that has never run.
 constexpr std::size_t MaxMoves = 2;
 constexpr std::size_t MaxMovesForFirstStart = 1;
-/// Open reservations per worker of the cell, and their smallest limit.
+/// Workers of the cell per open reservation of one kind, and the smallest limit.
 constexpr std::size_t WorkersPerReservation = 16;
 constexpr std::size_t MinReservations = 2;
 /// Bounds of the processor time for searches.
 constexpr int MaxSearchesPerPass = 2;
 constexpr int MaxPlansPerSearch = 8;
 constexpr Duration SearchRetryInterval = std::chrono::milliseconds(500);
+/// Progress of a long-running task that has started up, and of a batch task at its end.
 constexpr int StartedPercent = 100;
 
 /// True for a task that has run before, so that its clients miss it.
@@ -63,7 +66,7 @@
     const CellTask &task = ref.task();
     const bool isWaitingLong =
         task.waitingSince != TimePoint{} && now - task.waitingSince >= FirstStartPatience;
-    return m_reservations.size() < maxReservations(ref) && (isDisplaced(ref) || isWaitingLong);
+    return !m_reservations.contains(ref) && (isDisplaced(ref) || isWaitingLong);
 }
 
 bool Defragmenter::isKnownToFail(const TaskRef &ref) const
@@ -79,7 +82,8 @@
     const std::size_t maxMoves = isDisplaced(ref) ? MaxMoves : MaxMovesForFirstStart;
     int attemptsLeft = MaxPlansPerSearch;
     for (const Plan &it : findPlans(ref, now)) {
-        if (it.moved.size() > maxMoves) {
+        if (it.moved.size() > maxMoves
+            || m_reservations.count(kindOf(it)) >= maxReservations(ref)) {
             continue;
         }
         if (carryOut(ref, it, now)) {
@@ -106,25 +110,34 @@
     const std::int64_t largestFreeCpu = findLargestFreeCpu(ref);
     std::vector<TaskRef> movable;
     for (const auto &[id, worker] : m_state.workers) {
-        if (PlacementRules::findObstacle(*worker, worker->info.capacity, ref, now)) {
+        if (PlacementRules::findObstacle(*worker, worker->info.capacity,
+                                         m_reservations.countOfStep(ref, *worker), ref, now)) {
             continue;
         }
         ResourceVector room = m_reservations.availableTo(ref, *worker);
-        Plan plan{worker.get(), {}, {}};
+        ResourceVector roomAfterBatch = room;
+        Duration batchWait{};
         movable.clear();
         for (const TaskRef &it : worker->tasks) {
-            if (const auto left = timeToEnd(it)) {
+            if (it.task().state == TaskState::Stopping) {
                 room.add(it.spec().reservation());
-                plan.wait = std::max(plan.wait, *left);
-            } else if (it.spec().demand.milliCpu <= largestFreeCpu && isMovable(it, now)) {
+                roomAfterBatch.add(it.spec().reservation());
+            } else if (const auto left = timeToEnd(it)) {
+                roomAfterBatch.add(it.spec().reservation());
+                batchWait = std::max(batchWait, *left);
+            } else if (it.spec().demand.milliCpu <= largestFreeCpu && isMovable(it, ref, now)) {
                 movable.push_back(it);
             }
         }
         if (room.fits(demand)) {
-            plans.push_back(std::move(plan));
-        } else {
-            addMoves(plans, plan, room, demand, movable);
+            plans.push_back({worker.get(), {}, {}});
+            continue;
+        }
+        if (roomAfterBatch.fits(demand)) {
+            plans.push_back({worker.get(), {}, batchWait});
         }
+        // A batch task may exceed its estimate, so a move must suffice without its end.
+        addMoves(plans, {worker.get(), {}, {}}, room, demand, movable);
     }
     const TimePoint since = ref.task().waitingSince;
     const bool prefersMoves = since != TimePoint{} && now - since >= MaxPatience;
@@ -134,7 +147,8 @@
         for (const TaskRef &moved : it.moved) {
             movedCpu += moved.spec().demand.milliCpu;
         }
-        return std::tuple(it.moved.empty() == prefersMoves, it.moved.size(), movedCpu, it.wait);
+        const bool isDeferred = prefersMoves && it.wait > Duration{};
+        return std::tuple(isDeferred, it.moved.size(), movedCpu, it.wait);
     };
     std::ranges::sort(plans, {}, key);
     return plans;
@@ -188,7 +202,7 @@
         if (!destination) {
             break;
         }
-        m_reservations.add(it, *destination, now);
+        m_reservations.add(it, *destination, CapacityReservations::Kind::Free, now);
         destinations.push_back(destination);
     }
     if (destinations.size() < plan.moved.size()) {
@@ -205,7 +219,9 @@
         moved.task().movedAt = now;
         TaskLedger::orderStop(m_state, moved, now);
     }
-    m_reservations.add(ref, *plan.worker, now);
+    const Duration timeout =
+        plan.wait > Duration{} ? plan.wait + BatchEndMargin : CapacityReservations::Timeout;
+    m_reservations.add(ref, *plan.worker, kindOf(plan), now, timeout);
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(plan.wait).count();
     m_state.logDecision("capacity reserved", ref,
                         "on=" + plan.worker->info.id.value() + " wait_ms=" + std::to_string(waitMs)
@@ -213,10 +229,14 @@
     return true;
 }
 
-bool Defragmenter::isMovable(const TaskRef &ref, TimePoint now) const
+bool Defragmenter::isMovable(const TaskRef &ref, const TaskRef &waiting, TimePoint now) const
 {
     const CellTask &task = ref.task();
     const StepSpec &spec = ref.spec();
+    const bool isSmaller = !spec.reservation().fits(waiting.spec().reservation());
+    if (!isSmaller || ref.job->spec.policy.priority < waiting.job->spec.policy.priority) {
+        return false;
+    }
     if (!spec.isLongRunning || spec.isGang || task.state != TaskState::Running
         || task.percent < StartedPercent || now < task.movedAt + MinMoveInterval
         || isFinal(ref.job->state) || m_reservations.contains(ref)) {
@@ -226,22 +246,22 @@
         return true;
     }
     const auto away = std::ranges::count_if(ref.stepRun().tasks, [](const CellTask &it) {
-        return it.state != TaskState::Running || it.percent < StartedPercent;
+        return it.state != TaskState::Running || it.percent < StartedPercent
+               || it.worker->renewFailures > 0 || !it.worker->isRegistered;
     });
     return away < static_cast<std::ptrdiff_t>(spec.maxUnavailable);
 }
 
-std::optional<Duration> Defragmenter::timeToEnd(const TaskRef &ref) const
+std::optional<Duration> Defragmenter::timeToEnd(const TaskRef &ref)
 {
     const CellTask &task = ref.task();
-    if (task.state == TaskState::Stopping) {
-        return m_state.bounds.stopTimeout;
-    }
-    if (ref.spec().isLongRunning || task.state != TaskState::Running) {
+    const StepSpec &spec = ref.spec();
+    if (spec.isLongRunning || spec.estimateMs == 0 || task.state != TaskState::Running) {
         return std::nullopt;
     }
-    const Duration left = std::chrono::milliseconds(ref.spec().estimateMs
-                                                    * (100 - std::min(task.percent, 100)) / 100);
+    const Duration left = std::chrono::milliseconds(
+        spec.estimateMs * (StartedPercent - std::min(task.percent, StartedPercent))
+        / StartedPercent);
     return left <= MaxBatchWait ? std::optional(left) : std::nullopt;
 }
 
--- a/src/Cell/Defragmenter.h
+++ b/src/Cell/Defragmenter.h
@@ -14,9 +14,9 @@
 /// has enough free capacity.
 ///
 /// It reserves a worker whose batch tasks end soon, or one from which one or two smaller
-/// long-running tasks can move to other workers; these restart as soon as their worker has stopped
-/// them.  A move always relocates a smaller task than the one it makes room for, and the
-/// destination is reserved before the stop, so moves don't cause each other.
+/// long-running tasks of at most the same priority can move to other workers; these restart as soon
+/// as their worker has stopped them. The destinations are reserved before the stops, so moves don't
+/// cause each other.
 class Defragmenter
 {
 public:
@@ -57,14 +57,22 @@
     /// Reserves a worker for \a ref and orders the moves that make room there; false if there is
     /// no way.
     bool makeRoomFor(const TaskRef &ref, TimePoint now);
+    static CapacityReservations::Kind kindOf(const Plan &plan)
+    {
+        return plan.moved.empty() ? CapacityReservations::Kind::BatchEnds
+                                  : CapacityReservations::Kind::Move;
+    }
     std::vector<Plan> findPlans(const TaskRef &ref, TimePoint now) const;
     /// Appends the plans that move one task off \a worker, else those that move two.
     void addMoves(std::vector<Plan> &plans, const Plan &worker, const ResourceVector &room,
                   const ResourceVector &demand, std::span<const TaskRef> movable) const;
     std::int64_t findLargestFreeCpu(const TaskRef &ref) const;
     bool carryOut(const TaskRef &ref, const Plan &plan, TimePoint now);
-    bool isMovable(const TaskRef &ref, TimePoint now) const;
-    std::optional<Duration> timeToEnd(const TaskRef &ref) const;
+    /// True if \a ref may be stopped to make room for \a waiting; O(tasks of the step).
+    bool isMovable(const TaskRef &ref, const TaskRef &waiting, TimePoint now) const;
+    /// Estimated time until a batch task ends, if it is known and short.
+    static std::optional<Duration> timeToEnd(const TaskRef &ref);
+    /// Largest number of open reservations of one kind, before one for \a ref.
     std::size_t maxReservations(const TaskRef &ref) const;
 
     CellState &m_state;
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -105,6 +105,8 @@
         if (CellWorker *worker = chooseWorker(ref, now)) {
             m_reservations.remove(ref);
             start(ref, *worker, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
+        } else {
+            reportWait(ref, now);
         }
     }
 }
@@ -121,7 +123,7 @@
                 continue;
             }
             if (CellWorker *worker = chooseWorker(ref, now)) {
-                m_reservations.add(ref, *worker, now);
+                m_reservations.add(ref, *worker, CapacityReservations::Kind::Free, now);
             } else {
                 m_waiting.push_back(ref);
             }
@@ -247,7 +249,8 @@
     for (const auto &[id, worker] : m_state.workers) {
         const ResourceVector available = m_reservations.availableTo(ref, *worker);
         if (worker.get() == excluded
-            || PlacementRules::findObstacle(*worker, available, ref, now)) {
+            || PlacementRules::findObstacle(*worker, available,
+                                            m_reservations.countOfStep(ref, *worker), ref, now)) {
             continue;
         }
         const auto value = score(*worker, ref, now);
@@ -294,7 +297,8 @@
     std::int64_t largestFreeCpu = 0;
     for (const auto &[id, worker] : m_state.workers) {
         const ResourceVector available = m_reservations.availableTo(ref, *worker);
-        const auto obstacle = PlacementRules::findObstacle(*worker, available, ref, now);
+        const auto obstacle = PlacementRules::findObstacle(
+            *worker, available, m_reservations.countOfStep(ref, *worker), ref, now);
         if (!obstacle) {
             continue;
         }
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -21,7 +21,7 @@
 }
 
 std::optional<Obstacle> findObstacle(const CellWorker &worker, const ResourceVector &available,
-                                     const TaskRef &ref, TimePoint now)
+                                     std::size_t expectedOfStep, const TaskRef &ref, TimePoint now)
 {
     const StepSpec &spec = ref.spec();
     if (!worker.isRegistered || !worker.isContacted || worker.info.isDraining
@@ -48,10 +48,10 @@
         return Obstacle::Label;
     }
     if (spec.maxPerWorker > 0) {
-        const auto same = std::ranges::count_if(worker.tasks, [&ref](const TaskRef &it) {
+        const auto placed = std::ranges::count_if(worker.tasks, [&ref](const TaskRef &it) {
             return it.job == ref.job && it.occurrence == ref.occurrence && it.step == ref.step;
         });
-        if (same >= static_cast<std::ptrdiff_t>(spec.maxPerWorker)) {
+        if (static_cast<std::size_t>(placed) + expectedOfStep >= spec.maxPerWorker) {
             return Obstacle::TaskLimit;
         }
     }
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -22,8 +22,9 @@
 
 /// The first obstacle that keeps \a ref off \a worker, of which it may use \a available; none if it
 /// can run there.  O(tasks on the worker).
+/// \param expectedOfStep other tasks of the step that hold a reservation there.
 std::optional<Obstacle> findObstacle(const CellWorker &worker, const ResourceVector &available,
-                                     const TaskRef &ref, TimePoint now);
+                                     std::size_t expectedOfStep, const TaskRef &ref, TimePoint now);
 
 /// Processor capacity of \a worker that is expected to stay unused, in thousandths of a core.
 double expectedUnusedCpu(const CellWorker &worker);
--- a/test/CapacityReservations.cpp
+++ b/test/CapacityReservations.cpp
@@ -43,7 +43,7 @@
 
 TEST_F(CapacityReservationsTest, KeptCapacityIsAvailableToItsTaskOnly)
 {
-    reservations.add(first, worker(), now);
+    reservations.add(first, worker(), CapacityReservations::Kind::Free, now);
     EXPECT_EQ(reservations.availableTo(first, worker()).milliCpu, 8000);
     EXPECT_EQ(reservations.availableTo(second, worker()).milliCpu, 3000);
     ASSERT_EQ(reservations.pendingTasks().size(), 1U);
@@ -52,7 +52,7 @@
 
 TEST_F(CapacityReservationsTest, CapacityIsGivenBackAfterTheTimeout)
 {
-    reservations.add(first, worker(), now);
+    reservations.add(first, worker(), CapacityReservations::Kind::Free, now);
     reservations.removeObsolete(now + CapacityReservations::Timeout - 1ms);
     EXPECT_TRUE(reservations.contains(first));
     reservations.removeObsolete(now + CapacityReservations::Timeout);
@@ -62,7 +62,7 @@
 
 TEST_F(CapacityReservationsTest, CapacityIsGivenBackOnceTheTaskHasStarted)
 {
-    reservations.add(first, worker(), now);
+    reservations.add(first, worker(), CapacityReservations::Kind::Free, now);
     TaskLedger::place(first, worker(), TaskState::Starting, 1);
     reservations.removeObsolete(now);
     EXPECT_EQ(reservations.size(), 0U);
@@ -71,12 +71,12 @@
 
 TEST_F(CapacityReservationsTest, AReservationOnAWorkerThatDrainsOrIsErasedIsDropped)
 {
-    reservations.add(first, worker(), now);
+    reservations.add(first, worker(), CapacityReservations::Kind::Free, now);
     worker().info.isDraining = true;
     reservations.removeObsolete(now);
     EXPECT_EQ(reservations.size(), 0U);
     worker().info.isDraining = false;
-    reservations.add(first, worker(), now);
+    reservations.add(first, worker(), CapacityReservations::Kind::Free, now);
     state.workers.clear();
     reservations.removeObsolete(now);
     EXPECT_EQ(reservations.size(), 0U);
@@ -84,7 +84,7 @@
 
 TEST_F(CapacityReservationsTest, AReservationOfAnErasedJobIsDropped)
 {
-    reservations.add(first, worker(), now);
+    reservations.add(first, worker(), CapacityReservations::Kind::Free, now);
     state.jobs.clear();
     EXPECT_TRUE(reservations.pendingTasks().empty());
     reservations.removeObsolete(now);
