Remember searches in vain by what they say

What callers saw: nothing yet; found by reading the change before the landing.

Cause: a search that found no plan blocked all tasks of the same or a larger demand for 500 ms. One for a task with a label, or for a task that has never run and gets one move only, says nothing of other tasks, yet it kept a lost task from its search.

Change: a search in vain for a task with a label or a limit per worker counts for its step only, and one for a task that has never run does not count for one that has.

The test of Defragmenter fails without the change and passes with it.

--- a/src/Cell/Defragmenter.cpp
+++ b/src/Cell/Defragmenter.cpp
@@ -52,8 +52,10 @@
             continue;
         }
         if (!makeRoomFor(it, now)) {
+            const StepSpec &spec = it.spec();
             m_failedSearches.push_back(
-                {it.job->spec.policy.service, it.spec().reservation(), now + SearchRetryInterval});
+                {it.name(), it.job->spec.policy.service, spec.reservation(), isDisplaced(it),
+                 !spec.requiredLabel.empty() || spec.maxPerWorker > 0, now + SearchRetryInterval});
         }
         if (--searchesLeft == 0) {
             return;
@@ -71,7 +73,14 @@
 
 bool Defragmenter::isKnownToFail(const TaskRef &ref) const
 {
-    return std::ranges::any_of(m_failedSearches, [&ref](const FailedSearch &it) {
+    const TaskName name = ref.name();
+    return std::ranges::any_of(m_failedSearches, [&](const FailedSearch &it) {
+        if (isDisplaced(ref) && !it.isDisplaced) {
+            return false;
+        }
+        if (it.isRestricted) {
+            return it.task.job == name.job && it.task.step == name.step;
+        }
         return it.service == ref.job->spec.policy.service
                && ref.spec().reservation().fits(it.demand);
     });
--- a/src/Cell/Defragmenter.h
+++ b/src/Cell/Defragmenter.h
@@ -44,11 +44,15 @@
         Duration wait{};            ///< Until the batch tasks that are in the way have ended.
     };
 
-    /// Demand for which the latest search found no plan.
+    /// A search that found no plan; it is not repeated for the same or a larger demand.
     struct FailedSearch
     {
+        TaskName task;
         std::string service;
         ResourceVector demand;
+        bool isDisplaced = false; ///< Tasks that have run before get more reservations and moves.
+        bool isRestricted =
+            false; ///< By a label or a limit per worker: says nothing of other steps.
         TimePoint retryAt{};
     };
 
--- a/test/Defragmenter.cpp
+++ b/test/Defragmenter.cpp
@@ -181,6 +181,26 @@
     EXPECT_EQ(task("small", 0).state, TaskState::Stopping);
 }
 
+// A search in vain for a task that has never run, or that is restricted to a label, says nothing of
+// a task that has run and is free in its choice.
+TEST_F(DefragmenterLimitTest, ASearchInVainDoesNotBlockATaskWithFewerRestrictions)
+{
+    run(2, "w2");
+    JobSpec labelled = makeLongRunning(1, 6500);
+    labelled.steps.front().requiredLabel = "absent";
+    addJob("labelled", labelled);
+    task("labelled", 0).run = 1;
+    addJob("new", makeLongRunning(1, 6900));
+    task("new", 0).waitingSince = now - 10s;
+    state.workers.at("w1")->reserved.milliCpu += 3000;
+    const std::vector<TaskRef> inVain{*state.findTask({JobId("labelled"), 0, 0, 0}),
+                                      *state.findTask({JobId("new"), 0, 0, 0})};
+    defragmenter.makeRoom(inVain, now);
+    ASSERT_EQ(task("small", 0).state, TaskState::Running);
+    state.workers.at("w1")->reserved.milliCpu -= 3000;
+    EXPECT_TRUE(makesRoomByMove());
+}
+
 // A step whose limit of unavailable tasks is used up must not lose another task to a move.
 TEST_F(DefragmenterLimitTest, ATaskAtTheLimitOfItsStepStays)
 {
