--- a/test/Defragmenter.cpp
+++ b/test/Defragmenter.cpp
@@ -1,7 +1,7 @@
 #include "Cell/Defragmenter.h"
 
 #include "Cell/TaskLedger.h"
-#include "fakes/CellWorld.h"
+#include "fakes/LongRunningTasks.h"
 
 #include <gtest/gtest.h>
 
@@ -10,27 +10,6 @@
 
 using namespace std::chrono_literals;
 
-JobSpec makeLongRunning(std::uint32_t count, std::int64_t milliCpu)
-{
-    JobSpec spec = makeChain(1, count);
-    spec.steps.front().demand = {milliCpu, 100, 0};
-    spec.steps.front().isLongRunning = true;
-    return spec;
-}
-
-bool isRunning(const CellWorld &world, const JobId &job, std::uint32_t index)
-{
-    const auto it = world.audit.runningOn.find({job, 0, 0, index});
-    return it != world.audit.runningOn.end() && !it->second.empty();
-}
-
-int countMoves(const CellWorld &world)
-{
-    return static_cast<int>(std::ranges::count_if(world.decisions, [](const LogDecision &it) {
-        return std::string_view(it.message) == "task moves";
-    }));
-}
-
 /// Two workers with 3000 free beside a task of 3000 and a task of 2000 of the job "small", which
 /// has \a small tasks; a task of 5000 waits and needs a move of a task of 2000.
 void submitFragmented(CellWorld &world, const JobSpec &small)
@@ -56,9 +35,9 @@
     CellWorld world(1, 2);
     submitFragmented(world, makeLongRunning(2, 2000));
     EXPECT_EQ(countMoves(world), 1);
-    EXPECT_TRUE(isRunning(world, JobId("waiting"), 0));
-    EXPECT_TRUE(isRunning(world, JobId("small"), 0));
-    EXPECT_TRUE(isRunning(world, JobId("small"), 1));
+    EXPECT_TRUE(isRunning(world, {JobId("waiting"), 0, 0, 0}));
+    EXPECT_TRUE(isRunning(world, {JobId("small"), 0, 0, 0}));
+    EXPECT_TRUE(isRunning(world, {JobId("small"), 0, 0, 1}));
     EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
 }
 
--- a/test/DefragmenterRegressions.cpp
+++ b/test/DefragmenterRegressions.cpp
@@ -1,6 +1,6 @@
 #include "Cell/Defragmenter.h"
 #include "Cell/TaskLedger.h"
-#include "fakes/CellWorld.h"
+#include "fakes/LongRunningTasks.h"
 
 #include <gtest/gtest.h>
 
@@ -9,59 +9,9 @@
 
 using namespace std::chrono_literals;
 
-/// Longest time that the platform tolerates without a run of a long-running task.
-constexpr Duration MaxDowntime = 6s;
 /// Longest time until the lease of a lost worker is over.
 constexpr Duration MaxLease = 7s;
 
-JobSpec makeLongRunning(std::uint32_t count, std::int64_t milliCpu)
-{
-    JobSpec spec = makeChain(1, count);
-    spec.steps.front().demand = {milliCpu, 100, 0};
-    spec.steps.front().isLongRunning = true;
-    return spec;
-}
-
-bool isRunning(const CellWorld &world, const TaskName &task)
-{
-    const auto it = world.audit.runningOn.find(task);
-    return it != world.audit.runningOn.end() && !it->second.empty();
-}
-
-bool isRunningOn(const CellWorld &world, const TaskName &task, const std::string &worker)
-{
-    const auto it = world.audit.runningOn.find(task);
-    return it != world.audit.runningOn.end() && it->second.contains(worker);
-}
-
-void drain(CellWorld &world, const std::string &worker)
-{
-    world.workers.at(worker)->isDraining = true;
-    world.owner->onWorkerListed(world.workers.at(worker)->describe(), world.now);
-}
-
-/// Leaves 3000 free on each of w1, w2 and w3, beside a large and a small long-running task, so that
-/// the move of one small task makes room for a task of 5000.
-void fillEvenly(CellWorld &world)
-{
-    JobSpec large = makeLongRunning(3, 3000);
-    large.steps.front().maxPerWorker = 1;
-    world.submit(JobId("large"), large);
-    JobSpec blocker = makeChain(1, 3);
-    blocker.steps.front().demand.milliCpu = 3000;
-    blocker.steps.front().maxPerWorker = 1;
-    for (auto &[id, worker] : world.workers) {
-        worker->workTime = 2s;
-    }
-    world.submit(JobId("blocker"), blocker);
-    world.run(500ms);
-    for (int i = 0; i < 3; ++i) {
-        world.submit(JobId("small" + std::to_string(i)), makeLongRunning(1, 2000));
-    }
-    world.run(3s);
-    ASSERT_TRUE(world.isFinished(JobId("blocker")));
-}
-
 /// A task of 5000 on w0, which is about to drain, and the workers of fillEvenly().
 void setUpDisplaced(CellWorld &world, const std::string &label = {})
 {
--- a/test/StarvationWithoutReservation.cpp
+++ b/test/StarvationWithoutReservation.cpp
@@ -1,4 +1,4 @@
-#include "fakes/CellWorld.h"
+#include "fakes/LongRunningTasks.h"
 
 #include <gtest/gtest.h>
 
@@ -7,35 +7,6 @@
 
 using namespace std::chrono_literals;
 
-/// Longest time that the platform tolerates without a run of a long-running task.
-constexpr Duration MaxDowntime = 6s;
-
-JobSpec makeLongRunning(std::uint32_t count, std::int64_t milliCpu)
-{
-    JobSpec spec = makeChain(1, count);
-    spec.steps.front().demand = {milliCpu, 100, 0};
-    spec.steps.front().isLongRunning = true;
-    return spec;
-}
-
-bool isRunning(const CellWorld &world, const TaskName &task)
-{
-    const auto it = world.audit.runningOn.find(task);
-    return it != world.audit.runningOn.end() && !it->second.empty();
-}
-
-bool isRunningOn(const CellWorld &world, const TaskName &task, const std::string &worker)
-{
-    const auto it = world.audit.runningOn.find(task);
-    return it != world.audit.runningOn.end() && it->second.contains(worker);
-}
-
-void drain(CellWorld &world, const std::string &worker)
-{
-    world.workers.at(worker)->isDraining = true;
-    world.owner->onWorkerListed(world.workers.at(worker)->describe(), world.now);
-}
-
 // The members of a long-running gang are long-running tasks as well.
 TEST(StarvationWithoutReservation, AGangOfADrainedWorkerRunsAgainBesideABacklogOfSmallTasks)
 {
@@ -51,15 +22,7 @@
         JobSpec batch = makeChain(1, 200);
         batch.steps.front().demand.milliCpu = 2000;
         world.submit(JobId("batch"), batch);
-        std::uniform_int_distribution<int> workMs(500, 1500);
-        const auto runVaried = [&](Duration span) {
-            for (const TimePoint end = world.now + span; world.now < end; world.run(20ms)) {
-                for (auto &[id, worker] : world.workers) {
-                    worker->workTime = std::chrono::milliseconds(workMs(world.random));
-                }
-            }
-        };
-        runVaried(2s);
+        runWithVariedWork(world, 2s);
         ASSERT_TRUE(isRunning(world, {JobId("gang"), 0, 0, 0}));
         ASSERT_TRUE(isRunning(world, {JobId("gang"), 0, 0, 1}));
         for (auto &[id, worker] : world.workers) {
@@ -68,7 +31,7 @@
             }
             drain(world, id);
         }
-        runVaried(MaxDowntime);
+        runWithVariedWork(world, MaxDowntime);
         EXPECT_FALSE(world.isFinished(JobId("batch")));
         EXPECT_TRUE(isRunning(world, {JobId("gang"), 0, 0, 0})) << "seed " << seed;
     }
@@ -83,20 +46,12 @@
         JobSpec backlog = makeChain(1, 400);
         backlog.steps.front().demand.milliCpu = 2000;
         world.submit(JobId("backlog"), backlog);
-        std::uniform_int_distribution<int> workMs(500, 1500);
-        const auto runVaried = [&](Duration span) {
-            for (const TimePoint end = world.now + span; world.now < end; world.run(20ms)) {
-                for (auto &[id, worker] : world.workers) {
-                    worker->workTime = std::chrono::milliseconds(workMs(world.random));
-                }
-            }
-        };
-        runVaried(2s);
+        runWithVariedWork(world, 2s);
         JobSpec large = makeChain(1, 1);
         large.steps.front().demand.milliCpu = 8000;
         large.policy.priority = 0;
         world.submit(JobId("big"), large);
-        runVaried(15s);
+        runWithVariedWork(world, 15s);
         EXPECT_FALSE(world.isFinished(JobId("backlog")));
         EXPECT_TRUE(world.isFinished(JobId("big"))) << "seed " << seed;
     }
