Count reservations of a step without copying the task's name

countOfStep() runs for each worker and pending task of a placement pass and copied the job id each time, also without any reservation. It compares the reference's fields now; the result is the same. The cost was not measured.

--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -50,11 +50,10 @@
 
 std::size_t CapacityReservations::countOfStep(const TaskRef &ref, const CellWorker &worker) const
 {
-    const TaskName name = ref.name();
     return static_cast<std::size_t>(std::ranges::count_if(m_entries, [&](const Entry &it) {
-        return it.worker == worker.info.id && it.task.job == name.job
-               && it.task.occurrence == name.occurrence && it.task.step == name.step
-               && it.task.index != name.index;
+        return it.worker == worker.info.id && it.task.job == ref.job->id
+               && it.task.occurrence == ref.occurrence && it.task.step == ref.step
+               && it.task.index != ref.index;
     }));
 }
 
