Judge the silence of a worker by when its owner was able to listen

Cause: the owner compared its own clock with the last report that it had read. After a pause of the process, or while its link was saturated, all workers looked silent: it stopped running tasks as stuck, and released tasks whose leases had ended before it had read the reports that were waiting, or while it heard no worker at all.

Change: progress is measured on the worker's clock. A gap of more than 300 ms between two ticks postpones judgements by 1.2 s, and a lease ends the run of a registered worker only while at least half of the registered workers were heard in the last 3.5 s. Workers that the platform no longer lists are judged as before.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -41,10 +41,11 @@
     TimePoint startedAt{}; ///< Acceptance of the start, or first report that lists the run.
     TimePoint stopSentAt{};
     TimePoint paceChangedAt{}; ///< Latest change of pace.
-    TimePoint progressAt{};    ///< Latest sign of progress; a change of pace counts as one.
-    TimePoint notBefore{};     ///< Earliest time of the next start.
-    TimePoint waitingSince{};  ///< Long-running tasks: since when no worker can take it; else zero.
-    TimePoint movedAt{};       ///< Latest stop that Defragmenter ordered; zero if none.
+    /// Latest sign of progress, on the worker's clock; a change of pace counts as one.
+    std::int64_t progressMs = 0;
+    TimePoint notBefore{};    ///< Earliest time of the next start.
+    TimePoint waitingSince{}; ///< Long-running tasks: since when no worker can take it; else zero.
+    TimePoint movedAt{};      ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
     int percent = 0;
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -53,6 +53,8 @@
     m_state.isLocating = true;
     m_interference.restoreModel({}, now);
     m_lastModelRecord = now;
+    m_lastTick = now;
+    m_judgeSilenceFrom = {};
 }
 
 void CellScheduler::endOwnership()
@@ -117,6 +119,7 @@
 
 void CellScheduler::finishRestore(TimePoint now, std::int64_t nowUnixMs)
 {
+    m_lastTick = now;
     for (auto &[id, job] : m_state.jobs) {
         const auto ageMs = static_cast<double>(nowUnixMs - job->submittedAtUnixMs);
         setImages(*job);
@@ -349,6 +352,7 @@
 void CellScheduler::tick(TimePoint now, std::int64_t nowUnixMs)
 {
     m_now = now;
+    detectPause(now);
     expireLeases(now);
     resolveUnlocatedTasks(now);
     if (now - m_lastCleanup >= CleanupInterval) {
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -122,6 +122,11 @@
     TimePoint leaseEnd(const CellWorker &worker) const;
     void renewLeases(TimePoint now);
     void renewLease(CellWorker &worker, TimePoint now);
+    /// Postpones judgements on silent workers if the last tick was long ago.
+    void detectPause(TimePoint now);
+    /// True if at least half of the registered workers reported lately; otherwise their silence
+    /// tells of this process or its link, not of them.
+    bool hearsWorkers(TimePoint now) const;
     void expireLeases(TimePoint now);
     void resolveUnlocatedTasks(TimePoint now);
     void releaseTasks(CellWorker &worker);
@@ -156,6 +161,8 @@
     TimePoint m_lastCleanup{};
     TimePoint m_lastModelRecord{};
     TimePoint m_lastWorkerCheck{};
+    TimePoint m_lastTick{};
+    TimePoint m_judgeSilenceFrom{};
 };
 
 } // namespace firefly
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -84,7 +84,7 @@
     if (isUnplaced && !isFinal(ref->job->state)) {
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
-        task.progressAt = now;
+        task.progressMs = worker.clockMs;
     }
     if (task.worker != &worker || task.run != row.run) {
         sendStop(worker, row.task, row.run);
@@ -94,10 +94,10 @@
         || (task.state == TaskState::Unsettled && !isFinal(ref->job->state))) {
         task.state = TaskState::Running;
         task.startedAt = now;
-        task.progressAt = now;
+        task.progressMs = worker.clockMs;
     }
     if (row.percent != task.percent) {
-        task.progressAt = now;
+        task.progressMs = worker.clockMs;
     }
     task.percent = row.percent;
     task.usage = row.usage;
@@ -225,7 +225,7 @@
         CellTask &task = it.task.task();
         task.pace = it.percent;
         task.paceChangedAt = now;
-        task.progressAt = now;
+        task.progressMs = worker.clockMs;
         m_state.actions.emplace_back(
             PaceTask{worker.info.id, it.task.name(), task.run, it.percent});
     }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -26,6 +26,14 @@
 constexpr int FullPace = 100;
 /// A stop order is repeated after this time unless the worker lists the end of the run.
 constexpr Duration StopRetryInterval = std::chrono::milliseconds(700);
+/// A longer time between two ticks means that this process was paused or overloaded, and may have
+/// reports yet to read.
+constexpr Duration MaxTickGap = std::chrono::milliseconds(300);
+constexpr Duration LoggedTickGap = std::chrono::milliseconds(1000);
+/// Time to read such reports before the silence of a worker counts.
+constexpr Duration ListenTime = std::chrono::milliseconds(1200);
+/// A reachable worker reports at least this often, by its longest long poll.
+constexpr Duration HearingWindow = std::chrono::milliseconds(3500);
 /// Interval of the checks for expired leases, unanswered stops and stuck tasks.
 constexpr Duration WorkerCheckInterval = std::chrono::milliseconds(100);
 /// A task is stuck after this time without progress, or half of its estimate if that is longer.
@@ -149,7 +157,7 @@
     case OrderOutcome::Accepted:
         task.state = TaskState::Running;
         task.startedAt = now;
-        task.progressAt = now;
+        task.progressMs = reply.clockMs.value_or(worker->clockAtLeast(now));
         if (isFinal(ref->job->state)) {
             sendStop(*ref);
         }
@@ -284,16 +292,46 @@
     m_state.actions.emplace_back(std::move(order));
 }
 
+void CellScheduler::detectPause(TimePoint now)
+{
+    const Duration gap = now - m_lastTick;
+    m_lastTick = now;
+    if (gap <= MaxTickGap) {
+        return;
+    }
+    m_judgeSilenceFrom = now + ListenTime;
+    if (gap >= LoggedTickGap) {
+        m_state.actions.emplace_back(
+            LogDecision{"owner was delayed", {}, {}, 0, "ms=" + std::to_string(toMs(gap))});
+    }
+}
+
+bool CellScheduler::hearsWorkers(TimePoint now) const
+{
+    std::size_t registered = 0;
+    std::size_t heard = 0;
+    for (const auto &[id, worker] : m_state.workers) {
+        registered += worker->isRegistered ? 1 : 0;
+        const bool isHeard = worker->isContacted && now - worker->clockAt <= HearingWindow;
+        heard += worker->isRegistered && isHeard ? 1 : 0;
+    }
+    return 2 * heard >= registered;
+}
+
 void CellScheduler::expireLeases(TimePoint now)
 {
     if (now - m_lastWorkerCheck < WorkerCheckInterval) {
         return;
     }
     m_lastWorkerCheck = now;
+    const bool wasListening = now >= m_judgeSilenceFrom;
+    const bool hearsMost = wasListening && hearsWorkers(now);
     for (auto it = m_state.workers.begin(); it != m_state.workers.end();) {
         CellWorker &worker = *it->second;
         const bool hasRenewalResult = worker.isContacted || worker.renewFailures > 0;
-        const bool isExpired = hasRenewalResult && now >= leaseEnd(worker);
+        // The platform's list tells of a worker that has left, whether or not others are heard.
+        const bool isSilenceCertain = hearsMost || (wasListening && !worker.isRegistered);
+        const bool isExpired = hasRenewalResult && isSilenceCertain && now >= leaseEnd(worker);
         if (isExpired && !worker.tasks.empty()) {
             releaseTasks(worker);
         }
@@ -315,7 +353,8 @@
     }
     // Even after its lease a worker may still list ended runs that no owner has recorded, so each
     // one is asked at least once.
-    const bool hasLocateTimeExpired = now >= m_state.locateUntil;
+    const bool hasLocateTimeExpired =
+        now >= m_state.locateUntil && now >= m_judgeSilenceFrom && hearsWorkers(now);
     const bool isComplete =
         std::ranges::all_of(m_state.workers, [hasLocateTimeExpired](const auto &it) {
             return it.second->isContacted || !it.second->isRecorded
@@ -383,9 +422,11 @@
             || (it.spec().isLongRunning && task.percent >= 100)) {
             continue;
         }
+        // Both times are the worker's: reports that this process reads late don't make a task
+        // stuck.
         const Duration stuckTimeout =
             std::max<Duration>(MinStuckTime, std::chrono::milliseconds(it.spec().estimateMs / 2));
-        if (now - task.progressAt >= stuckTimeout) {
+        if (worker.clockMs - task.progressMs >= toMs(stuckTimeout)) {
             recordFailure(worker, now);
             m_state.logDecision("task stuck", it, "percent=" + std::to_string(task.percent));
             sendStop(it);
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -96,6 +96,19 @@
         append();
     }
 
+    /// Lets time pass while the owner's process is paused; messages to it wait.  Then it ticks
+    /// before it reads any.
+    void pauseOwner(Duration span)
+    {
+        constexpr Duration Step = std::chrono::milliseconds(5);
+        for (const TimePoint end = now + span; now < end; now += Step) {
+            for (auto &[id, worker] : workers) {
+                worker->tick(now);
+            }
+        }
+        owner->tick(now, unixMs());
+    }
+
     bool isFinished(const JobId &id) const
     {
         const auto state = owner->stateOf(id);
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -99,8 +99,9 @@
             RunningTask row;
             row.task = task;
             row.run = run.run;
+            m_percent += isProgressing ? 1 : 0;
             row.percent = isLongRunningTask(task) ? StartedPercent
-                                                  : static_cast<int>(++m_percent % StartedPercent);
+                                                  : static_cast<int>(m_percent % StartedPercent);
             report.running.push_back(row);
         }
         report.ended = m_ended;
@@ -160,6 +161,7 @@
     std::int64_t incarnation = 1; ///< Increases with each reboot().
     bool isReachable = true;
     bool isDraining = false;
+    bool isProgressing = true; ///< The progress of tasks changes from report to report.
     Duration workTime = std::chrono::milliseconds(500); ///< Of runs started from now on.
     bool hasFailingRuns = false; ///< Runs started from now on end with a failure.
     double clockRate = 1.0;      ///< Relative to simulated time.
