Survive malformed registrations, refusals and answers

What callers would see: one malformed message ended a whole process, with all requests that it held.

Cause: a registration whose address is no IPv4 address, or whose id has a line break, was taken, and the HTTP client threw at the first order to it. A refusal whose reason is no string, and an answer of another node with a field of another type, threw outside the decoders. An error text that quotes invalid UTF-8 of a request threw while it was encoded.

Change: such registrations name no worker, such refusals are refusals, such answers are of unknown outcome, and error texts replace invalid bytes. A client's timeout with trailing text or below zero is ignored, as one that is no number was.

--- a/src/Fleet/CallerRequest.h
+++ b/src/Fleet/CallerRequest.h
@@ -23,6 +23,8 @@
     Elsewhere, ///< The job belongs to another cell, which the reply names.
 };
 
+inline constexpr CallerOutcome LastCallerOutcome = CallerOutcome::Elsewhere;
+
 /// Text for log lines.
 constexpr const char *toString(CallerOutcome outcome)
 {
--- a/src/Node/RequestForwarder.cpp
+++ b/src/Node/RequestForwarder.cpp
@@ -40,26 +40,19 @@
 {
     return json::array({static_cast<int>(reply.outcome), static_cast<int>(reply.state),
                         reply.pending, reply.detail, reply.cell})
-        .dump();
+        // The detail may quote bytes of the request that aren't valid UTF-8.
+        .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-CallerReply decodeReply(const HttpResult &result)
+CallerReply toReply(const HttpResult &result)
 {
     if (result.state == ExchangeState::NotSent) {
         return {CallerOutcome::NotRun, JobState::Queued, 0, "the owner is unreachable"};
     }
-    const json row = json::parse(result.body, nullptr, false);
-    const bool isReply = result.isSuccess() && row.is_array() && row.size() == 5;
-    if (!isReply) {
+    if (!result.isSuccess()) {
         return {CallerOutcome::Unknown, JobState::Queued, 0, "no answer from the owner"};
     }
-    CallerReply reply;
-    reply.outcome = static_cast<CallerOutcome>(row.at(0).get<int>());
-    reply.state = static_cast<JobState>(row.at(1).get<int>());
-    row.at(2).get_to(reply.pending);
-    row.at(3).get_to(reply.detail);
-    row.at(4).get_to(reply.cell);
-    return reply;
+    return RequestForwarder::decodeReply(result.body);
 }
 
 const char *methodOf(CallerVerb verb)
@@ -78,6 +71,29 @@
 
 } // namespace
 
+CallerReply RequestForwarder::decodeReply(std::string_view body)
+{
+    const json row = json::parse(body, nullptr, false);
+    const auto isIndex = [](const json &it, int last) {
+        return it.is_number_integer() && it.get<std::int64_t>() >= 0
+               && it.get<std::int64_t>() <= last;
+    };
+    const bool isReply =
+        row.is_array() && row.size() == 5 && isIndex(row.at(0), static_cast<int>(LastCallerOutcome))
+        && isIndex(row.at(1), static_cast<int>(LastJobState)) && row.at(2).is_number_integer()
+        && row.at(3).is_string() && row.at(4).is_number_integer();
+    if (!isReply) {
+        return {CallerOutcome::Unknown, JobState::Queued, 0, "unreadable answer from the owner"};
+    }
+    CallerReply reply;
+    reply.outcome = static_cast<CallerOutcome>(row.at(0).get<int>());
+    reply.state = static_cast<JobState>(row.at(1).get<int>());
+    row.at(2).get_to(reply.pending);
+    row.at(3).get_to(reply.detail);
+    row.at(4).get_to(reply.cell);
+    return reply;
+}
+
 RequestForwarder::RequestForwarder(CurlLoop &loop, CellSet &cells, JobParser parser)
     : m_loop(loop)
     , m_cells(cells)
@@ -110,7 +126,7 @@
     }
     exchange.timeout = timeout;
     m_loop.start(std::move(exchange),
-                 [done = std::move(done)](const HttpResult &result) { done(decodeReply(result)); });
+                 [done = std::move(done)](const HttpResult &result) { done(toReply(result)); });
 }
 
 void RequestForwarder::answer(CellHost &cell, const ForwardedRequest &request, OnCallerReply done)
--- a/src/Node/RequestForwarder.h
+++ b/src/Node/RequestForwarder.h
@@ -6,6 +6,7 @@
 #include "Node/CellSet.h"
 
 #include <string>
+#include <string_view>
 
 namespace firefly {
 
@@ -39,6 +40,8 @@
     /// The cell responsible for the job of \a request.
     /// \throws what the parser throws for an invalid body of a Submit.
     int cellFor(const CellLayout &layout, const ForwardedRequest &request) const;
+    /// Decodes the answer of another node process; one that is malformed has an unknown outcome.
+    static CallerReply decodeReply(std::string_view body);
     /// Answers a request that another node process forwarded.
     void handle(const HttpRequest &request, HttpServer::Respond respond);
 
--- a/src/Workload/JobSpec.h
+++ b/src/Workload/JobSpec.h
@@ -91,6 +91,8 @@
 /// State of a job as its client sees it.
 enum class JobState { Queued, Running, Completed, Failed, Canceled };
 
+inline constexpr JobState LastJobState = JobState::Canceled;
+
 inline bool isFinal(JobState state)
 {
     return state == JobState::Completed || state == JobState::Failed || state == JobState::Canceled;
--- a/test/PlatformWire.cpp
+++ b/test/PlatformWire.cpp
@@ -43,6 +43,63 @@
                  WireError);
 }
 
+// An address that is no IP address, or an id with a line break, made the HTTP client throw at the
+// first order, which ended the owner's process.
+TEST(PlatformWire, RegistrationsThatNoOrderCanBeSentToAreRejected)
+{
+    const auto decodeWith = [](std::string_view id, const std::string &address) {
+        return decodeWorker(id, R"({"service":"s","address":")" + address
+                                    + R"(","zone":"z","state":"ready","capacity":{"cpu":1}})");
+    };
+    EXPECT_NO_THROW(decodeWith("i-1", "10.0.0.9:80"));
+    for (const char *address : {"host:80", ":80", "10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:8x",
+                                "10.0.0.9", "10.0.0.9/x:80"}) {
+        EXPECT_THROW(decodeWith("i-1", address), WireError) << address;
+    }
+    for (const char *id : {"", "i-1\r\nX: y", "i 1", "i\x01"}) {
+        EXPECT_THROW(decodeWith(id, "10.0.0.9:80"), WireError) << id;
+    }
+}
+
+// A refusal whose reason was no string ended the process with an exception.
+TEST(PlatformWire, MalformedRefusalsOfAWorkerAreRefusals)
+{
+    for (const char *body : {R"({"reason":7})", R"({"reason":null})", R"({"reason":{}})", "[]", "",
+                             "{", "\xff", R"({"clock_ms":"late"})"}) {
+        EXPECT_EQ(decodeOrderReply(409, body).outcome, OrderOutcome::OldRun) << body;
+    }
+    EXPECT_EQ(decodeOrderReply(409, R"({"reason":"fence"})").outcome, OrderOutcome::FencedOff);
+}
+
+// Quoting bytes of a request that aren't valid UTF-8 threw while the error was encoded.
+TEST(PlatformWire, AnErrorThatQuotesInvalidUtf8IsAnswered)
+{
+    const HttpResponse response =
+        toResponse(CallerVerb::Submit, {CallerOutcome::Malformed, {}, 0, "read \xff\xfe"}, {});
+    EXPECT_EQ(response.status, 400);
+    EXPECT_FALSE(response.body.empty());
+    try {
+        decodeJob("{\"steps\":\"\xff\"}");
+        FAIL() << "the body is malformed";
+    } catch (const WireError &e) {
+        EXPECT_NO_THROW(
+            toResponse(CallerVerb::Submit, {CallerOutcome::Malformed, {}, 0, e.what()}, {}));
+    }
+}
+
+TEST(PlatformWire, AClientTimeoutWithOtherTextIsIgnored)
+{
+    const auto timeoutOf = [](const char *text) {
+        HttpRequest request;
+        request.headers = {{"x-deadline-ms", text}};
+        return clientTimeout(request);
+    };
+    EXPECT_EQ(timeoutOf("1500"), std::chrono::milliseconds(1500));
+    for (const char *text : {"", "1500x", "1.5", "-1", "soon", "99999999999999999999"}) {
+        EXPECT_FALSE(timeoutOf(text).has_value()) << text;
+    }
+}
+
 TEST(PlatformWire, InvalidJobsAreRejected)
 {
     EXPECT_EQ(decodeJob(R"({"steps":[{"count":2,"cpu":500}]})").steps[0].taskCount, 2U);
