Answer every open request before a stopping process exits

Cause: the process ends 0.7 s before its grace period whatever is open. A request whose owner can't be reached may wait up to the client's timeout of 3 s.

Change: 0.75 s before the end of the grace period all open requests are answered: refused where no attempt was made or all are known not to have run, else as of unknown outcome, which clients repeat elsewhere. Requests that still come on open connections are refused at once. The answers have 0.25 s to reach the clients.

--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -23,7 +23,9 @@
 /// The load balancer stops sending connections after two failed checks, a second apart.
 constexpr Duration BalancerDetectionTime = std::chrono::milliseconds(2500);
 /// A draining process exits this long before the end of its grace period, when it would be killed.
-constexpr Duration ShutdownMargin = std::chrono::milliseconds(700);
+constexpr Duration ShutdownMargin = std::chrono::milliseconds(500);
+/// Time for the last answers to reach the clients.
+constexpr Duration FlushTime = std::chrono::milliseconds(250);
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
 constexpr std::size_t MaxClientBodyBytes = 256U << 10U;
 constexpr Duration MaxRequestTime = std::chrono::seconds(5);
@@ -181,6 +183,9 @@
         const Duration since = Clock::now() - drainBeganAt;
         const bool isDrained =
             since >= BalancerDetectionTime && router.inFlight() == 0 && cells.hasResigned();
+        if (!isDrained && since >= settings.gracePeriod - ShutdownMargin - FlushTime) {
+            router.finishAll();
+        }
         if (isDrained || since >= settings.gracePeriod - ShutdownMargin) {
             log.write(LogLevel::Info, "node", "stopped", {{"in_flight", router.inFlight()}});
             context.stop();
--- a/src/Node/RequestRouter.cpp
+++ b/src/Node/RequestRouter.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace firefly {
 namespace {
@@ -40,6 +42,7 @@
         TimePoint deadline{};      ///< Latest time to send the final answer.
         TimePoint ownerDeadline{}; ///< The same while no owner is found.
         bool isUncertain = false;  ///< Some attempt may have been executed.
+        bool isAsking = false;     ///< An attempt awaits its reply.
         std::optional<int> cell;   ///< Cell to ask; empty until the layout is known.
         int cellsAsked = 0;        ///< Cells that don't know the job.
         int tries = 0;
@@ -62,6 +65,11 @@
         ++inFlight;
         const auto exchange = std::make_shared<Exchange>(context, std::move(respond));
         exchange->arrivedAt = Clock::now();
+        open.insert(exchange);
+        if (isStopping) {
+            finish(exchange, {CallerOutcome::NotRun, JobState::Queued, 0, "stopping"});
+            return;
+        }
         if (!routes.isConfigured()) {
             finish(exchange, {CallerOutcome::NotRun, JobState::Queued, 0, "no configuration yet"});
             return;
@@ -107,6 +115,7 @@
         ++exchange->tries;
         const auto onReply = [weak = weak_from_this(), exchange](const CallerReply &reply) {
             if (const auto self = weak.lock()) {
+                exchange->isAsking = false;
                 self->handleReply(exchange, reply);
             }
         };
@@ -123,6 +132,7 @@
         }
         if (cell->isServing()) {
             startAnswerTimer(exchange);
+            exchange->isAsking = true;
             forwarder.answer(*cell, exchange->request, onReply);
             return;
         }
@@ -131,6 +141,7 @@
             handleReply(exchange, {CallerOutcome::NotRun, JobState::Queued, 0, "no owner"});
             return;
         }
+        exchange->isAsking = true;
         const Duration left = exchange->deadline - Clock::now();
         forwarder.forward(claim->endpoint, *exchange->cell, exchange->request,
                           std::clamp<Duration>(left, std::chrono::milliseconds(50), ForwardTimeout),
@@ -224,6 +235,7 @@
             return;
         }
         exchange->timer.cancel();
+        open.erase(exchange);
         const Duration took = Clock::now() - exchange->arrivedAt;
         logResult(*exchange, reply, took);
         HttpResponse response = platform::toResponse(exchange->request.verb, reply, RetryAfter);
@@ -233,6 +245,16 @@
         respond(std::move(response));
     }
 
+    void finishAll()
+    {
+        isStopping = true;
+        for (const ExchangePtr &it : std::exchange(open, {})) {
+            const bool mayHaveRun = it->isUncertain || it->isAsking;
+            finish(it, {mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun,
+                        JobState::Queued, 0, "stopping"});
+        }
+    }
+
     void logResult(const Exchange &exchange, const CallerReply &reply, Duration took)
     {
         const CallerVerb verb = exchange.request.verb;
@@ -261,6 +283,8 @@
     EventLog &log;
     Metrics &metrics;
     bool isDraining = false;
+    bool isStopping = false;
+    std::set<ExchangePtr> open; ///< Requests not answered yet.
     std::size_t inFlight = 0;
 };
 
@@ -281,6 +305,11 @@
     m_private->isDraining = true;
 }
 
+void RequestRouter::finishAll()
+{
+    m_private->finishAll();
+}
+
 std::size_t RequestRouter::inFlight() const
 {
     return m_private->inFlight;
--- a/src/Node/RequestRouter.h
+++ b/src/Node/RequestRouter.h
@@ -35,6 +35,8 @@
     void handle(HttpRequest request, HttpServer::Respond respond);
     /// Makes every answer from now on close its connection.
     void drain();
+    /// Answers all open requests, and each later one, at once: the process is about to stop.
+    void finishAll();
     /// Number of requests not answered yet.
     std::size_t inFlight() const;
 
