Spread long-running jobs evenly over the cells while they arrive

Owners compared their own load with published loads that were up to 0.4 s old, and referred all jobs only from a difference of 0.25 on.

Change: the decision is ReferralPolicy, without I/O. An owner publishes its load with such a job, and reads the others' nearly without pause for the next second, so that loads are some 80 ms old.

--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -166,14 +166,14 @@
     /// Publishes the load and the pending counts, as far as due.
     void publishLoad(TimePoint now)
     {
-        if (now - lastMeasuredAt < MeasureInterval) {
+        if (now - lastMeasuredAt < MeasureInterval && !isPublicationDue) {
             return;
         }
         lastMeasuredAt = now;
         const CellLoad load = scheduler.load();
         const double change = std::abs(load.reserved - publishedLoad.reserved)
                               + std::abs(load.fillers - publishedLoad.fillers);
-        if (change > SignificantLoadChange
+        if (std::exchange(isPublicationDue, false) || change > SignificantLoadChange
             || now - lastPublishedAt >= FleetDirectory::CellInterval) {
             publishedLoad = load;
             election.setPending(scheduler.pendingByQueue());
@@ -379,7 +379,10 @@
         }
         const bool hasDataRack = std::ranges::any_of(
             spec.steps, [](const StepSpec &it) { return !it.dataRack.empty(); });
-        const NewJob job{id, spec.policy.service, scheduler.loadOf(spec)};
+        const bool isLongRunning = std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
+        // The other owners soon see the load that a long-running job adds.
+        isPublicationDue = isPublicationDue || isLongRunning;
+        const NewJob job{id, spec.policy.service, scheduler.loadOf(spec), isLongRunning};
         const auto cell =
             hasDataRack ? std::nullopt : options.lessLoadedCell(job, scheduler.load());
         if (!cell && !scheduler.isReferred(id)) {
@@ -425,6 +428,7 @@
     bool isOwning = false;
     bool isServing = false;
     bool isStepPosted = false;
+    bool isPublicationDue = false; ///< The load is to be published before it is due.
     bool hasStoreContact = true;
 };
 
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -32,6 +32,7 @@
         JobId id;
         std::string service;
         CellLoad load; ///< That the job would add to its cell.
+        bool isLongRunning = false;
     };
 
     struct Options
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -7,33 +7,6 @@
 #include <utility>
 
 namespace firefly {
-namespace {
-
-/// Below this load a cell has capacity for new jobs, and referrals would only add latency.
-constexpr double MinLoadToRefer = 0.4;
-/// Smallest difference of load that justifies a referral.
-constexpr double MinLoadDifference = 0.04;
-/// Difference of load from which on every job is referred.
-constexpr double FullReferralDifference = 0.25;
-
-/// Longest time until an owner publishes a load that includes a job referred to it.
-constexpr Duration MaxLoadReportDelay = std::chrono::milliseconds(600);
-
-/// Load that competes with \a job: all tasks for a filler, only reserving tasks for other jobs.
-double competingLoad(const CellLoad &cell, const CellLoad &job)
-{
-    return job.fillers > job.reserved ? cell.reserved + cell.fillers : cell.reserved;
-}
-
-/// Hash of \a id in [0, 1), so that a repeated submission draws the same number.
-double hashFraction(const JobId &id)
-{
-    constexpr std::size_t Buckets = 1000;
-    return static_cast<double>(std::hash<std::string>()(id.value()) % Buckets) / Buckets;
-}
-
-} // namespace
-
 CellSet::CellSet(asio::io_context &context, const NodeSettings &settings, CellHost::Options options,
                  platform::StoreClient &store, platform::WorkerClient &workers, EventLog &log,
                  Metrics &metrics)
@@ -123,55 +96,22 @@
     m_directory.readNow();
 }
 
-CellLoad CellSet::loadOf(int cell) const
-{
-    const OwnershipClaim *published = m_directory.directory().findCell(cell);
-    CellLoad load = published ? published->load : CellLoad{};
-    for (const RecentReferral &it : m_recentReferrals) {
-        load += it.cell == cell ? it.load : CellLoad{};
-    }
-    return load;
-}
-
 std::optional<int> CellSet::lessLoadedCell(int cell, const CellHost::NewJob &job,
                                            const CellLoad &own)
 {
-    const double ownLoad = competingLoad(own, job.load);
-    if (ownLoad < MinLoadToRefer) {
-        return std::nullopt;
+    if (job.isLongRunning) {
+        m_directory.readOften();
     }
-    const TimePoint now = Clock::now();
-    while (!m_recentReferrals.empty() && now - m_recentReferrals.front().at > MaxLoadReportDelay) {
-        m_recentReferrals.pop_front();
-    }
-    std::vector<double> gains(m_hosts.size(), 0.0);
-    double totalGain = 0.0;
-    double maxGain = 0.0;
+    std::vector<std::optional<CellLoad>> others(m_hosts.size());
     for (int i = 0; i < static_cast<int>(m_hosts.size()); ++i) {
         const OwnershipClaim *claim = claimOf(i);
-        if (i == cell || !claim || claim->holder.empty() || !m_layout->hasService(i, job.service)) {
-            continue;
+        const OwnershipClaim *published = m_directory.directory().findCell(i);
+        if (i != cell && claim && !claim->holder.empty() && published
+            && m_layout->hasService(i, job.service)) {
+            others[static_cast<std::size_t>(i)] = published->load;
         }
-        const double gain = ownLoad - competingLoad(loadOf(i), job.load);
-        gains[static_cast<std::size_t>(i)] = gain > MinLoadDifference ? gain : 0.0;
-        totalGain += gains[static_cast<std::size_t>(i)];
-        maxGain = std::max(maxGain, gain);
-    }
-    // The published loads are delayed and all cells see the same ones.  To keep the loads from
-    // oscillating, a small difference refers only a fraction of the jobs, and these are distributed
-    // over the less loaded cells in proportion to the gain.
-    double draw = hashFraction(job.id);
-    if (totalGain <= 0.0 || draw >= maxGain / FullReferralDifference) {
-        return std::nullopt;
-    }
-    draw *= totalGain / std::min(1.0, maxGain / FullReferralDifference);
-    int target = -1;
-    for (std::size_t i = 0; i < gains.size() && draw >= 0.0; ++i) {
-        target = gains[i] > 0.0 ? static_cast<int>(i) : target;
-        draw -= gains[i];
     }
-    m_recentReferrals.push_back({now, target, job.load});
-    return target;
+    return m_referrals.choose({job.id, job.load, job.isLongRunning}, own, others, Clock::now());
 }
 
 int CellSet::pendingCount(const std::string &queue) const
--- a/src/Node/CellSet.h
+++ b/src/Node/CellSet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/CellLayout.h"
+#include "Fleet/ReferralPolicy.h"
 #include "Node/CellHost.h"
 #include "Node/DirectoryClient.h"
 #include "Node/LayoutLoader.h"
@@ -8,7 +9,6 @@
 #include <asio/io_context.hpp>
 #include <nlohmann/json_fwd.hpp>
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,8 +47,6 @@
     int otherClaimCount(int cell) const;
     /// Whether this process may become the owner of \a cell soon.
     bool isCandidate(int cell) const;
-    /// Published load plus that of recent referrals.
-    CellLoad loadOf(int cell) const;
     std::optional<int> lessLoadedCell(int cell, const CellHost::NewJob &job, const CellLoad &own);
 
     asio::io_context &m_context;
@@ -60,14 +58,7 @@
     Metrics &m_metrics;
     std::optional<CellLayout> m_layout;
     std::vector<std::unique_ptr<CellHost>> m_hosts; ///< By cell.
-    /// A job referred so recently that the load its new cell publishes may not include it yet.
-    struct RecentReferral
-    {
-        TimePoint at{};
-        int cell = 0;
-        CellLoad load;
-    };
-    std::deque<RecentReferral> m_recentReferrals;
+    ReferralPolicy m_referrals;
     bool m_isResigning = false;
     DirectoryClient m_directory;
     LayoutLoader m_layoutLoader;
--- a/src/Node/DirectoryClient.cpp
+++ b/src/Node/DirectoryClient.cpp
@@ -20,6 +20,9 @@
 /// Time between reads.  A front that meets an outdated entry reads at once.
 constexpr Duration FrontPause = std::chrono::milliseconds(700);
 constexpr Duration OwnerPause = std::chrono::milliseconds(200);
+constexpr Duration FastPause = std::chrono::milliseconds(40);
+/// Duration of fast reading.
+constexpr Duration FastReadTime = std::chrono::milliseconds(1000);
 constexpr Duration AppendTimeout = std::chrono::milliseconds(1600);
 constexpr Duration AppendRetryPause = std::chrono::milliseconds(250);
 
@@ -43,7 +46,7 @@
         TopicFollower::Callbacks callbacks;
         callbacks.onRecord = [this](const KeyedRecord &it) { onRecord(it); };
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
-        callbacks.onRead = [](std::uint64_t) {};
+        callbacks.onRead = [this](std::uint64_t) { updatePause(); };
         // The followers of the claims log that the store is lost or regained.
         callbacks.onFailed = [](const std::string &) {};
         follower = std::make_unique<TopicFollower>(context, store, platform::directoryTopic(),
@@ -73,6 +76,12 @@
         }
     }
 
+    void updatePause()
+    {
+        const Duration usual = isOwner ? OwnerPause : FrontPause;
+        follower->setPause(Clock::now() < fastUntil ? FastPause : usual);
+    }
+
     void announce()
     {
         put(vmRecordKey(settings.node), encodeCapacity(settings.capacity));
@@ -145,6 +154,8 @@
     /// Records for the next append, by key; without a value to remove the key.
     std::map<std::string, std::optional<std::string>> waiting;
     bool isAppending = false;
+    bool isOwner = false;
+    TimePoint fastUntil{};
 };
 
 DirectoryClient::DirectoryClient(asio::io_context &context, const NodeSettings &settings,
@@ -174,7 +185,8 @@
 
 void DirectoryClient::setOwner(bool isOwner)
 {
-    m_private->follower->setPause(isOwner ? OwnerPause : FrontPause);
+    m_private->isOwner = isOwner;
+    m_private->updatePause();
 }
 
 void DirectoryClient::readNow()
@@ -182,4 +194,11 @@
     m_private->follower->readNow();
 }
 
+void DirectoryClient::readOften()
+{
+    m_private->fastUntil = Clock::now() + FastReadTime;
+    m_private->updatePause();
+    m_private->follower->readNow();
+}
+
 } // namespace firefly
--- a/src/Node/DirectoryClient.h
+++ b/src/Node/DirectoryClient.h
@@ -32,6 +32,8 @@
     void setOwner(bool isOwner);
     /// Reads as soon as possible, since an entry has proved wrong.
     void readNow();
+    /// Reads nearly without pauses for a short time, since the loads of the cells change fast.
+    void readOften();
 
 private:
     struct Private;
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -180,6 +180,8 @@
     FleetDirectory fleet = makeFleet(3, 20);
     std::vector<std::string> vms;
     std::vector<std::string> owners;
+    vms.reserve(23);
+    owners.reserve(5);
     for (int i = 0; i < 3; ++i) {
         vms.push_back(strongVm(i));
     }
