Let the records of 30 ms share an append

What it costs callers: each call to the store is priced, and an owner appended again as soon as the last append was answered, up to some hundred times a second.

--- a/src/Node/JobPartition.cpp
+++ b/src/Node/JobPartition.cpp
@@ -18,6 +18,8 @@
 constexpr Duration MinAppendTimeout = std::chrono::milliseconds(400);
 constexpr Duration MaxAppendTimeout = std::chrono::milliseconds(1600);
 constexpr Duration AppendRetryPause = std::chrono::milliseconds(60);
+/// Time from one append to the next; records put meanwhile share a call to the store.
+constexpr Duration MinAppendInterval = std::chrono::milliseconds(30);
 /// Once appends have failed for this long, new jobs are refused.
 constexpr Duration MaxToleratedOutage = std::chrono::milliseconds(400);
 
@@ -121,11 +123,17 @@
         if (isAppending) {
             return;
         }
+        const Duration sinceLast = Clock::now() - lastAppendAt;
+        if (sinceLast < MinAppendInterval) {
+            awaitNextAppend(MinAppendInterval - sinceLast);
+            return;
+        }
         const auto batch = scheduler.journal().next();
         if (!batch) {
             return;
         }
         isAppending = true;
+        lastAppendAt = Clock::now();
         metrics.add("firefly_store_appends_total{topic=\"jobs\"}");
         metrics.add("firefly_store_records_total", batch->records.size());
         store.append(
@@ -135,6 +143,20 @@
             }));
     }
 
+    void awaitNextAppend(Duration delay)
+    {
+        if (scheduler.journal().isIdle() || std::exchange(isAwaitingNextAppend, true)) {
+            return;
+        }
+        timer.expires_after(delay);
+        timer.async_wait(guarded([](Private &self, asio::error_code ec) {
+            self.isAwaitingNextAppend = false;
+            if (!ec) {
+                self.append();
+            }
+        }));
+    }
+
     void onAppendResult(const platform::AppendResult &result, TimePoint sentAt)
     {
         scheduler.journal().onOutcome(result.outcome);
@@ -192,6 +214,8 @@
     Callbacks callbacks;
     asio::basic_waitable_timer<Clock> timer;
     bool isAppending = false;
+    bool isAwaitingNextAppend = false; ///< While no append is in flight.
+    TimePoint lastAppendAt{};
     Duration appendTimeout = MinAppendTimeout;
     std::optional<TimePoint> failingSince; ///< First failure since the last stored append.
 };
