Hold long-running jobs that come at once until the owners know each other's loads

Two cells began to serve 1.1 s after the others, since a VM that claims one cell ranks behind 14 others for the next. An owner that had just begun published a load of 0, and all others referred their jobs to it.

Change: a long-running job that follows another within 1 s waits 0.4 s at its home, whose published load includes it. Then a cell above the mean refers just its excess, to the cells below the mean in proportion to what they lack, by loads of one age for all cells. A cell that knows no workers counts as full, and its owner refuses new jobs until it has read the list of workers. A rank delays a claim by 30 ms instead of 80, and candidates read the directory often while the first claims are made.

--- a/src/Cell/CellReferrals.cpp
+++ b/src/Cell/CellReferrals.cpp
@@ -53,6 +53,12 @@
 
 CellLoad CellScheduler::load() const
 {
+    const bool hasWorkers = std::ranges::any_of(m_state.workers, [](const auto &it) {
+        return it.second->isRegistered && !it.second->info.isDraining;
+    });
+    if (!hasWorkers) {
+        return {1.0, 1.0};
+    }
     const double milliCpu = usableMilliCpu();
     CellLoad sum;
     for (const auto &[id, job] : m_state.jobs) {
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -57,7 +57,7 @@
     /// The cell that the job \a id was referred to, if the referral is durable.
     std::optional<int> referralOf(const JobId &id) const;
     bool isReferred(const JobId &id) const { return m_state.referrals.contains(id.value()); }
-    /// Outstanding processor demand; O(jobs + workers).
+    /// Outstanding processor demand; full for a cell without workers.  O(jobs + workers).
     CellLoad load() const;
     /// Processor demand that a new job would add, over all its steps.
     CellLoad loadOf(const JobSpec &spec) const;
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -36,9 +36,9 @@
     /// Time without a renewal after which others may claim: three renewals and some delay.
     static constexpr Duration OwnerTimeout = std::chrono::milliseconds(2200);
     /// Delay of a claim for each better candidate, which keeps them from claiming at the same time.
-    static constexpr Duration ClaimDelayPerRank = std::chrono::milliseconds(80);
+    static constexpr Duration ClaimDelayPerRank = std::chrono::milliseconds(30);
     /// Upper limit of the delay, so that a lone process soon owns all cells.
-    static constexpr Duration MaxClaimDelay = std::chrono::milliseconds(1200);
+    static constexpr Duration MaxClaimDelay = std::chrono::milliseconds(600);
 
     struct Options
     {
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -3,6 +3,7 @@
 #include "CellLease/ClaimRecord.h"
 #include "CellLease/FleetDirectory.h"
 #include "Core/UnixTime.h"
+#include "Fleet/ReferralPolicy.h"
 #include "Node/CellDump.h"
 #include "Node/JobPartition.h"
 #include "Node/OrderSender.h"
@@ -17,6 +18,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <deque>
 #include <optional>
 #include <set>
 
@@ -156,6 +158,7 @@
             scheduler.tick(now, unixMs());
             orders->sendAll();
             partition->append();
+            releaseHeldJobs(now);
             publishLoad(now);
             logLoad(now);
             releaseToBetterOwner(now);
@@ -170,7 +173,10 @@
             return;
         }
         lastMeasuredAt = now;
-        const CellLoad load = scheduler.load();
+        CellLoad load = scheduler.load();
+        for (const HeldJob &it : held) {
+            load += it.load;
+        }
         const double change = std::abs(load.reserved - publishedLoad.reserved)
                               + std::abs(load.fillers - publishedLoad.fillers);
         if (std::exchange(isPublicationDue, false) || change > SignificantLoadChange
@@ -292,6 +298,8 @@
         log.write(
             LogLevel::Info, "cell", "owner begins",
             {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
+        // Until the workers are known, other cells should refer no jobs here.
+        election.setLoad({1.0, 1.0});
         publish(now);
         scheduler.beginOwnership(epoch, now, election.earlierOrdersExpiry());
         orders = std::make_unique<OrderSender>(scheduler, workers, log, metrics, epoch,
@@ -307,14 +315,18 @@
     void beginServing()
     {
         isServing = true;
+        hasReadWorkers = false;
         log.write(LogLevel::Info, "cell", "owner serves",
                   {{"cell", options.cell},
                    {"epoch", epoch},
                    {"jobs", scheduler.state().jobs.size()},
                    {"workers", scheduler.state().workers.size()}});
-        directory = std::make_unique<WorkerDirectory>(
-            context, store, scheduler, log, options.layout, options.cell,
-            guarded([](Private &self) { self.postStep(); }));
+        directory =
+            std::make_unique<WorkerDirectory>(context, store, scheduler, log, options.layout,
+                                              options.cell, guarded([](Private &self) {
+                                                  self.hasReadWorkers = true;
+                                                  self.postStep();
+                                              }));
         postStep();
     }
 
@@ -339,6 +351,7 @@
         isOwning = false;
         isServing = false;
         directory.reset();
+        refuseHeldJobs();
         scheduler.endOwnership();
         // This may run inside one of their callbacks: the new generation disables these now, and
         // the objects are destroyed later, from the event loop.
@@ -372,7 +385,7 @@
     }
 
     /// Refers a new job to a less loaded cell; false if this cell keeps it.
-    bool refer(const JobId &id, const JobSpec &spec, const OnCallerReply &done)
+    bool refer(const JobId &id, const JobSpec &spec, bool isHeld, const OnCallerReply &done)
     {
         if (scheduler.hasJob(id)) {
             return false;
@@ -380,9 +393,7 @@
         const bool hasDataRack = std::ranges::any_of(
             spec.steps, [](const StepSpec &it) { return !it.dataRack.empty(); });
         const bool isLongRunning = std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
-        // The other owners soon see the load that a long-running job adds.
-        isPublicationDue = isPublicationDue || isLongRunning;
-        const NewJob job{id, spec.policy.service, scheduler.loadOf(spec), isLongRunning};
+        const NewJob job{id, spec.policy.service, scheduler.loadOf(spec), isLongRunning, isHeld};
         const auto cell =
             hasDataRack ? std::nullopt : options.lessLoadedCell(job, scheduler.load());
         if (!cell && !scheduler.isReferred(id)) {
@@ -402,6 +413,64 @@
         return true;
     }
 
+    /// Submits a new job here or refers it to another cell.
+    void submit(const JobId &id, JobSpec spec, bool isReferred, bool isHeld, OnCallerReply done)
+    {
+        // The other owners soon see the load that a long-running job adds or that leaves the cell.
+        isPublicationDue =
+            isPublicationDue || std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
+        if (!isReferred && refer(id, spec, isHeld, done)) {
+            return;
+        }
+        scheduler.submit(
+            id, std::move(spec), Clock::now(), unixMs(),
+            [done = std::move(done)](CellScheduler::Verdict verdict) { done(toReply(verdict)); });
+        postStep();
+    }
+
+    /// A long-running job that waits for the loads of the other cells.
+    struct HeldJob
+    {
+        TimePoint decideAt{};
+        JobId id;
+        JobSpec spec;
+        CellLoad load;
+        OnCallerReply done;
+    };
+
+    /// True if a new long-running job is held.
+    bool hold(const JobId &id, JobSpec &spec, OnCallerReply &done)
+    {
+        const bool isCandidate = !scheduler.hasJob(id) && !scheduler.isReferred(id)
+                                 && std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
+        if (!isCandidate || !options.shouldHold()) {
+            return false;
+        }
+        const CellLoad load = scheduler.loadOf(spec);
+        held.push_back(
+            {Clock::now() + ReferralPolicy::HoldTime, id, std::move(spec), load, std::move(done)});
+        isPublicationDue = true;
+        postStep();
+        return true;
+    }
+
+    void releaseHeldJobs(TimePoint now)
+    {
+        while (!held.empty() && held.front().decideAt <= now) {
+            HeldJob job = std::move(held.front());
+            held.pop_front();
+            submit(job.id, std::move(job.spec), false, true, std::move(job.done));
+        }
+    }
+
+    /// Answers the held jobs at the end of the ownership; none was stored.
+    void refuseHeldJobs()
+    {
+        for (const HeldJob &it : std::exchange(held, {})) {
+            it.done({CallerOutcome::NotRun, JobState::Queued, 0, "owner changed"});
+        }
+    }
+
     asio::io_context &context;
     const NodeSettings &settings;
     Options options;
@@ -416,6 +485,7 @@
     std::unique_ptr<TopicFollower> claims;
     std::unique_ptr<WorkerDirectory> directory; ///< Set while serving.
     Timer timer;
+    std::deque<HeldJob> held; ///< In the order of their decisions.
     TimePoint lastLoadLogAt{};
     TimePoint lastMeasuredAt{};
     TimePoint lastPublishedAt{};
@@ -427,6 +497,7 @@
     std::uint64_t generation = 0; ///< Number of ownerships that have ended.
     bool isOwning = false;
     bool isServing = false;
+    bool hasReadWorkers = false; ///< This owner has read the list of workers.
     bool isStepPosted = false;
     bool isPublicationDue = false; ///< The load is to be published before it is due.
     bool hasStoreContact = true;
@@ -476,14 +547,14 @@
         done({CallerOutcome::Refused, JobState::Queued, 0, "the store is unavailable"});
         return;
     }
-    if (!isReferred && self.refer(id, spec, done)) {
+    if (!self.hasReadWorkers && !self.scheduler.hasJob(id)) {
+        done({CallerOutcome::NotRun, JobState::Queued, 0, "the workers aren't known yet"});
         return;
     }
-    self.scheduler.submit(id, std::move(spec), Clock::now(), unixMs(),
-                          [done = std::move(done)](CellScheduler::Verdict verdict) {
-                              done(Private::toReply(verdict));
-                          });
-    self.postStep();
+    if (!isReferred && self.hold(id, spec, done)) {
+        return;
+    }
+    self.submit(id, std::move(spec), isReferred, false, std::move(done));
 }
 
 void CellHost::query(const JobId &id, const OnCallerReply &done)
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -33,6 +33,7 @@
         std::string service;
         CellLoad load; ///< That the job would add to its cell.
         bool isLongRunning = false;
+        bool isHeld = false; ///< The published load of its home includes it.
     };
 
     struct Options
@@ -44,6 +45,8 @@
         /// Chooses a less loaded cell for a new job; empty to keep it in this one, with load
         /// \a own.
         std::function<std::optional<int>(const NewJob &job, const CellLoad &own)> lessLoadedCell;
+        /// Whether a new long-running job should wait for the loads of the other cells.
+        std::function<bool()> shouldHold;
         std::function<int()> claimRank; ///< Number of processes that should claim the cell first.
         std::function<bool()> shouldWatch;   ///< Whether to follow the claims as a candidate.
         std::function<bool()> shouldRelease; ///< Whether another process should own the cell.
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -26,6 +26,8 @@
 void CellSet::applyLayout(const CellLayout &layout)
 {
     m_layout = layout;
+    // The first claims follow each other closely, and each changes the ranks of the candidates.
+    m_directory.readOften();
     for (int cell = 0; cell < layout.cellCount(); ++cell) {
         CellHost::Options options = m_options;
         options.cell = cell;
@@ -43,6 +45,10 @@
             m_directory.setOwner(claim.holder == m_options.incarnation
                                  || otherClaimCount(cell) > 0);
         };
+        options.shouldHold = [this] {
+            m_directory.readOften();
+            return m_layout->cellCount() > 1 && m_referrals.shouldHold(Clock::now());
+        };
         options.lessLoadedCell = [this, cell](const CellHost::NewJob &job, const CellLoad &own) {
             return lessLoadedCell(cell, job, own);
         };
@@ -99,9 +105,6 @@
 std::optional<int> CellSet::lessLoadedCell(int cell, const CellHost::NewJob &job,
                                            const CellLoad &own)
 {
-    if (job.isLongRunning) {
-        m_directory.readOften();
-    }
     std::vector<std::optional<CellLoad>> others(m_hosts.size());
     for (int i = 0; i < static_cast<int>(m_hosts.size()); ++i) {
         const OwnershipClaim *claim = claimOf(i);
@@ -111,7 +114,15 @@
             others[static_cast<std::size_t>(i)] = published->load;
         }
     }
-    return m_referrals.choose({job.id, job.load, job.isLongRunning}, own, others, Clock::now());
+    const ReferralPolicy::Job request{job.id, job.load};
+    if (!job.isLongRunning) {
+        return m_referrals.chooseForBatch(request, own, others, Clock::now());
+    }
+    // Its own load as old as the others' keeps the comparison fair while all loads grow.
+    const OwnershipClaim *home = m_directory.directory().findCell(cell);
+    others[static_cast<std::size_t>(cell)] = home ? home->load : own;
+    return m_referrals.chooseForLongRunning(request, static_cast<std::size_t>(cell), job.isHeld,
+                                            others, Clock::now());
 }
 
 int CellSet::pendingCount(const std::string &queue) const
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -181,8 +181,9 @@
     election.onClaim(release->claim, now);
     election.onRead(end, now);
     election.setClaimRank(2);
-    EXPECT_FALSE(election.next(now + 100ms).has_value()) << "better candidates go first";
-    const auto claim = election.next(now + 500ms);
+    const Duration delay = 2 * CellElection::ClaimDelayPerRank;
+    EXPECT_FALSE(election.next(now + delay - 1ms).has_value()) << "better candidates go first";
+    const auto claim = election.next(now + delay + 10ms);
     ASSERT_TRUE(claim.has_value());
     EXPECT_EQ(claim->claim.epoch, 2U);
 }
--- a/test/CellReferral.cpp
+++ b/test/CellReferral.cpp
@@ -17,6 +17,19 @@
     return result;
 }
 
+// Herding: a cell whose owner had just begun to serve, with no worker listed yet, published a load
+// of 0, and all other cells referred their jobs to it.
+TEST(CellReferral, ACellWithoutWorkersCountsAsFull)
+{
+    CellWorld world(1);
+    EXPECT_LT(world.owner->load().reserved, 0.01);
+    for (const auto &[id, worker] : world.workers) {
+        world.owner->onWorkerGone(WorkerId(id), world.now);
+    }
+    EXPECT_GE(world.owner->load().reserved, 1.0);
+    EXPECT_GE(world.owner->load().fillers, 1.0);
+}
+
 TEST(CellReferral, ASecondReferralDoesNotReplaceTheFirst)
 {
     CellWorld world(1);
