Never tell a repeated submission of a known job that it does not run

What callers would see: a job was stored, its answer was lost, and the repeated submission got 503, "was not accepted and never runs", while the job ran.

Cause: while appends fail, an owner refused every submission, also those of jobs that it had stored or referred. The new refusal of an owner that has not read its workers, and that of held jobs at the end of an ownership, had the same gap.

Change: these refusals are for jobs that the owner does not know. A known one joins the verdict of the first submission, follows its referral, or is of unknown outcome when the ownership ends.

Evidence: CellReferral.AJobThatMayHaveBeenAcceptedIsKnown.

--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -62,6 +62,9 @@
     /// Processor demand that a new job would add, over all its steps.
     CellLoad loadOf(const JobSpec &spec) const;
     bool hasJob(const JobId &id) const { return m_state.jobs.contains(id.value()); }
+    /// True if the job \a id may have been accepted, here or in the cell that it was referred to: a
+    /// repeated submission must not be told that it never runs.
+    bool isKnown(const JobId &id) const { return hasJob(id) || isReferred(id); }
     /// Cancels a job; false if there is none.  The verdict is Accepted once the cancel is durable.
     bool cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
     /// State that clients may see; a final state shows only once it is durable.
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -441,8 +441,8 @@
     /// True if a new long-running job is held.
     bool hold(const JobId &id, JobSpec &spec, OnCallerReply &done)
     {
-        const bool isCandidate = !scheduler.hasJob(id) && !scheduler.isReferred(id)
-                                 && std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
+        const bool isCandidate =
+            !scheduler.isKnown(id) && std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
         if (!isCandidate || !options.shouldHold()) {
             return false;
         }
@@ -467,7 +467,10 @@
     void refuseHeldJobs()
     {
         for (const HeldJob &it : std::exchange(held, {})) {
-            it.done({CallerOutcome::NotRun, JobState::Queued, 0, "owner changed"});
+            // Another submission of the job may have been taken meanwhile.
+            const bool isKnown = scheduler.isKnown(it.id);
+            it.done({isKnown ? CallerOutcome::Unknown : CallerOutcome::NotRun, JobState::Queued, 0,
+                     "owner changed"});
         }
     }
 
@@ -543,11 +546,12 @@
 void CellHost::submit(const JobId &id, JobSpec spec, bool isReferred, OnCallerReply done)
 {
     Private &self = *m_private;
-    if (self.partition && self.partition->isFailing()) {
+    const bool isKnown = self.scheduler.isKnown(id);
+    if (!isKnown && self.partition && self.partition->isFailing()) {
         done({CallerOutcome::Refused, JobState::Queued, 0, "the store is unavailable"});
         return;
     }
-    if (!self.hasReadWorkers && !self.scheduler.hasJob(id)) {
+    if (!isKnown && !self.hasReadWorkers) {
         done({CallerOutcome::NotRun, JobState::Queued, 0, "the workers aren't known yet"});
         return;
     }
--- a/test/CellOwnerChange.cpp
+++ b/test/CellOwnerChange.cpp
@@ -100,5 +100,34 @@
     EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
 }
 
+// After a restart the records name workers that may have left meanwhile; only the platform's list
+// tells that they may get work.
+TEST(CellOwnerChange, ANewOwnerStartsNothingOnAWorkerThatIsNoLongerListed)
+{
+    CellWorld world(1, 1);
+    world.submit(JobId("a"), makeChain(1, 1));
+    world.run(50ms);
+    CellScheduler owner{CellBounds()};
+    owner.beginOwnership(9, world.now, world.now);
+    for (const auto &[key, value] : world.store) {
+        owner.restore(key, value);
+    }
+    owner.finishRestore(world.now, world.unixMs());
+    for (int i = 0; i < 200; ++i) {
+        world.now += 20ms;
+        owner.setOrdersUntil(world.now + 5s);
+        owner.tick(world.now, world.unixMs());
+        for (const CellAction &it : owner.takeActions()) {
+            EXPECT_FALSE(std::holds_alternative<StartTask>(it));
+            if (const auto *renewal = std::get_if<RenewLease>(&it)) {
+                LeaseReport report;
+                report.clockMs = 1000 + 20 * i;
+                owner.onLeaseReport(renewal->worker, OrderOutcome::Accepted, report, world.now,
+                                    world.now, world.unixMs());
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace firefly
--- a/test/CellReferral.cpp
+++ b/test/CellReferral.cpp
@@ -30,6 +30,24 @@
     EXPECT_GE(world.owner->load().fillers, 1.0);
 }
 
+// A submission that was repeated after a lost answer, while the store failed or a new owner had not
+// read its workers, was refused as if the job never ran.
+TEST(CellReferral, AJobThatMayHaveBeenAcceptedIsKnown)
+{
+    CellWorld world(1);
+    EXPECT_FALSE(world.owner->isKnown(JobId("a")));
+    world.isStoreDown = true;
+    world.submit(JobId("a"), makeChain(1, 1));
+    EXPECT_TRUE(world.owner->isKnown(JobId("a"))) << "it may be stored any time";
+    world.isStoreDown = false;
+    world.run(1s);
+    refer(world, JobId("b"), 2);
+    world.replaceOwner(world.now);
+    EXPECT_TRUE(world.owner->isKnown(JobId("a")));
+    EXPECT_TRUE(world.owner->isKnown(JobId("b")));
+    EXPECT_FALSE(world.owner->isKnown(JobId("c")));
+}
+
 TEST(CellReferral, ASecondReferralDoesNotReplaceTheFirst)
 {
     CellWorld world(1);
