Drop the answers that come after the end of an ownership

What callers would see: a process of ours ended by itself, with all requests that it held.

Cause, from the logs: after a freeze the end of an ownership and the outcome of its last append were due in the same round of the event loop. Replies to orders had the same gap: one could reach the scheduler of the next ownership.

Change: the end of an ownership closes the partition and the sender of orders, which drop all answers from then on. The soak names the status of a process that ended by itself.

--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -66,7 +66,10 @@
     }
     m_pid = 0;
     const bool isGraceful = WIFEXITED(status) && WEXITSTATUS(status) == 0;
-    m_hasCrashed = m_hasCrashed || (!isGraceful && !m_hasBeenKilled);
+    if (!isGraceful && !m_hasBeenKilled) {
+        m_crashes += WIFSIGNALED(status) ? " signal " + std::to_string(WTERMSIG(status))
+                                         : " exit code " + std::to_string(WEXITSTATUS(status));
+    }
     return false;
 }
 
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -24,8 +24,8 @@
     void signal(int number);
     /// True while the process runs; otherwise collects its exit status.
     bool isRunning();
-    /// True if a process that was started here crashed or exited with an error.
-    bool hasCrashed() const { return m_hasCrashed; }
+    /// Statuses of the processes started here that crashed or exited with an error; empty if none.
+    const std::string &crashes() const { return m_crashes; }
 
 private:
     std::string m_program;
@@ -33,7 +33,7 @@
     std::filesystem::path m_log;
     pid_t m_pid = 0;
     bool m_hasBeenKilled = false;
-    bool m_hasCrashed = false;
+    std::string m_crashes;
 };
 
 } // namespace firefly::soak
--- a/soak/SoakFleet.cpp
+++ b/soak/SoakFleet.cpp
@@ -164,8 +164,9 @@
         if (it.process->isRunning()) {
             audit.violations.push_back("did not stop gracefully: " + it.settings.node);
         }
-        if (it.process->hasCrashed()) {
-            audit.violations.push_back("crashed or failed: " + it.settings.node);
+        if (!it.process->crashes().empty()) {
+            audit.violations.push_back("crashed or failed: " + it.settings.node
+                                       + it.process->crashes());
         }
     }
 }
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -353,9 +353,15 @@
         directory.reset();
         refuseHeldJobs();
         scheduler.endOwnership();
-        // This may run inside one of their callbacks: the new generation disables these now, and
-        // the objects are destroyed later, from the event loop.
+        // This may run inside one of their callbacks: they drop all further answers now, and are
+        // destroyed later, from the event loop.
         ++generation;
+        if (orders) {
+            orders->close();
+        }
+        if (partition) {
+            partition->close();
+        }
         asio::post(context, [ended = std::move(orders), partition = std::move(partition)] {});
     }
 
--- a/src/Node/JobPartition.cpp
+++ b/src/Node/JobPartition.cpp
@@ -45,7 +45,7 @@
     {
         return [weak = weak_from_this(), callback = std::move(callback)](const auto &...args) {
             const auto self = weak.lock();
-            if (self) {
+            if (self && !self->isClosed) {
                 callback(*self, args...);
             }
         };
@@ -213,6 +213,7 @@
     Epoch epoch;
     Callbacks callbacks;
     asio::basic_waitable_timer<Clock> timer;
+    bool isClosed = false;
     bool isAppending = false;
     bool isAwaitingNextAppend = false; ///< While no append is in flight.
     TimePoint lastAppendAt{};
@@ -231,6 +232,11 @@
 
 JobPartition::~JobPartition() = default;
 
+void JobPartition::close()
+{
+    m_private->isClosed = true;
+}
+
 void JobPartition::append()
 {
     m_private->append();
--- a/src/Node/JobPartition.h
+++ b/src/Node/JobPartition.h
@@ -32,6 +32,9 @@
 
     /// Appends the journal's next batch, unless an append is in progress.
     void append();
+    /// Drops all answers from now on; for an ownership that ends inside one of the callbacks,
+    /// before this object can be destroyed.
+    void close();
     /// True once appends have failed for longer than a short outage.
     bool isFailing() const;
 
--- a/src/Node/OrderSender.cpp
+++ b/src/Node/OrderSender.cpp
@@ -41,7 +41,7 @@
     {
         return [weak = weak_from_this(), callback = std::move(callback)](const auto &...args) {
             const auto self = weak.lock();
-            if (self) {
+            if (self && !self->isClosed) {
                 callback(*self, args...);
             }
         };
@@ -154,6 +154,7 @@
     Metrics &metrics;
     Epoch epoch;
     std::function<void()> afterReply;
+    bool isClosed = false;
 };
 
 OrderSender::OrderSender(CellScheduler &scheduler, platform::WorkerClient &workers, EventLog &log,
@@ -164,6 +165,11 @@
 
 OrderSender::~OrderSender() = default;
 
+void OrderSender::close()
+{
+    m_private->isClosed = true;
+}
+
 void OrderSender::sendAll()
 {
     for (CellAction &action : m_private->scheduler.takeActions()) {
--- a/src/Node/OrderSender.h
+++ b/src/Node/OrderSender.h
@@ -25,6 +25,9 @@
 
     /// Sends all pending orders of the scheduler and writes its pending log lines.
     void sendAll();
+    /// Drops all replies from now on; for an ownership that ends inside a reply, before this object
+    /// can be destroyed.
+    void close();
 
 private:
     struct Private;
