Allow a SIGTERM that comes before a soaked process has started

The process ends by signal 15 before its first log line, so before it can handle the signal; it holds no request then. The platform that asks a process to stop sees a stop, not an end of its own.

Change: an end by SIGTERM counts as a stop only if the process has logged nothing since its start. Any other end by a signal that the soak did not choose to kill with stays a violation, SIGTERM after the first log line included.

--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -28,8 +28,16 @@
     }
 }
 
+std::uintmax_t NodeProcess::logSize() const
+{
+    std::error_code ec;
+    const std::uintmax_t size = std::filesystem::file_size(m_log, ec);
+    return ec ? 0 : size;
+}
+
 void NodeProcess::start()
 {
+    m_logSizeAtStart = logSize();
     constexpr mode_t LogMode = 0644;
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -66,7 +74,10 @@
     }
     m_pid = 0;
     const bool isGraceful = WIFEXITED(status) && WEXITSTATUS(status) == 0;
-    if (!isGraceful && !m_hasBeenKilled) {
+    // A process that is told to stop before it has logged its start can't handle the signal yet.
+    const bool isStoppedBeforeStart =
+        WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM && logSize() == m_logSizeAtStart;
+    if (!isGraceful && !m_hasBeenKilled && !isStoppedBeforeStart) {
         m_crashes += WIFSIGNALED(status) ? " signal " + std::to_string(WTERMSIG(status))
                                          : " exit code " + std::to_string(WEXITSTATUS(status));
     }
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -28,12 +28,16 @@
     const std::string &crashes() const { return m_crashes; }
 
 private:
+    /// Size of the log in bytes; 0 if there is none yet.
+    std::uintmax_t logSize() const;
+
     std::string m_program;
     std::filesystem::path m_settings;
     std::filesystem::path m_log;
     pid_t m_pid = 0;
     bool m_hasBeenKilled = false;
     std::string m_crashes;
+    std::uintmax_t m_logSizeAtStart = 0;
 };
 
 } // namespace firefly::soak
