Log what long-running tasks hold and how many displaced ones wait

It now has usable_capacity, long_running and displaced.

No decision changes; the predicate for tasks that have run before moves from Defragmenter to TaskRef.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -126,6 +126,8 @@
     StepRun &stepRun() const { return job->occurrences[occurrence].steps[step]; }
     CellTask &task() const { return stepRun().tasks[index]; }
     TaskName name() const { return {job->id, occurrence, step, index}; }
+    /// True for a task that has run before, so that its clients miss it while it doesn't run.
+    bool hasRunBefore() const { return task().run > 0 || job->isFromEarlierOwner; }
     bool operator==(const TaskRef &) const = default;
 };
 
--- a/src/Cell/Defragmenter.cpp
+++ b/src/Cell/Defragmenter.cpp
@@ -32,18 +32,12 @@
 /// Progress of a long-running task that has started up, and of a batch task at its end.
 constexpr int StartedPercent = 100;
 
-/// True for a task that has run before, so that its clients miss it.
-bool isDisplaced(const TaskRef &ref)
-{
-    return ref.task().run > 0 || ref.job->isFromEarlierOwner;
-}
-
 } // namespace
 
 void Defragmenter::makeRoom(std::vector<TaskRef> waiting, TimePoint now)
 {
     std::ranges::sort(waiting, {}, [](const TaskRef &it) {
-        return std::tuple(!isDisplaced(it), it.task().waitingSince);
+        return std::tuple(!it.hasRunBefore(), it.task().waitingSince);
     });
     std::erase_if(m_failedSearches, [now](const FailedSearch &it) { return now >= it.retryAt; });
     int searchesLeft = MaxSearchesPerPass;
@@ -54,7 +48,7 @@
         if (!makeRoomFor(it, now)) {
             const StepSpec &spec = it.spec();
             m_failedSearches.push_back(
-                {it.name(), it.job->spec.policy.service, spec.reservation(), isDisplaced(it),
+                {it.name(), it.job->spec.policy.service, spec.reservation(), it.hasRunBefore(),
                  !spec.requiredLabel.empty() || spec.maxPerWorker > 0, now + SearchRetryInterval});
         }
         if (--searchesLeft == 0) {
@@ -68,14 +62,14 @@
     const CellTask &task = ref.task();
     const bool isWaitingLong =
         task.waitingSince != TimePoint{} && now - task.waitingSince >= FirstStartPatience;
-    return !m_reservations.contains(ref) && (isDisplaced(ref) || isWaitingLong);
+    return !m_reservations.contains(ref) && (ref.hasRunBefore() || isWaitingLong);
 }
 
 bool Defragmenter::isKnownToFail(const TaskRef &ref) const
 {
     const TaskName name = ref.name();
     return std::ranges::any_of(m_failedSearches, [&](const FailedSearch &it) {
-        if (isDisplaced(ref) && !it.isDisplaced) {
+        if (ref.hasRunBefore() && !it.isDisplaced) {
             return false;
         }
         if (it.isRestricted) {
@@ -88,7 +82,7 @@
 
 bool Defragmenter::makeRoomFor(const TaskRef &ref, TimePoint now)
 {
-    const std::size_t maxMoves = isDisplaced(ref) ? MaxMoves : MaxMovesForFirstStart;
+    const std::size_t maxMoves = ref.hasRunBefore() ? MaxMoves : MaxMovesForFirstStart;
     int attemptsLeft = MaxPlansPerSearch;
     for (const Plan &it : findPlans(ref, now)) {
         if (it.moved.size() > maxMoves
@@ -109,7 +103,7 @@
 {
     const std::size_t limit =
         std::max(MinReservations, m_state.workers.size() / WorkersPerReservation);
-    return isDisplaced(ref) ? limit : limit / 2;
+    return ref.hasRunBefore() ? limit : limit / 2;
 }
 
 std::vector<Defragmenter::Plan> Defragmenter::findPlans(const TaskRef &ref, TimePoint now) const
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -74,11 +74,28 @@
     return "canceled";
 }
 
+namespace {
+
+/// Number of pending tasks of a step that have run before.
+int countDisplaced(CellJob &job, std::uint32_t occurrence, std::uint32_t step)
+{
+    int count = 0;
+    for (std::uint32_t i = 0; i < job.spec.steps[step].taskCount; ++i) {
+        const TaskRef ref{&job, occurrence, step, i};
+        count += ref.task().state == TaskState::Pending && ref.hasRunBefore() ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
 nlohmann::json summarizeLoad(const CellScheduler &scheduler)
 {
     const CellState &state = scheduler.state();
     std::int64_t capacity = 0;
+    std::int64_t usableCapacity = 0;
     std::int64_t reserved = 0;
+    std::int64_t longRunning = 0;
     std::int64_t fillers = 0;
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
@@ -88,11 +105,13 @@
     for (const auto &[id, it] : state.workers) {
         if (it->isRegistered && it->isContacted && !it->info.isDraining) {
             ++usable;
+            usableCapacity += it->info.capacity.milliCpu;
             freeCpu += it->freeRoom().milliCpu;
             largestFreeCpu = std::max(largestFreeCpu, it->freeRoom().milliCpu);
         }
         capacity += it->info.capacity.milliCpu;
         reserved += it->reserved.milliCpu;
+        longRunning += it->longRunningCpu;
         fillers += it->fillerCpu;
         for (const TaskRef &task : it->tasks) {
             overTarget += task.task().overTargetSince != TimePoint{} ? 1 : 0;
@@ -102,6 +121,7 @@
     int pendingFillers = 0;
     int pendingOthers = 0;
     int pendingLongRunning = 0;
+    int displaced = 0;
     int unlocated = 0;
     int activeJobs = 0;
     for (const auto &[id, job] : state.jobs) {
@@ -109,11 +129,15 @@
             continue;
         }
         ++activeJobs;
-        for (const Occurrence &occurrence : job->occurrences) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+            const Occurrence &occurrence = job->occurrences[k];
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 const auto pending = static_cast<int>(occurrence.steps[s].pendingCount);
                 (job->spec.steps[s].isFiller ? pendingFillers : pendingOthers) += pending;
-                pendingLongRunning += job->spec.steps[s].isLongRunning ? pending : 0;
+                if (job->spec.steps[s].isLongRunning && pending > 0) {
+                    pendingLongRunning += pending;
+                    displaced += countDisplaced(*job, k, s);
+                }
                 if (state.isLocating) {
                     unlocated += static_cast<int>(std::ranges::count(
                         occurrence.steps[s].tasks, TaskState::Unlocated, &CellTask::state));
@@ -123,12 +147,15 @@
     }
     return {{"workers", usable},
             {"capacity", capacity},
+            {"usable_capacity", usableCapacity},
             {"reserved", reserved},
+            {"long_running", longRunning},
             {"fillers", fillers},
             {"jobs", activeJobs},
             {"pending_fillers", pendingFillers},
             {"pending_others", pendingOthers},
             {"pending_long_running", pendingLongRunning},
+            {"displaced", displaced},
             {"unlocated", unlocated},
             {"free_cpu", freeCpu},
             {"largest_free_cpu", largestFreeCpu},
