--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -50,9 +50,11 @@
                 continue;
             }
             const StepRun &run = occurrence.steps[s];
-            const auto count = static_cast<double>(run.tasks.size() - run.doneCount);
-            (step.isFiller ? demand.fillers : demand.reserved) +=
-                count * static_cast<double>(step.demand.milliCpu) / milliCpu;
+            const auto count =
+                static_cast<double>(run.tasks.size() - run.doneCount - run.elsewhereCount);
+            const double share = count * static_cast<double>(step.demand.milliCpu) / milliCpu;
+            (step.isFiller ? demand.fillers : demand.reserved) += share;
+            demand.longRunning += step.isLongRunning && !step.isFiller ? share : 0.0;
         }
     }
     return demand;
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include "Cell/CellMessages.h"
+#include "Workload/JobRecords.h"
 
 #include <algorithm>
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 
 namespace firefly {
 
@@ -21,6 +25,7 @@
     Running,
     Stopping, ///< Stop order sent; the worker has not listed the end yet.
     Done,
+    Elsewhere, ///< Scheduled by another cell.
 };
 
 /// True while the task may occupy capacity of its worker.
@@ -56,6 +61,10 @@
     TimePoint recoveredSince{};  ///< Start of the recovery from a missed target; zero while missed.
     TimePoint overTargetSince{}; ///< Serving tasks: when the target was first missed; else zero.
     std::string checkpoint;
+    std::optional<int> guest;         ///< Cell that this cell delegated the task to.
+    bool isDelegationDurable = false; ///< The store holds \a guest.
+    std::uint32_t firstRun =
+        0; ///< In a guest's part: no run before the delegation has a higher number.
 };
 
 /// The tasks of one step in one occurrence.
@@ -63,7 +72,8 @@
 {
     std::vector<CellTask> tasks;
     std::uint32_t doneCount = 0;
-    std::uint32_t pendingCount = 0; ///< Tasks in state Pending.
+    std::uint32_t pendingCount = 0;   ///< Tasks in state Pending.
+    std::uint32_t elsewhereCount = 0; ///< Tasks in state Elsewhere.
 
     bool isDone() const { return doneCount == tasks.size(); }
 };
@@ -77,7 +87,17 @@
     bool isDone() const { return std::ranges::all_of(steps, &StepRun::isDone); }
 };
 
-/// A job of the cell with its progress.
+/// What the guest, another cell, has confirmed of the tasks of one job that were delegated to it.
+struct DelegationStatus
+{
+    bool isRequestOpen = false;
+    bool isRevoking = false;        ///< The open request revokes the delegation.
+    std::size_t requestedCount = 0; ///< Tasks in the open request.
+    std::size_t acceptedCount = 0;  ///< Tasks that the guest has taken over.
+    TimePoint nextRequest{};        ///< Earliest time of the next request.
+};
+
+/// A job of the cell with its progress, or the part of another cell's job that was delegated here.
 struct CellJob
 {
     JobId id;
@@ -94,6 +114,14 @@
     TimePoint deprioritizedAt{};              ///< The job ranks last of its priority from here on.
     std::vector<Occurrence> occurrences;      ///< Occurrences that are due.
     std::uint32_t placedCount = 0;            ///< Tasks for which isPlaced() holds.
+    std::map<int, DelegationStatus> delegations; ///< Tasks that other cells schedule, by cell.
+    /// Called with true once all delegations of a final job are revoked, or with false at the end
+    /// of the ownership.
+    std::vector<std::function<void(bool)>> onRevoked;
+    /// True for a part of another cell's job: clients' requests about the job don't belong here,
+    /// and all tasks but those in acceptedTasks are Elsewhere.
+    bool isGuestPart = false;
+    std::vector<TaskProgress> acceptedTasks; ///< As in the record of the delegation.
 
     std::uint32_t occurrenceCount() const { return std::max<std::uint32_t>(1, spec.repetitions); }
     /// True for a job with due times.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -19,17 +19,38 @@
 /// Processor demand of unfinished work, as fractions of the cell's capacity.
 struct CellLoad
 {
-    double reserved = 0.0; ///< Demand of tasks that reserve processor time.
-    double fillers = 0.0;  ///< Demand of fillers, which use unreserved processor time only.
+    double reserved = 0.0;    ///< Demand of tasks that reserve processor time.
+    double fillers = 0.0;     ///< Demand of fillers, which use unreserved processor time only.
+    double longRunning = 0.0; ///< Part of \a reserved that is the demand of long-running tasks.
 
+    /// Capacity that the fractions refer to, in thousandths of a core; 0 if unknown.
+    double milliCpu = 0.0;
+
+    /// Adds the demand of \a other, a fraction of the same capacity.
     CellLoad &operator+=(const CellLoad &other)
     {
         reserved += other.reserved;
         fillers += other.fillers;
+        longRunning += other.longRunning;
         return *this;
     }
 };
 
+/// What the workers of one service in a cell can take at most, as far as one task can use it.
+struct ServiceRoom
+{
+    ResourceVector largestFree; ///< Free capacity of the worker with the most free processor time.
+    /// The same if all batch tasks had ended.
+    ResourceVector largestAfterBatch;
+};
+
+/// What a cell publishes of itself for the choice of a guest.
+struct GuestOffer
+{
+    CellLoad load;
+    ServiceRoom room; ///< Of the service that is asked for.
+};
+
 /// Attributes of a worker, as listed by the platform.
 struct WorkerDescription
 {
@@ -148,6 +169,23 @@
     std::string detail; ///< The input that led to the decision.
 };
 
-using CellAction = std::variant<StartTask, StopTask, RenewLease, PaceTask, LogDecision>;
+/// Request to the owner of another cell to schedule tasks of a job; answered by
+/// CellScheduler::onDelegationReply().
+struct DelegateTasks
+{
+    int guest = 0; ///< The cell that gets the tasks.
+    JobId job;
+    std::string record; ///< As encoded by JobRecords::encodeDelegation().
+};
+
+/// Request to the owner of another cell to stop all tasks of a job that were delegated to it.
+struct RevokeDelegation
+{
+    int guest = 0;
+    JobId job;
+};
+
+using CellAction = std::variant<StartTask, StopTask, RenewLease, PaceTask, LogDecision,
+                                DelegateTasks, RevokeDelegation>;
 
 } // namespace firefly
--- a/src/Cell/CellReferrals.cpp
+++ b/src/Cell/CellReferrals.cpp
@@ -57,10 +57,11 @@
         return it.second->isRegistered && !it.second->info.isDraining;
     });
     if (!hasWorkers) {
-        return {1.0, 1.0};
+        return {1.0, 1.0, 1.0};
     }
     const double milliCpu = usableMilliCpu();
     CellLoad sum;
+    sum.milliCpu = milliCpu;
     for (const auto &[id, job] : m_state.jobs) {
         if (!isFinal(job->state)) {
             sum += job->outstandingDemand(milliCpu);
@@ -74,8 +75,9 @@
     const double milliCpu = usableMilliCpu();
     CellLoad sum;
     for (const StepSpec &it : spec.steps) {
-        (it.isFiller ? sum.fillers : sum.reserved) +=
-            it.taskCount * static_cast<double>(it.demand.milliCpu) / milliCpu;
+        const double share = it.taskCount * static_cast<double>(it.demand.milliCpu) / milliCpu;
+        (it.isFiller ? sum.fillers : sum.reserved) += share;
+        sum.longRunning += it.isLongRunning && !it.isFiller ? share : 0.0;
     }
     return sum;
 }
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -5,6 +5,7 @@
 #include "Workload/JobRecords.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace firefly {
 namespace {
@@ -26,16 +27,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-void setObjective(CellJob &job, TimePoint submittedAt)
-{
-    const QueuePolicy &policy = job.spec.policy;
-    const auto chain = std::chrono::duration<double, std::micro>(CellJob::criticalPathOf(job.spec));
-    const Duration objective = std::chrono::duration_cast<Duration>(policy.stretch * chain)
-                               + std::chrono::milliseconds(policy.targetLatencyMs);
-    job.objective = submittedAt + objective;
-    job.deprioritizedAt = submittedAt + MaxUsefulObjectives * objective;
-}
-
 } // namespace
 
 CellScheduler::CellScheduler(const CellBounds &bounds)
@@ -60,12 +51,18 @@
 void CellScheduler::endOwnership()
 {
     m_state.journal.abandon();
-    m_state.jobs.clear();
+    for (const auto &[id, job] : std::exchange(m_state.jobs, {})) {
+        for (const auto &it : job->onRevoked) {
+            it(false);
+        }
+    }
     m_state.workers.clear();
     m_state.referrals.clear();
     m_state.actions.clear();
     m_state.epoch = 0;
     m_placement.reset();
+    m_guests.reset();
+    m_delegatingJobs.clear();
 }
 
 void CellScheduler::restore(std::string_view key, std::string_view value)
@@ -109,6 +106,21 @@
         m_state.referrals[parsed.name] = {referral.cell, referral.atUnixMs};
         return;
     }
+    case JobRecords::KeyKind::Delegation: {
+        TaskDelegation delegation = JobRecords::decodeDelegation(value);
+        auto &job = m_state.jobs[parsed.name];
+        if (!job) {
+            job = std::make_unique<CellJob>();
+        }
+        job->id = JobId(parsed.name);
+        job->spec = std::move(delegation.spec);
+        job->submittedAtUnixMs = delegation.submittedAtUnixMs;
+        job->acceptedTasks = std::move(delegation.tasks);
+        job->isGuestPart = true;
+        job->isDurable = true;
+        job->isFromEarlierOwner = true;
+        return;
+    }
     case JobRecords::KeyKind::Interference:
         m_interference.restoreModel(value, m_now);
         return;
@@ -131,10 +143,17 @@
             job->isStarted = it->second.isStarted;
         }
         job->durableState = job->state;
-        if (isFinal(job->state)) {
+        const bool hasDelegations =
+            it != m_restoredProgress.end()
+            && std::ranges::any_of(it->second.tasks,
+                                   [](const TaskProgress &row) { return row.guest.has_value(); });
+        if (isFinal(job->state) && !hasDelegations) {
             continue;
         }
         addDueOccurrences(*job, nowUnixMs);
+        if (job->isGuestPart) {
+            restoreGuestPart(*job);
+        }
         if (it != m_restoredProgress.end()) {
             restoreTasks(*job, it->second);
         }
@@ -157,6 +176,14 @@
         if (it.isDone && task.state != TaskState::Done) {
             TaskLedger::finish(*ref);
         }
+        if (it.guest) {
+            TaskLedger::moveElsewhere(*ref);
+            task.guest = it.guest;
+            task.run = it.run;
+            task.isDelegationDurable = true;
+            job.delegations[*it.guest];
+            m_delegatingJobs.insert(job.id.value());
+        }
     }
 }
 
@@ -165,6 +192,10 @@
 {
     m_now = now;
     if (CellJob *known = m_state.findJob(id)) {
+        if (known->isGuestPart) {
+            onVerdict(Verdict::Unknown);
+            return;
+        }
         if (known->isDurable) {
             onVerdict(Verdict::Accepted);
             return;
@@ -209,6 +240,16 @@
     };
 }
 
+void CellScheduler::setObjective(CellJob &job, TimePoint submittedAt)
+{
+    const QueuePolicy &policy = job.spec.policy;
+    const auto chain = std::chrono::duration<double, std::micro>(CellJob::criticalPathOf(job.spec));
+    const Duration objective = std::chrono::duration_cast<Duration>(policy.stretch * chain)
+                               + std::chrono::milliseconds(policy.targetLatencyMs);
+    job.objective = submittedAt + objective;
+    job.deprioritizedAt = submittedAt + MaxUsefulObjectives * objective;
+}
+
 void CellScheduler::setImages(CellJob &job)
 {
     job.images.clear();
@@ -221,22 +262,39 @@
                            const OnVerdict &onVerdict)
 {
     m_now = now;
-    CellJob *job = m_state.findJob(id);
+    CellJob *job = m_state.findOwnJob(id);
     if (!job) {
         return false;
     }
     if (!isFinal(job->state)) {
         finalize(*job, JobState::Canceled, nowUnixMs);
     }
-    m_state.journal.whenDurable([onVerdict] { onVerdict(Verdict::Accepted); },
-                                [onVerdict](bool) { onVerdict(Verdict::Unknown); });
+    // Until a guest knows of the cancel, it may start a task of the job again.
+    m_state.journal.whenDurable(
+        [this, id, onVerdict] {
+            CellJob *stored = m_state.findOwnJob(id);
+            if (!stored || stored->delegations.empty()) {
+                onVerdict(Verdict::Accepted);
+                return;
+            }
+            stored->onRevoked.emplace_back([onVerdict](bool isRevoked) {
+                onVerdict(isRevoked ? Verdict::Accepted : Verdict::Unknown);
+            });
+        },
+        [onVerdict](bool) { onVerdict(Verdict::Unknown); });
     return true;
 }
 
+bool CellScheduler::hasJob(const JobId &id) const
+{
+    const auto it = m_state.jobs.find(id.value());
+    return it != m_state.jobs.end() && !it->second->isGuestPart;
+}
+
 std::optional<JobState> CellScheduler::stateOf(const JobId &id) const
 {
     const auto it = m_state.jobs.find(id.value());
-    if (it == m_state.jobs.end()) {
+    if (it == m_state.jobs.end() || it->second->isGuestPart) {
         return std::nullopt;
     }
     const CellJob &job = *it->second;
@@ -247,7 +305,8 @@
 {
     std::map<std::string, int> counts;
     for (const auto &[id, job] : m_state.jobs) {
-        if (job->isStarted || job->isScheduled() || !job->isDurable || isFinal(job->state)) {
+        if (job->isStarted || job->isGuestPart || job->isScheduled() || !job->isDurable
+            || isFinal(job->state)) {
             continue;
         }
         ++counts[job->spec.policy.queue.value()];
@@ -261,8 +320,10 @@
     progress.state = job.state;
     progress.finalAtUnixMs = job.finalAtUnixMs;
     progress.isStarted = job.isStarted;
-    if (!isFinal(job.state)) {
-        progress.tasks = progressOf(job);
+    progress.tasks = progressOf(job);
+    if (isFinal(job.state)) {
+        // The guests have yet to be told.
+        std::erase_if(progress.tasks, [](const TaskProgress &it) { return !it.guest; });
     }
     const JobState state = job.state;
     m_state.journal.put({JobRecords::progressKey(job.id), JobRecords::encodeProgress(progress)},
@@ -282,9 +343,10 @@
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const CellTask &task = step.tasks[i];
                 const bool isDone = task.state == TaskState::Done;
-                if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty()) {
+                if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty() || task.guest) {
                     rows.push_back({k, s, i, isDone, task.failedRuns,
-                                    isDone ? std::string() : task.checkpoint});
+                                    isDone ? std::string() : task.checkpoint, task.guest,
+                                    task.guest ? task.run : 0});
                 }
             }
         }
@@ -370,6 +432,7 @@
         m_lastPlacement = now;
         m_placement.run(now, nowUnixMs);
     }
+    sendDelegations(now);
     renewLeases(now);
 }
 
@@ -388,12 +451,14 @@
         CellJob &job = *it->second;
         addDueOccurrences(job, isFinal(job.state) ? 0 : nowUnixMs);
         const bool isOld = isFinal(job.durableState) && job.placedCount == 0
-                           && nowUnixMs - job.finalAtUnixMs > keptMs;
+                           && job.delegations.empty() && nowUnixMs - job.finalAtUnixMs > keptMs;
         if (!isOld) {
             ++it;
             continue;
         }
-        m_state.journal.put({JobRecords::specKey(job.id), std::nullopt});
+        m_state.journal.put(
+            {job.isGuestPart ? JobRecords::delegationKey(job.id) : JobRecords::specKey(job.id),
+             std::nullopt});
         m_state.journal.put({JobRecords::progressKey(job.id), std::nullopt});
         it = m_state.jobs.erase(it);
     }
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "Cell/CellState.h"
+#include "Cell/GuestSelection.h"
 #include "Cell/Placement.h"
 #include "Workload/JobRecords.h"
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -61,17 +63,43 @@
     CellLoad load() const;
     /// Processor demand that a new job would add, over all its steps.
     CellLoad loadOf(const JobSpec &spec) const;
-    bool hasJob(const JobId &id) const { return m_state.jobs.contains(id.value()); }
+    bool hasJob(const JobId &id) const;
     /// True if the job \a id may have been accepted, here or in the cell that it was referred to: a
     /// repeated submission must not be told that it never runs.
     bool isKnown(const JobId &id) const { return hasJob(id) || isReferred(id); }
-    /// Cancels a job; false if there is none.  The verdict is Accepted once the cancel is durable.
+    /// Cancels a job; false if there is none.  The verdict is Accepted once the cancel is durable
+    /// here and in all cells that have tasks of the job.
     bool cancel(const JobId &id, TimePoint now, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
     /// State that clients may see; a final state shows only once it is durable.
     std::optional<JobState> stateOf(const JobId &id) const;
     /// Number of accepted unscheduled jobs without a started task, by queue.
     std::map<std::string, int> pendingByQueue() const;
 
+    // Delegation of long-running tasks to other cells
+
+    /// Services with tasks that wait here long enough to run in another cell.  O(jobs).
+    std::set<std::string> servicesToDelegate(TimePoint now) const;
+    /// Delegates such tasks of \a service, as far as other cells have room.
+    ///
+    /// \param cells what each cell publishes; unset for this one and for those that can't take
+    /// tasks of \a service.
+    void delegateTasks(const std::string &service, std::span<const std::optional<GuestOffer>> cells,
+                       TimePoint now);
+    /// Room for single tasks on the usable workers, by service.  O(workers).
+    std::map<std::string, ServiceRoom> roomByService() const;
+    /// Handles the answer to a DelegateTasks or RevokeDelegation for \a job; \a isAccepted is false
+    /// if the request may not have taken effect.
+    void onDelegationReply(const JobId &job, int guest, bool isAccepted, TimePoint now);
+    /// As guest: takes over the tasks in \a record, as encoded by JobRecords::encodeDelegation().
+    /// The verdict is Accepted once they are durable here; repeated requests add only new tasks.
+    /// \throws JobRecordError
+    void acceptTasks(const JobId &job, std::string_view record, TimePoint now,
+                     std::int64_t nowUnixMs, const OnVerdict &onVerdict);
+    /// As guest: stops all tasks of \a job that were delegated to this cell, and refuses to start
+    /// any that come later.  The verdict is Accepted once that is durable.
+    void revokeTasks(const JobId &job, TimePoint now, std::int64_t nowUnixMs,
+                     const OnVerdict &onVerdict);
+
     // Workers
 
     /// The platform lists \a worker; a worker that is listed again keeps its tasks.
@@ -108,6 +136,7 @@
     static CellJournal::OnLost verdictOnLoss(OnVerdict onVerdict);
     void recordProgress(CellJob &job);
     static std::vector<TaskProgress> progressOf(const CellJob &job);
+    static void setObjective(CellJob &job, TimePoint submittedAt);
     void setImages(CellJob &job);
     Duration placementInterval() const;
     void restoreTasks(CellJob &job, const JobProgress &progress);
@@ -119,6 +148,29 @@
     void dropOldJobs(std::int64_t nowUnixMs);
     void dropOldReferrals(std::int64_t nowUnixMs);
 
+    // Delegation
+
+    /// A pending task that another cell may take.
+    struct DelegationCandidate
+    {
+        TaskRef task;
+        TimePoint waitingSince{};
+    };
+    static bool isDelegable(const CellJob &job, std::uint32_t step);
+    /// Tasks that wait here long enough, those that have run before first.  O(jobs + tasks of jobs
+    /// with a waiting task).
+    std::vector<DelegationCandidate> delegationCandidates(TimePoint now) const;
+    /// Tasks of \a job that were delegated to \a guest, as far as that is durable.
+    static std::vector<TaskProgress> delegatedTasks(CellJob &job, int guest);
+    void sendDelegations(TimePoint now);
+    void sendDelegation(CellJob &job, int guest, DelegationStatus &status);
+    void endDelegation(CellJob &job, int guest);
+    CellJob &addGuestPart(const JobId &id, const TaskDelegation &delegation, TimePoint now,
+                          std::int64_t nowUnixMs);
+    void recordGuestPart(const CellJob &job);
+    void beginAcceptedTasks(CellJob &job, std::span<const TaskProgress> tasks);
+    void restoreGuestPart(CellJob &job);
+
     // Workers
 
     void recordWorker(CellWorker &worker);
@@ -158,6 +210,8 @@
     CellState m_state;
     InterferenceGuard m_interference;
     Placement m_placement{m_state, m_interference};
+    GuestSelection m_guests;
+    std::set<std::string> m_delegatingJobs; ///< Jobs with delegations, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{}; ///< Time of the latest input.
     TimePoint m_lastPlacement{};
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -70,6 +70,12 @@
         const auto it = jobs.find(id.value());
         return it == jobs.end() ? nullptr : it->second.get();
     }
+    /// The job \a id, unless only a part of it was delegated here.
+    CellJob *findOwnJob(const JobId &id)
+    {
+        CellJob *job = findJob(id);
+        return job && !job->isGuestPart ? job : nullptr;
+    }
     CellWorker *findWorker(const WorkerId &id)
     {
         const auto it = workers.find(id.value());
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -29,6 +29,8 @@
     /// Starts pending tasks in the order of their jobs, as far as they fit.
     /// O(pending tasks x workers).
     void run(TimePoint now, std::int64_t nowUnixMs);
+    /// True if capacity is kept for \a ref.
+    bool hasReservation(const TaskRef &ref) const { return m_reservations.contains(ref); }
     /// Forgets what earlier passes left, since the state is another owner's.
     void reset() { m_reservations.clear(); }
 
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -28,9 +28,11 @@
     StepRun &step = ref.stepRun();
     step.pendingCount -= task.state == TaskState::Pending ? 1 : 0;
     step.doneCount -= task.state == TaskState::Done ? 1 : 0;
+    step.elsewhereCount -= task.state == TaskState::Elsewhere ? 1 : 0;
     task.state = state;
     step.pendingCount += state == TaskState::Pending ? 1 : 0;
     step.doneCount += state == TaskState::Done ? 1 : 0;
+    step.elsewhereCount += state == TaskState::Elsewhere ? 1 : 0;
 }
 
 void removeFromWorker(const TaskRef &ref)
@@ -126,6 +128,21 @@
     }
 }
 
+void moveElsewhere(const TaskRef &ref)
+{
+    const TaskState state = ref.task().state;
+    FIREFLY_ASSERT(state == TaskState::Pending || state == TaskState::Unlocated,
+                   "a task that is placed or done can't move to another cell");
+    ref.task().waitingSince = {};
+    setState(ref, TaskState::Elsewhere);
+}
+
+void moveBack(const TaskRef &ref)
+{
+    FIREFLY_ASSERT(ref.task().state == TaskState::Elsewhere, "the task must be Elsewhere");
+    setState(ref, TaskState::Pending);
+}
+
 void addOccurrence(CellJob &job, std::int64_t dueUnixMs, TaskState state)
 {
     Occurrence occurrence;
@@ -151,7 +168,8 @@
 
 std::uint32_t nextRun(const CellTask &task, Epoch epoch)
 {
-    const auto floor = static_cast<std::uint32_t>((epoch - 1) * RunsPerEpoch);
+    // The epochs of a guest don't continue those of the cell that delegated the task.
+    const auto floor = task.firstRun + static_cast<std::uint32_t>((epoch - 1) * RunsPerEpoch);
     return std::max(task.run, floor) + 1;
 }
 
--- a/src/Cell/TaskLedger.h
+++ b/src/Cell/TaskLedger.h
@@ -19,6 +19,10 @@
 void finish(const TaskRef &ref);
 /// Makes an Unlocated task Pending.
 void resolveUnlocated(const TaskRef &ref);
+/// Leaves a Pending or Unlocated task to another cell.
+void moveElsewhere(const TaskRef &ref);
+/// Makes a task Pending that was Elsewhere.
+void moveBack(const TaskRef &ref);
 /// Adds the next occurrence of \a job, with all tasks in \a state.
 void addOccurrence(CellJob &job, std::int64_t dueUnixMs, TaskState state);
 /// True when all steps that \a step depends on are done.
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -20,6 +20,7 @@
     std::uint64_t renewal = 0; ///< Counts the claims of the holder.
     std::map<std::string, int> pendingByQueue; ///< Number of jobs without a started task.
     CellLoad load;
+    std::map<std::string, ServiceRoom> rooms; ///< By service; only in the directory.
 };
 
 /// Leader election for a cell by conditional appends to its ownership topic.
--- a/src/CellLease/ClaimRecord.cpp
+++ b/src/CellLease/ClaimRecord.cpp
@@ -2,25 +2,50 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace firefly {
 
+namespace {
+
+using nlohmann::json;
+
+json toJson(const ResourceVector &amount)
+{
+    return json::array({amount.milliCpu, amount.memoryMb, amount.gpus});
+}
+
+ResourceVector toAmount(const json &row)
+{
+    return {row.at(0).get<std::int64_t>(), row.at(1).get<std::int64_t>(),
+            row.at(2).get<std::int64_t>()};
+}
+
+} // namespace
+
 std::string encodeClaim(const OwnershipClaim &claim)
 {
-    return nlohmann::json{{"epoch", claim.epoch},
-                          {"holder", claim.holder},
-                          {"node", claim.node},
-                          {"address", claim.endpoint.address},
-                          {"port", claim.endpoint.port},
-                          {"renewal", claim.renewal},
-                          {"pending", claim.pendingByQueue},
-                          {"load", {claim.load.reserved, claim.load.fillers}}}
+    json rooms = json::object();
+    for (const auto &[service, room] : claim.rooms) {
+        rooms[service] = json::array({toJson(room.largestFree), toJson(room.largestAfterBatch)});
+    }
+    const CellLoad &load = claim.load;
+    return json{{"epoch", claim.epoch},
+                {"holder", claim.holder},
+                {"node", claim.node},
+                {"address", claim.endpoint.address},
+                {"port", claim.endpoint.port},
+                {"renewal", claim.renewal},
+                {"pending", claim.pendingByQueue},
+                {"load", {load.reserved, load.fillers, load.longRunning, load.milliCpu}},
+                {"rooms", std::move(rooms)}}
         .dump();
 }
 
 OwnershipClaim decodeClaim(std::string_view bytes)
 {
     try {
-        const auto object = nlohmann::json::parse(bytes);
+        const auto object = json::parse(bytes);
         OwnershipClaim claim;
         object.at("epoch").get_to(claim.epoch);
         object.at("holder").get_to(claim.holder);
@@ -29,10 +54,18 @@
         object.at("port").get_to(claim.endpoint.port);
         object.at("renewal").get_to(claim.renewal);
         object.at("pending").get_to(claim.pendingByQueue);
-        object.at("load").at(0).get_to(claim.load.reserved);
-        object.at("load").at(1).get_to(claim.load.fillers);
+        const auto &load = object.at("load");
+        load.at(0).get_to(claim.load.reserved);
+        load.at(1).get_to(claim.load.fillers);
+        // Older builds publish two numbers; their long-running demand must not look like none.
+        claim.load.longRunning = load.size() > 2 ? load.at(2).get<double>() : claim.load.reserved;
+        claim.load.milliCpu = load.size() > 3 ? load.at(3).get<double>() : 0.0;
+        const json rooms = object.value("rooms", json::object());
+        for (const auto &[service, room] : rooms.items()) {
+            claim.rooms[service] = {toAmount(room.at(0)), toAmount(room.at(1))};
+        }
         return claim;
-    } catch (const nlohmann::json::exception &e) {
+    } catch (const json::exception &e) {
         throw ClaimRecordError(std::string("ownership claim: ") + e.what());
     }
 }
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -51,6 +51,8 @@
         return "running";
     case TaskState::Stopping:
         return "stopping";
+    case TaskState::Elsewhere:
+        return "elsewhere";
     case TaskState::Done:
         break;
     }
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -5,6 +5,7 @@
 #include "Core/UnixTime.h"
 #include "Fleet/ReferralPolicy.h"
 #include "Node/CellDump.h"
+#include "Node/DelegationSender.h"
 #include "Node/JobPartition.h"
 #include "Node/OrderSender.h"
 #include "Node/TopicFollower.h"
@@ -31,7 +32,7 @@
 constexpr Duration OwnerTickInterval = std::chrono::milliseconds(40);
 constexpr Duration CandidateTickInterval = std::chrono::milliseconds(100);
 constexpr Duration ClaimTimeout = std::chrono::milliseconds(1600);
-/// Interval at which the owner measures the load that it publishes.
+/// Interval at which the owner measures the load that it publishes and delegates tasks.
 constexpr Duration MeasureInterval = std::chrono::milliseconds(200);
 /// Interval of the owner's load log line.
 constexpr Duration LoadLogInterval = std::chrono::seconds(2);
@@ -156,6 +157,7 @@
         if (isServing && orders && partition) {
             scheduler.setOrdersUntil(election.ordersUntil());
             scheduler.tick(now, unixMs());
+            delegateTasks(now);
             orders->sendAll();
             partition->append();
             releaseHeldJobs(now);
@@ -195,10 +197,23 @@
         OwnershipClaim claim = election.claim();
         claim.pendingByQueue = election.pending();
         claim.load = election.load();
+        claim.rooms = scheduler.roomByService();
         claim.renewal = ++publications;
         options.publish(claim);
     }
 
+    /// Delegates long-running tasks that wait here to cells with room, as far as due.
+    void delegateTasks(TimePoint now)
+    {
+        if (!hasReadWorkers || now - lastDelegationAt < MeasureInterval) {
+            return;
+        }
+        lastDelegationAt = now;
+        for (const std::string &it : scheduler.servicesToDelegate(now)) {
+            scheduler.delegateTasks(it, options.guestOffers(it), now);
+        }
+    }
+
     void releaseToBetterOwner(TimePoint now)
     {
         if (!options.shouldRelease()) {
@@ -298,12 +313,16 @@
         log.write(
             LogLevel::Info, "cell", "owner begins",
             {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
-        // Until the workers are known, other cells should refer no jobs here.
-        election.setLoad({1.0, 1.0});
+        // Until the workers are known, other cells should send no jobs or tasks here.
+        election.setLoad({1.0, 1.0, 1.0});
         publish(now);
         scheduler.beginOwnership(epoch, now, election.earlierOrdersExpiry());
-        orders = std::make_unique<OrderSender>(scheduler, workers, log, metrics, epoch,
-                                               guarded([](Private &self) { self.postStep(); }));
+        const auto afterReply = guarded([](Private &self) { self.postStep(); });
+        delegations = std::make_unique<DelegationSender>(context, scheduler, log, metrics,
+                                                         options.sendDelegation, afterReply);
+        orders = std::make_unique<OrderSender>(
+            scheduler, workers, log, metrics, epoch, afterReply,
+            [this](const DelegationRequest &request) { delegations->send(request); });
         JobPartition::Callbacks callbacks;
         callbacks.onLoaded = guarded([](Private &self) { self.beginServing(); });
         callbacks.onFenced = guarded([](Private &self) { self.endOwnership(); });
@@ -351,6 +370,7 @@
         isOwning = false;
         isServing = false;
         directory.reset();
+        delegations.reset();
         refuseHeldJobs();
         scheduler.endOwnership();
         // This may run inside one of their callbacks: they drop all further answers now, and are
@@ -377,19 +397,6 @@
 
     // Clients
 
-    static CallerReply toReply(CellScheduler::Verdict verdict)
-    {
-        switch (verdict) {
-        case CellScheduler::Verdict::Accepted:
-            return {CallerOutcome::Done, JobState::Queued, 0, {}};
-        case CellScheduler::Verdict::NotAccepted:
-            return {CallerOutcome::Refused, JobState::Queued, 0, "not stored"};
-        case CellScheduler::Verdict::Unknown:
-            break;
-        }
-        return {CallerOutcome::Unknown, JobState::Queued, 0, "owner changed"};
-    }
-
     /// Refers a new job to a less loaded cell; false if this cell keeps it.
     bool refer(const JobId &id, const JobSpec &spec, bool isHeld, const OnCallerReply &done)
     {
@@ -480,6 +487,26 @@
         }
     }
 
+    /// Answers a request of another cell as its guest.
+    void answerDelegation(const DelegationRequest &request, const OnCallerReply &done)
+    {
+        if (!hasReadWorkers) {
+            done({CallerOutcome::NotRun, JobState::Queued, 0, "the workers aren't known yet"});
+            return;
+        }
+        const auto onReply = [done, weak = weak_from_this()](const CallerReply &reply) {
+            const auto self = weak.lock();
+            if (self && reply.outcome == CallerOutcome::Done) {
+                // Other cells that look for a guest soon see the demand.
+                self->isPublicationDue = true;
+                self->postStep();
+            }
+            done(reply);
+        };
+        firefly::answerDelegation(scheduler, request, Clock::now(), unixMs(), onReply);
+        postStep();
+    }
+
     asio::io_context &context;
     const NodeSettings &settings;
     Options options;
@@ -489,14 +516,16 @@
     Metrics &metrics;
     CellElection election;
     CellScheduler scheduler;
-    std::unique_ptr<OrderSender> orders;     ///< Set while owning.
-    std::unique_ptr<JobPartition> partition; ///< Set while owning.
+    std::unique_ptr<DelegationSender> delegations; ///< Set while owning.
+    std::unique_ptr<OrderSender> orders;           ///< Set while owning.
+    std::unique_ptr<JobPartition> partition;       ///< Set while owning.
     std::unique_ptr<TopicFollower> claims;
     std::unique_ptr<WorkerDirectory> directory; ///< Set while serving.
     Timer timer;
     std::deque<HeldJob> held; ///< In the order of their decisions.
     TimePoint lastLoadLogAt{};
     TimePoint lastMeasuredAt{};
+    TimePoint lastDelegationAt{};
     TimePoint lastPublishedAt{};
     TimePoint lastWantedAt{}; ///< When this process was last an owner or a candidate.
     std::optional<TimePoint> betterOwnerSince;
@@ -599,6 +628,11 @@
     self.postStep();
 }
 
+void CellHost::answerDelegation(const DelegationRequest &request, const OnCallerReply &done)
+{
+    m_private->answerDelegation(request, done);
+}
+
 nlohmann::json CellHost::dump() const
 {
     return dumpCell(m_private->election, m_private->scheduler);
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -5,6 +5,7 @@
 #include "Fleet/CallerRequest.h"
 #include "Fleet/CellLayout.h"
 #include "Fleet/NodeSettings.h"
+#include "Node/DelegationRequest.h"
 #include "Ops/EventLog.h"
 #include "Ops/Metrics.h"
 #include "platform/StoreClient.h"
@@ -17,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace firefly {
 
@@ -52,6 +54,11 @@
         std::function<bool()> shouldRelease; ///< Whether another process should own the cell.
         /// Publishes the claim of this process, as owner or after a release.
         std::function<void(const OwnershipClaim &)> publish;
+        /// What the other cells publish, by cell; unset for this cell and for those that can't take
+        /// tasks of \a service.
+        std::function<std::vector<std::optional<GuestOffer>>(const std::string &service)>
+            guestOffers;
+        SendDelegation sendDelegation;
     };
 
     CellHost(asio::io_context &context, const NodeSettings &settings, Options options,
@@ -76,6 +83,8 @@
     void submit(const JobId &id, JobSpec spec, bool isReferred, OnCallerReply done);
     void query(const JobId &id, const OnCallerReply &done);
     void cancel(const JobId &id, const OnCallerReply &done);
+    /// Answers a request of another cell as its guest.
+    void answerDelegation(const DelegationRequest &request, const OnCallerReply &done);
 
     nlohmann::json dump() const;
 
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -52,6 +52,13 @@
         options.lessLoadedCell = [this, cell](const CellHost::NewJob &job, const CellLoad &own) {
             return lessLoadedCell(cell, job, own);
         };
+        options.guestOffers = [this, cell](const std::string &service) {
+            return guestOffers(cell, service);
+        };
+        options.sendDelegation = [this](const DelegationRequest &request,
+                                        const OnCallerReply &done) {
+            sendDelegation(request, done);
+        };
         m_hosts.push_back(std::make_unique<CellHost>(m_context, m_settings, std::move(options),
                                                      m_store, m_workers, m_log, m_metrics));
         if (m_isResigning) {
@@ -102,18 +109,73 @@
     m_directory.readNow();
 }
 
-std::optional<int> CellSet::lessLoadedCell(int cell, const CellHost::NewJob &job,
-                                           const CellLoad &own)
+std::vector<std::optional<CellLoad>> CellSet::publishedLoads(int cell,
+                                                             const std::string &service) const
 {
-    std::vector<std::optional<CellLoad>> others(m_hosts.size());
+    std::vector<std::optional<CellLoad>> loads(m_hosts.size());
     for (int i = 0; i < static_cast<int>(m_hosts.size()); ++i) {
         const OwnershipClaim *claim = claimOf(i);
         const OwnershipClaim *published = m_directory.directory().findCell(i);
         if (i != cell && claim && !claim->holder.empty() && published
-            && m_layout->hasService(i, job.service)) {
-            others[static_cast<std::size_t>(i)] = published->load;
+            && m_layout->hasService(i, service)) {
+            loads[static_cast<std::size_t>(i)] = published->load;
         }
     }
+    return loads;
+}
+
+std::vector<std::optional<GuestOffer>> CellSet::guestOffers(int cell,
+                                                            const std::string &service) const
+{
+    const std::vector<std::optional<CellLoad>> loads = publishedLoads(cell, service);
+    std::vector<std::optional<GuestOffer>> offers(loads.size());
+    for (int i = 0; i < static_cast<int>(loads.size()); ++i) {
+        const auto &load = loads[static_cast<std::size_t>(i)];
+        if (!load || !m_directory.directory().isFresh(i, Clock::now())) {
+            continue;
+        }
+        const auto &rooms = m_directory.directory().findCell(i)->rooms;
+        if (const auto it = rooms.find(service); it != rooms.end()) {
+            offers[static_cast<std::size_t>(i)] = GuestOffer{*load, it->second};
+        }
+    }
+    return offers;
+}
+
+void CellSet::answerDelegation(const DelegationRequest &request, const OnCallerReply &done)
+{
+    CellHost *guest = find(request.guest);
+    if (!guest || !guest->isServing()) {
+        done({CallerOutcome::NotRun, JobState::Queued, 0, "not the owner"});
+        return;
+    }
+    guest->answerDelegation(request, done);
+}
+
+void CellSet::sendDelegation(const DelegationRequest &request, const OnCallerReply &done)
+{
+    CellHost *guest = find(request.guest);
+    if (guest && guest->isServing()) {
+        guest->answerDelegation(request, done);
+        return;
+    }
+    const OwnershipClaim *claim = guest ? claimOf(request.guest) : nullptr;
+    if (!claim || claim->holder.empty() || guest->election().isOwner() || !m_forwardDelegation) {
+        done({CallerOutcome::NotRun, JobState::Queued, 0, "no owner"});
+        return;
+    }
+    m_forwardDelegation(claim->endpoint, request, [this, done](const CallerReply &reply) {
+        if (reply.outcome != CallerOutcome::Done) {
+            refreshClaims();
+        }
+        done(reply);
+    });
+}
+
+std::optional<int> CellSet::lessLoadedCell(int cell, const CellHost::NewJob &job,
+                                           const CellLoad &own)
+{
+    std::vector<std::optional<CellLoad>> others = publishedLoads(cell, job.service);
     const ReferralPolicy::Job request{job.id, job.load};
     if (!job.isLongRunning) {
         return m_referrals.chooseForBatch(request, own, others, Clock::now());
--- a/src/Node/CellSet.h
+++ b/src/Node/CellSet.h
@@ -9,9 +9,11 @@
 #include <asio/io_context.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace firefly {
@@ -36,6 +38,17 @@
     /// Looks for a newer claim of a cell soon, since the known one has proved wrong.
     void refreshClaims();
 
+    /// Sends a delegation request to another process, the owner of the guest cell.
+    using ForwardDelegation = std::function<void(
+        const Endpoint &owner, const DelegationRequest &request, OnCallerReply done)>;
+    /// Until \a forward is set, requests reach only cells that this process serves.
+    void setDelegationForwarder(ForwardDelegation forward)
+    {
+        m_forwardDelegation = std::move(forward);
+    }
+    /// Answers \a request to a cell of this process; NotRun if the cell isn't served here.
+    void answerDelegation(const DelegationRequest &request, const OnCallerReply &done);
+
     /// Releases all owned cells to other processes.
     void resign();
     bool hasResigned() const;
@@ -47,6 +60,13 @@
     int otherClaimCount(int cell) const;
     /// Whether this process may become the owner of \a cell soon.
     bool isCandidate(int cell) const;
+    /// Loads that the owners of the cells with workers of \a service publish, by cell; unset for
+    /// \a cell itself.
+    std::vector<std::optional<CellLoad>> publishedLoads(int cell, const std::string &service) const;
+    /// What owners that published lately offer to tasks of \a service, by cell; unset for \a cell
+    /// itself.
+    std::vector<std::optional<GuestOffer>> guestOffers(int cell, const std::string &service) const;
+    void sendDelegation(const DelegationRequest &request, const OnCallerReply &done);
     std::optional<int> lessLoadedCell(int cell, const CellHost::NewJob &job, const CellLoad &own);
 
     asio::io_context &m_context;
@@ -59,6 +79,7 @@
     std::optional<CellLayout> m_layout;
     std::vector<std::unique_ptr<CellHost>> m_hosts; ///< By cell.
     ReferralPolicy m_referrals;
+    ForwardDelegation m_forwardDelegation;
     bool m_isResigning = false;
     DirectoryClient m_directory;
     LayoutLoader m_layoutLoader;
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -74,6 +74,10 @@
         , clientServer(context, settings.clientEndpoint, clientLimits(settings), clientHandler())
         , drainTimer(context)
     {
+        cells.setDelegationForwarder(
+            [this](const Endpoint &owner, const DelegationRequest &request, OnCallerReply done) {
+                forwarder.forwardDelegation(owner, request, std::move(done));
+            });
         if (settings.readinessEndpoint) {
             readinessServer = std::make_unique<HttpServer>(context, *settings.readinessEndpoint,
                                                            HttpLimits{}, readinessHandler());
--- a/src/Node/OrderSender.cpp
+++ b/src/Node/OrderSender.cpp
@@ -26,13 +26,15 @@
 struct OrderSender::Private : std::enable_shared_from_this<Private>
 {
     Private(CellScheduler &schedulerIn, platform::WorkerClient &workersIn, EventLog &logIn,
-            Metrics &metricsIn, Epoch epochIn, std::function<void()> afterReplyIn)
+            Metrics &metricsIn, Epoch epochIn, std::function<void()> afterReplyIn,
+            OnDelegation onDelegationIn)
         : scheduler(schedulerIn)
         , workers(workersIn)
         , log(logIn)
         , metrics(metricsIn)
         , epoch(epochIn)
         , afterReply(std::move(afterReplyIn))
+        , onDelegation(std::move(onDelegationIn))
     {}
 
     /// Wraps \a callback so that it does nothing once this ownership has ended.
@@ -133,6 +135,16 @@
         });
     }
 
+    void send(const DelegateTasks &action)
+    {
+        onDelegation({action.guest, action.job, action.record});
+    }
+
+    void send(const RevokeDelegation &action)
+    {
+        onDelegation({action.guest, action.job, std::nullopt});
+    }
+
     void logRefusal(const char *kind, const OrderedRun &order, OrderOutcome outcome)
     {
         if (outcome == OrderOutcome::Accepted) {
@@ -154,13 +166,15 @@
     Metrics &metrics;
     Epoch epoch;
     std::function<void()> afterReply;
+    OnDelegation onDelegation;
     bool isClosed = false;
 };
 
 OrderSender::OrderSender(CellScheduler &scheduler, platform::WorkerClient &workers, EventLog &log,
-                         Metrics &metrics, Epoch epoch, std::function<void()> afterReply)
-    : m_private(
-        std::make_shared<Private>(scheduler, workers, log, metrics, epoch, std::move(afterReply)))
+                         Metrics &metrics, Epoch epoch, std::function<void()> afterReply,
+                         OnDelegation onDelegation)
+    : m_private(std::make_shared<Private>(scheduler, workers, log, metrics, epoch,
+                                          std::move(afterReply), std::move(onDelegation)))
 {}
 
 OrderSender::~OrderSender() = default;
--- a/src/Node/OrderSender.h
+++ b/src/Node/OrderSender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellScheduler.h"
+#include "Node/DelegationRequest.h"
 #include "Ops/EventLog.h"
 #include "Ops/Metrics.h"
 #include "platform/WorkerClient.h"
@@ -16,14 +17,19 @@
 class OrderSender
 {
 public:
-    /// \a afterReply is called after each reply was passed to the scheduler.
+    using OnDelegation = std::function<void(const DelegationRequest &)>;
+
+    /// \a afterReply is called after each reply was passed to the scheduler, \a onDelegation for
+    /// each request to the owner of another cell.
     OrderSender(CellScheduler &scheduler, platform::WorkerClient &workers, EventLog &log,
-                Metrics &metrics, Epoch epoch, std::function<void()> afterReply);
+                Metrics &metrics, Epoch epoch, std::function<void()> afterReply,
+                OnDelegation onDelegation);
     ~OrderSender();
     OrderSender(const OrderSender &) = delete;
     OrderSender &operator=(const OrderSender &) = delete;
 
-    /// Sends all pending orders of the scheduler and writes its pending log lines.
+    /// Sends all pending orders of the scheduler, writes its pending log lines and passes its
+    /// delegation requests on.
     void sendAll();
     /// Drops all replies from now on; for an ownership that ends inside a reply, before this object
     /// can be destroyed.
--- a/src/Node/RequestForwarder.cpp
+++ b/src/Node/RequestForwarder.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <chrono>
+#include <optional>
 
 namespace firefly {
 namespace {
@@ -13,6 +15,9 @@
 
 /// Path of forwarded requests: jobs/CELL/JOB.
 constexpr const char *JobsPath = "jobs";
+/// Path of delegation requests: delegations/CELL/JOB.
+constexpr const char *DelegationsPath = "delegations";
+constexpr Duration DelegationTimeout = std::chrono::milliseconds(1200);
 constexpr const char *PolicyHeader = "Firefly-Policy";
 constexpr const char *ReferredHeader = "Firefly-Referred";
 
@@ -69,6 +74,21 @@
     return "GET";
 }
 
+/// URL of the resource CELL/JOB of \a owner.
+std::string urlOf(const Endpoint &owner, const char *path, int cell, const JobId &job)
+{
+    return baseUrl(owner) + "/" + path + "/" + std::to_string(cell) + "/" + job.value();
+}
+
+/// Number of a cell, if \a text is one.
+std::optional<int> parseCell(std::string_view text)
+{
+    int number = -1;
+    const char *end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data(), end, number);
+    return ec == std::errc() && last == end && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
 } // namespace
 
 CallerReply RequestForwarder::decodeReply(std::string_view body)
@@ -117,8 +137,7 @@
 {
     HttpExchange exchange;
     exchange.method = methodOf(request.verb);
-    exchange.url =
-        baseUrl(owner) + "/" + JobsPath + "/" + std::to_string(cell) + "/" + request.job.value();
+    exchange.url = urlOf(owner, JobsPath, cell, request.job);
     if (request.verb == CallerVerb::Submit) {
         exchange.headers = {{PolicyHeader, encodePolicy(request.policy)},
                             {ReferredHeader, request.isReferred ? "1" : "0"}};
@@ -129,6 +148,18 @@
                  [done = std::move(done)](const HttpResult &result) { done(toReply(result)); });
 }
 
+void RequestForwarder::forwardDelegation(const Endpoint &owner, const DelegationRequest &request,
+                                         OnCallerReply done)
+{
+    HttpExchange exchange;
+    exchange.method = request.record ? "POST" : "DELETE";
+    exchange.url = urlOf(owner, DelegationsPath, request.guest, request.job);
+    exchange.body = request.record.value_or("");
+    exchange.timeout = DelegationTimeout;
+    m_loop.start(std::move(exchange),
+                 [done = std::move(done)](const HttpResult &result) { done(toReply(result)); });
+}
+
 void RequestForwarder::answer(CellHost &cell, const ForwardedRequest &request, OnCallerReply done)
 {
     switch (request.verb) {
@@ -160,6 +191,35 @@
         response.body = encodeReply(it);
         respond(std::move(response));
     };
+    const auto segments = request.segments();
+    if (!segments.empty() && segments[0] == DelegationsPath) {
+        handleDelegation(request, reply);
+    } else {
+        handleJob(request, reply);
+    }
+}
+
+void RequestForwarder::handleDelegation(const HttpRequest &request, const OnCallerReply &reply)
+{
+    const auto segments = request.segments();
+    const auto cell = segments.size() == 3 ? parseCell(segments[1]) : std::nullopt;
+    if (!cell) {
+        reply({CallerOutcome::Malformed, JobState::Queued, 0,
+               "the path must be delegations/CELL/JOB"});
+        return;
+    }
+    DelegationRequest delegation{*cell, JobId(segments[2]), std::nullopt};
+    if (request.method == "POST") {
+        delegation.record = request.body;
+    } else if (request.method != "DELETE") {
+        reply({CallerOutcome::Malformed, JobState::Queued, 0, "the method must be POST or DELETE"});
+        return;
+    }
+    m_cells.answerDelegation(delegation, reply);
+}
+
+void RequestForwarder::handleJob(const HttpRequest &request, const OnCallerReply &reply)
+{
     const auto segments = request.segments();
     int number = -1;
     if (segments.size() == 3 && segments[0] == JobsPath) {
--- a/src/Node/RequestForwarder.h
+++ b/src/Node/RequestForwarder.h
@@ -20,7 +20,8 @@
     bool isReferred = false; ///< Redirected by the first cell; not redirected again.
 };
 
-/// Forwards clients' requests between node processes, as HTTP with JSON.
+/// Forwards clients' requests and delegation requests between node processes, as HTTP with JSON;
+/// the tasks of a delegation are a CBOR body.
 ///
 /// All requests are idempotent, since the client chooses the job's id, and may be retried.
 class RequestForwarder
@@ -42,10 +43,18 @@
     int cellFor(const CellLayout &layout, const ForwardedRequest &request) const;
     /// Decodes the answer of another node process; one that is malformed has an unknown outcome.
     static CallerReply decodeReply(std::string_view body);
+    /// Sends \a request to \a owner, the owner of its guest cell.
+    ///
+    /// The outcome is Unknown when no valid answer came in time.
+    void forwardDelegation(const Endpoint &owner, const DelegationRequest &request,
+                           OnCallerReply done);
     /// Answers a request that another node process forwarded.
     void handle(const HttpRequest &request, HttpServer::Respond respond);
 
 private:
+    void handleJob(const HttpRequest &request, const OnCallerReply &reply);
+    void handleDelegation(const HttpRequest &request, const OnCallerReply &reply);
+
     CurlLoop &m_loop;
     CellSet &m_cells;
     JobParser m_parser;
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -12,6 +12,7 @@
 constexpr char WorkerPrefix = 'w';
 constexpr char ReferralPrefix = 'r';
 constexpr char InterferencePrefix = 'l';
+constexpr char DelegationPrefix = 'd';
 
 // Fields are stored by array position: append new fields at the end and never reorder them.
 
@@ -82,6 +83,11 @@
     return ReferralPrefix + job.value();
 }
 
+std::string delegationKey(const JobId &job)
+{
+    return DelegationPrefix + job.value();
+}
+
 std::string encodeReferral(const JobReferral &referral)
 {
     return nlohmann::json{referral.cell, referral.atUnixMs}.dump();
@@ -117,6 +123,9 @@
     case WorkerPrefix:
         parsed.kind = KeyKind::Worker;
         break;
+    case DelegationPrefix:
+        parsed.kind = KeyKind::Delegation;
+        break;
     case InterferencePrefix:
         parsed.kind = KeyKind::Interference;
         break;
@@ -166,15 +175,50 @@
     }
 }
 
-std::string encodeProgress(const JobProgress &progress)
+namespace {
+
+json toJson(const std::vector<TaskProgress> &tasks)
+{
+    json rows = json::array();
+    for (const TaskProgress &it : tasks) {
+        json row = json::array(
+            {it.occurrence, it.step, it.index, it.isDone, it.failedRuns, it.checkpoint});
+        if (it.guest) {
+            row.push_back(*it.guest);
+            row.push_back(it.run);
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+std::vector<TaskProgress> toTasks(const json &rows)
 {
-    json tasks = json::array();
-    for (const TaskProgress &it : progress.tasks) {
-        tasks.push_back(json::array(
-            {it.occurrence, it.step, it.index, it.isDone, it.failedRuns, it.checkpoint}));
+    constexpr std::size_t GuestField = 6;
+    std::vector<TaskProgress> tasks;
+    for (const json &it : rows) {
+        TaskProgress task;
+        it.at(0).get_to(task.occurrence);
+        it.at(1).get_to(task.step);
+        it.at(2).get_to(task.index);
+        it.at(3).get_to(task.isDone);
+        it.at(4).get_to(task.failedRuns);
+        it.at(5).get_to(task.checkpoint);
+        if (it.size() > GuestField) {
+            task.guest = it.at(GuestField).get<int>();
+            it.at(GuestField + 1).get_to(task.run);
+        }
+        tasks.push_back(std::move(task));
     }
+    return tasks;
+}
+
+} // namespace
+
+std::string encodeProgress(const JobProgress &progress)
+{
     return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
-                                progress.isStarted, std::move(tasks)}));
+                                progress.isStarted, toJson(progress.tasks)}));
 }
 
 JobProgress decodeProgress(std::string_view bytes)
@@ -185,20 +229,43 @@
         progress.state = static_cast<JobState>(row.at(0).get<int>());
         row.at(1).get_to(progress.finalAtUnixMs);
         row.at(2).get_to(progress.isStarted);
-        for (const json &it : row.at(3)) {
-            TaskProgress task;
-            it.at(0).get_to(task.occurrence);
-            it.at(1).get_to(task.step);
-            it.at(2).get_to(task.index);
-            it.at(3).get_to(task.isDone);
-            it.at(4).get_to(task.failedRuns);
-            it.at(5).get_to(task.checkpoint);
-            progress.tasks.push_back(std::move(task));
-        }
+        progress.tasks = toTasks(row.at(3));
         return progress;
     } catch (const json::exception &e) {
         throw JobRecordError(std::string("progress record: ") + e.what());
     }
 }
 
+std::string encodeDelegation(const TaskDelegation &delegation)
+{
+    const std::string spec = encodeSpec(delegation.spec, delegation.submittedAtUnixMs);
+    return toBytes(
+        json::array({json::binary({spec.begin(), spec.end()}), toJson(delegation.tasks)}));
+}
+
+TaskDelegation decodeDelegation(std::string_view bytes)
+{
+    try {
+        const json row = json::from_cbor(bytes);
+        const json::binary_t &spec = row.at(0).get_binary();
+        TaskDelegation delegation;
+        delegation.spec =
+            decodeSpec(std::string(spec.begin(), spec.end()), delegation.submittedAtUnixMs);
+        delegation.tasks = toTasks(row.at(1));
+        for (const TaskProgress &it : delegation.tasks) {
+            const bool isTask = delegation.spec.repetitions == 0 && it.occurrence == 0
+                                && it.step < delegation.spec.steps.size()
+                                && it.index < delegation.spec.steps[it.step].taskCount;
+            if (!isTask || !it.guest) {
+                throw JobRecordError("delegation record: task " + std::to_string(it.step) + "."
+                                     + std::to_string(it.index)
+                                     + (isTask ? " names no cell" : " is not part of the job"));
+            }
+        }
+        return delegation;
+    } catch (const json::exception &e) {
+        throw JobRecordError(std::string("delegation record: ") + e.what());
+    }
+}
+
 } // namespace firefly::JobRecords
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -3,6 +3,7 @@
 #include "Workload/JobSpec.h"
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -19,7 +20,9 @@
     bool isDone = false;
     /// Run numbers, each listed once; they are reported in any order.
     std::vector<std::uint32_t> failedRuns;
-    std::string checkpoint; ///< Newest one; empty for none.
+    std::string checkpoint;   ///< Newest one; empty for none.
+    std::optional<int> guest; ///< Cell that the task was delegated to, if any.
+    std::uint32_t run = 0;    ///< Of a delegated task: no earlier run has a higher number.
 };
 
 /// Durable progress of one job.
@@ -45,6 +48,15 @@
     std::int64_t atUnixMs = 0;
 };
 
+/// Long-running tasks of a job that another cell, the guest, schedules.  The cell of the job, its
+/// home, never starts them again.
+struct TaskDelegation
+{
+    std::int64_t submittedAtUnixMs = 0; ///< Of the job.
+    JobSpec spec;
+    std::vector<TaskProgress> tasks;
+};
+
 /// Keys and encoding of the records in a cell's job topic.
 ///
 /// Specifications and progress are CBOR arrays, referrals are JSON.
@@ -56,7 +68,7 @@
 /// Key of the interference model that the cell has learned.
 std::string interferenceKey();
 
-enum class KeyKind { Spec, Progress, Worker, Interference, Referral, Unknown };
+enum class KeyKind { Spec, Progress, Worker, Interference, Referral, Delegation, Unknown };
 struct ParsedKey
 {
     KeyKind kind = KeyKind::Unknown;
@@ -71,6 +83,12 @@
 /// \throws JobRecordError
 JobReferral decodeReferral(std::string_view bytes);
 
+/// Key of the record of a job's tasks that were delegated to this cell.
+std::string delegationKey(const JobId &job);
+std::string encodeDelegation(const TaskDelegation &delegation);
+/// \throws JobRecordError
+TaskDelegation decodeDelegation(std::string_view bytes);
+
 /// \a submittedAtUnixMs is stored in the same record.
 std::string encodeSpec(const JobSpec &spec, std::int64_t submittedAtUnixMs);
 /// Also reads the submission time into \a submittedAtUnixMs.
--- a/test/CellReferral.cpp
+++ b/test/CellReferral.cpp
@@ -28,6 +28,7 @@
     }
     EXPECT_GE(world.owner->load().reserved, 1.0);
     EXPECT_GE(world.owner->load().fillers, 1.0);
+    EXPECT_GE(world.owner->load().longRunning, 1.0);
 }
 
 // A submission that was repeated after a lost answer, while the store failed or a new owner had not
@@ -105,5 +106,18 @@
     EXPECT_EQ(world.owner->load().fillers, 0.0);
 }
 
+TEST(CellReferral, OnlyTasksThatReserveCountAsLongRunningDemand)
+{
+    CellWorld world(1, 4);
+    JobSpec spec = makeChain(3, 8);
+    spec.steps[0].isLongRunning = true;
+    spec.steps[1].isLongRunning = true;
+    spec.steps[1].isFiller = true;
+    const CellLoad load = world.owner->loadOf(spec);
+    EXPECT_DOUBLE_EQ(load.longRunning, 8.0 / 32.0);
+    EXPECT_DOUBLE_EQ(load.reserved, 16.0 / 32.0);
+    EXPECT_DOUBLE_EQ(load.fillers, 8.0 / 32.0);
+}
+
 } // namespace
 } // namespace firefly
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -206,6 +206,36 @@
     EXPECT_FALSE(vmOfRecord(cellRecordKey(1)).has_value());
 }
 
+TEST(FleetDirectory, AClaimCarriesThePublishedLoad)
+{
+    OwnershipClaim claim = makeClaim("a", 3, 9);
+    claim.load = {0.75, 0.25, 0.5, 32000.0};
+    const CellLoad load = decodeClaim(encodeClaim(claim)).load;
+    EXPECT_EQ(load.reserved, 0.75);
+    EXPECT_EQ(load.fillers, 0.25);
+    EXPECT_EQ(load.longRunning, 0.5);
+    EXPECT_EQ(load.milliCpu, 32000.0);
+}
+
+// An owner of an older build must not look as if it had no long-running tasks.
+TEST(FleetDirectory, AClaimWithoutLongRunningDemandCountsAllReservedDemandAsSuch)
+{
+    const std::string bytes = R"({"epoch":3,"holder":"a.1","node":"a","address":"10.0.0.1",
+        "port":7720,"renewal":9,"pending":{},"load":[0.75,0.25]})";
+    EXPECT_EQ(decodeClaim(bytes).load.longRunning, 0.75);
+    EXPECT_EQ(decodeClaim(bytes).load.milliCpu, 0.0);
+}
+
+TEST(FleetDirectory, AClaimWithAMalformedLoadIsRefused)
+{
+    for (const char *load : {"[]", "[0.5]", "{}", "1", "[0.5,0.5,null]", R"([0.5,0.5,"x"])"}) {
+        const std::string bytes = std::string(R"({"epoch":3,"holder":"a.1","node":"a",)")
+                                  + R"("address":"10.0.0.1","port":7720,"renewal":9,)"
+                                  + R"("pending":{},"load":)" + load + "}";
+        EXPECT_THROW(decodeClaim(bytes), ClaimRecordError) << load;
+    }
+}
+
 TEST(FleetDirectory, MalformedRecordsAreRefused)
 {
     for (const char *key : {"", "c", "c-1", "c1x", "cx", "v"}) {
--- a/test/fakes/CellAudit.h
+++ b/test/fakes/CellAudit.h
@@ -26,6 +26,7 @@
 
     std::map<std::string, JobSpec> specs;                ///< Submitted jobs, by id.
     std::map<TaskName, std::set<std::string>> runningOn; ///< Ids of workers.
+    std::map<TaskName, std::vector<std::uint32_t>> runs; ///< Numbers of the started runs, in order.
     std::map<TaskName, std::vector<End>> done;
     std::map<TaskName, std::vector<End>> failed;
     std::map<TaskName, std::set<std::string>> checkpoints;
@@ -55,6 +56,7 @@
             }
         }
         runningOn[task].insert(worker);
+        runs[task].push_back(order.run);
         everStarted.insert(task.job.value());
         const StepSpec *step = stepOf(task);
         if (!step) {
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -129,6 +129,9 @@
         0.0; ///< Fraction of orders that time out and are carried out seconds later.
     bool isStoreDown = false;
 
+    std::function<void(const DelegateTasks &)> onDelegate; ///< Empty to drop the requests.
+    std::function<void(const RevokeDelegation &)> onRevoke;
+
     // Measurements for benchmarks
 
     std::uint64_t starts = 0;  ///< Start orders sent.
@@ -234,6 +237,18 @@
 
     void send(const PaceTask &) {}
     void send(const LogDecision &decision) { decisions.push_back(decision); }
+    void send(const DelegateTasks &order)
+    {
+        if (onDelegate) {
+            onDelegate(order);
+        }
+    }
+    void send(const RevokeDelegation &order)
+    {
+        if (onRevoke) {
+            onRevoke(order);
+        }
+    }
 
     void send(const RenewLease &order)
     {
