Hold first starts back while a displaced long-running task waits

Cause: overtaking. Each piece that became free fitted some smaller first start, so that it never grew to the size a displaced task asks for.

Change: while a displaced task of the service is pending without a reservation, first starts of long-running tasks and gangs wait, for at most the 6 s that the platform tolerates, so that a task that fits no worker doesn't block the cell. Jobs with displaced tasks come first of their priority.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -49,7 +49,7 @@
     /// Latest sign of progress, on the worker's clock; a change of pace counts as one.
     std::int64_t progressMs = 0;
     TimePoint notBefore{};    ///< Earliest time of the next start.
-    TimePoint waitingSince{}; ///< Long-running tasks: since when no worker can take it; else zero.
+    TimePoint waitingSince{}; ///< Long-running tasks: since when it waits for a worker; else zero.
     TimePoint movedAt{};      ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace firefly {
 
@@ -29,6 +30,10 @@
 constexpr Duration FirstWaitReport = std::chrono::milliseconds(1000);
 constexpr Duration WaitReportInterval = std::chrono::milliseconds(3000);
 
+/// Time that the platform tolerates without a run of a task that has run before.  A displaced task
+/// that has waited longer may fit no worker at all and holds nothing back.
+constexpr Duration MaxFirstStartDelay = std::chrono::milliseconds(6000);
+
 std::int64_t toMs(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -48,6 +53,32 @@
     return now + job.remainingCriticalPath() > job.objective ? 1 : 0;
 }
 
+/// Calls \a visit(job, occurrence, step) for the due and ready steps of \a jobs with pending tasks.
+template <typename Visit>
+void forEachStartableStep(std::span<CellJob *const> jobs, std::int64_t nowUnixMs,
+                          const Visit &visit)
+{
+    for (CellJob *job : jobs) {
+        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+            if (job->occurrences[k].dueUnixMs > nowUnixMs) {
+                continue;
+            }
+            for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
+                if (job->occurrences[k].steps[s].pendingCount > 0
+                    && TaskLedger::isReady(*job, k, s)) {
+                    visit(*job, k, s);
+                }
+            }
+        }
+    }
+}
+
+void beginWait(CellTask &task, TimePoint now)
+{
+    task.waitingSince = now;
+    task.nextWaitReport = now + FirstWaitReport;
+}
+
 /// Score that groups serving tasks by image, so that a filler that slows one image still finds
 /// workers without that image.
 double imageAffinity(const CellWorker &worker, ImageIndex image)
@@ -70,27 +101,21 @@
 {
     m_unplaceable.clear();
     m_reservations.removeObsolete(now);
+    m_displaced.clear();
     m_waiting.clear();
     startReserved(now);
     reserveForEvacuated(now);
-    for (CellJob *job : jobsInOrder(now)) {
-        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
-            if (job->occurrences[k].dueUnixMs > nowUnixMs) {
-                continue;
-            }
-            for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
-                if (job->occurrences[k].steps[s].pendingCount == 0
-                    || !TaskLedger::isReady(*job, k, s)) {
-                    continue;
-                }
-                if (job->spec.steps[s].isGang) {
-                    startGang(*job, k, s, now);
-                } else {
-                    startStep(*job, k, s, now);
-                }
-            }
-        }
-    }
+    std::vector<CellJob *> jobs = pendingJobs();
+    findDisplaced(jobs, now, nowUnixMs);
+    sortJobs(jobs, now);
+    forEachStartableStep(jobs, nowUnixMs,
+                         [&](CellJob &job, std::uint32_t occurrence, std::uint32_t step) {
+                             if (job.spec.steps[step].isGang) {
+                                 startGang(job, occurrence, step, now);
+                             } else {
+                                 startStep(job, occurrence, step, now);
+                             }
+                         });
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
@@ -131,9 +156,9 @@
     }
 }
 
-std::vector<CellJob *> Placement::jobsInOrder(TimePoint now) const
+std::vector<CellJob *> Placement::pendingJobs() const
 {
-    std::vector<CellJob *> order;
+    std::vector<CellJob *> jobs;
     for (const auto &[id, job] : m_state.jobs) {
         if (isFinal(job->state) || !job->isDurable) {
             continue;
@@ -143,27 +168,74 @@
                                        [](const StepRun &s) { return s.pendingCount > 0; });
         });
         if (hasPending) {
-            order.push_back(job.get());
+            jobs.push_back(job.get());
         }
     }
+    return jobs;
+}
+
+void Placement::sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const
+{
     struct Ranked
     {
-        std::tuple<int, int, TimePoint> key;
+        std::tuple<int, bool, int, TimePoint> key;
         CellJob *job;
     };
     std::vector<Ranked> ranked;
-    ranked.reserve(order.size());
-    for (CellJob *it : order) {
-        ranked.push_back({{it->spec.policy.priority, latenessRank(*it, now), it->objective}, it});
+    ranked.reserve(jobs.size());
+    for (CellJob *it : jobs) {
+        const bool hasDisplaced =
+            std::ranges::find(m_displaced, it, &TaskRef::job) != m_displaced.end();
+        ranked.push_back(
+            {{it->spec.policy.priority, !hasDisplaced, latenessRank(*it, now), it->objective}, it});
     }
     std::ranges::sort(ranked, {}, &Ranked::key);
-    std::ranges::transform(ranked, order.begin(), &Ranked::job);
-    return order;
+    std::ranges::transform(ranked, jobs.begin(), &Ranked::job);
+}
+
+void Placement::findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs)
+{
+    forEachStartableStep(jobs, nowUnixMs, [&](CellJob &job, std::uint32_t k, std::uint32_t s) {
+        if (!job.spec.steps[s].isLongRunning) {
+            return;
+        }
+        for (std::uint32_t i = 0; i < job.spec.steps[s].taskCount; ++i) {
+            const TaskRef ref{&job, k, s, i};
+            CellTask &task = ref.task();
+            if (task.state != TaskState::Pending || task.notBefore > now || !ref.hasRunBefore()
+                || m_reservations.contains(ref)) {
+                continue;
+            }
+            if (task.waitingSince == TimePoint{}) {
+                beginWait(task, now);
+            }
+            m_displaced.push_back(ref);
+        }
+    });
+}
+
+bool Placement::isHeldBack(const TaskRef &ref, TimePoint now) const
+{
+    if (!ref.spec().isLongRunning || ref.hasRunBefore()) {
+        return false;
+    }
+    return std::ranges::any_of(m_displaced, [&](const TaskRef &it) {
+        const CellTask &task = it.task();
+        if (task.state != TaskState::Pending) {
+            return false;
+        }
+        const bool isSameStep =
+            it.job == ref.job && it.occurrence == ref.occurrence && it.step == ref.step;
+        return isSameStep
+               || (now - task.waitingSince < MaxFirstStartDelay
+                   && it.job->spec.policy.service == ref.job->spec.policy.service);
+    });
 }
 
 void Placement::startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
 {
     StepRun &run = job.occurrences[occurrence].steps[step];
+    bool isWaitReported = false;
     for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
         CellTask &task = run.tasks[i];
         if (task.state != TaskState::Pending || task.notBefore > now) {
@@ -173,6 +245,12 @@
         if (ref.spec().isLongRunning && m_reservations.contains(ref)) {
             continue;
         }
+        if (isHeldBack(ref, now)) {
+            if (!std::exchange(isWaitReported, true)) {
+                reportWait(ref, now);
+            }
+            continue;
+        }
         if (isKnownUnplaceable(ref)) {
             onUnplaceable(ref, now);
             return;
@@ -190,7 +268,7 @@
 void Placement::startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
 {
     StepRun &run = job.occurrences[occurrence].steps[step];
-    if (run.pendingCount != run.tasks.size()) {
+    if (run.pendingCount != run.tasks.size() || isHeldBack({&job, occurrence, step, 0}, now)) {
         return;
     }
     std::uint32_t number = 0;
@@ -274,8 +352,7 @@
 {
     CellTask &task = ref.task();
     if (task.waitingSince == TimePoint{}) {
-        task.waitingSince = now;
-        task.nextWaitReport = now + FirstWaitReport;
+        beginWait(task, now);
         return;
     }
     if (now < task.nextWaitReport) {
@@ -318,6 +395,9 @@
             text += std::string(" ") + name + "=" + std::to_string(it->second);
         }
     }
+    if (isHeldBack(ref, now)) {
+        text += " held_back=1";
+    }
     return text;
 }
 
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -5,6 +5,7 @@
 #include "Cell/InterferenceGuard.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -35,8 +36,16 @@
     void reset() { m_reservations.clear(); }
 
 private:
-    /// Durable jobs with pending tasks, by priority, lateness and objective.
-    std::vector<CellJob *> jobsInOrder(TimePoint now) const;
+    /// Durable jobs with pending tasks.
+    std::vector<CellJob *> pendingJobs() const;
+    /// Sorts \a jobs by priority, displaced tasks (jobs with some come first), lateness and
+    /// objective.
+    void sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const;
+    /// Adds to m_displaced the displaced tasks of \a jobs: long-running ones that have run before
+    /// and have neither a worker nor a reservation.  Their wait begins now, unless it has begun.
+    void findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
+    /// True for the first start of a long-running task while a displaced one may need the capacity.
+    bool isHeldBack(const TaskRef &ref, TimePoint now) const;
     void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void startReserved(TimePoint now);
@@ -68,6 +77,7 @@
     CapacityReservations m_reservations;
     Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
+    std::vector<TaskRef> m_displaced; ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
 
