Log how long a lost run survived and whether its worker was replaced

The lines on lost runs now carry the worker's silence, whether another incarnation answers at its address, and how long the run lasted by the worker's clock. No decision uses these fields.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -37,6 +37,17 @@
     return criticalPath(spec, [&steps](std::size_t i) { return !steps[i].isDone(); });
 }
 
+std::string CellWorker::describeLoss(const CellTask &task, TimePoint now) const
+{
+    const auto survived = survivedMs(task);
+    const Duration silence = silentSince == TimePoint{} ? Duration{} : now - silentSince;
+    const auto silentMs = std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+    return "failed_renewals=" + std::to_string(renewFailures) + " silent_ms="
+           + std::to_string(silentMs) + " replaced=" + std::to_string(static_cast<int>(isReplaced))
+           + " draining=" + std::to_string(static_cast<int>(info.isDraining))
+           + " survived_ms=" + (survived ? std::to_string(*survived) : "unconfirmed");
+}
+
 CellLoad CellJob::outstandingDemand(double milliCpu) const
 {
     CellLoad demand;
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -43,6 +43,8 @@
     std::uint32_t run = 0;                 ///< Number of the latest run.
     std::vector<std::uint32_t> failedRuns; ///< Numbers of the runs that failed.
     std::int64_t startDeadlineMs = 0;      ///< On the worker's clock.
+    /// When the worker accepted the start, on its clock; unset while that isn't known.
+    std::optional<std::int64_t> acceptedMs;
     TimePoint startedAt{}; ///< Acceptance of the start, or first report that lists the run.
     TimePoint stopSentAt{};
     TimePoint paceChangedAt{}; ///< Latest change of pace.
@@ -184,6 +186,9 @@
     bool isRenewing = false;              ///< A renewal awaits its answer.
     TimePoint nextRenewal{};
     std::uint32_t renewFailures = 0; ///< Consecutive failed renewals.
+    std::int64_t lastSignMs = 0;     ///< Latest reading of its clock in any answer.
+    TimePoint silentSince{};         ///< First failed renewal since its last answer; else zero.
+    bool isReplaced = false;         ///< Another incarnation has answered at its address.
     std::uint64_t reportCount = 0;   ///< Reports applied by this owner.
     ResourceVector reserved;         ///< Capacity reserved by placed tasks.
     ResourceVector held;             ///< Capacity kept for other tasks, by CapacityReservations.
@@ -212,6 +217,15 @@
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - clockAt);
         return clockMs + elapsed.count() * 98 / 100;
     }
+    /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
+    std::optional<std::int64_t> survivedMs(const CellTask &task) const
+    {
+        return task.acceptedMs
+                   ? std::optional(std::max<std::int64_t>(0, lastSignMs - *task.acceptedMs))
+                   : std::nullopt;
+    }
+    /// Log text on the end of the run of \a task here, which the worker hasn't reported.
+    std::string describeLoss(const CellTask &task, TimePoint now) const;
     ResourceVector freeRoom() const
     {
         ResourceVector room = info.capacity;
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -26,6 +26,7 @@
     worker.isRestartSuspected = false;
     worker.clockMs = report.clockMs;
     worker.clockAt = now;
+    worker.lastSignMs = std::max(worker.lastSignMs, report.clockMs);
     // An earlier owner may have granted the lease, at most for this long.
     const auto longest =
         std::chrono::duration_cast<std::chrono::milliseconds>(m_state.bounds.maxLease).count();
@@ -61,11 +62,13 @@
     const std::vector<TaskRef> tasks = worker.tasks;
     for (const TaskRef &it : tasks) {
         if (it.task().state != TaskState::Starting && it.task().startedAt < sentAt) {
+            m_state.logDecision("worker restarted", it, worker.describeLoss(it.task(), m_now));
             TaskLedger::release(it);
         }
     }
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.grantedDeadlineMs = 0;
+    worker.lastSignMs = 0;
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
     worker.durableEndNumber = 0;
@@ -85,6 +88,8 @@
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
         task.progressMs = worker.clockMs;
+        // An earlier owner started the run, at an unknown time.
+        task.acceptedMs = 0;
     }
     if (task.worker != &worker || task.run != row.run) {
         sendStop(worker, row.task, row.run);
@@ -95,6 +100,7 @@
         task.state = TaskState::Running;
         task.startedAt = now;
         task.progressMs = worker.clockMs;
+        task.acceptedMs = worker.clockMs;
     }
     if (row.percent != task.percent) {
         task.progressMs = worker.clockMs;
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -77,6 +77,7 @@
     task.run = run;
     task.percent = 0;
     task.lastListedReport = 0;
+    task.acceptedMs.reset();
     ++ref.job->placedCount;
     ref.job->isStarted = true;
     if (ref.job->state == JobState::Queued) {
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -145,6 +145,9 @@
     }
     if (worker) {
         detectRestart(*worker, reply, now);
+        if (reply.clockMs && outcome != OrderOutcome::OtherIncarnation) {
+            worker->lastSignMs = std::max(worker->lastSignMs, *reply.clockMs);
+        }
     }
     if (!ref || !worker) {
         return;
@@ -158,6 +161,7 @@
         task.state = TaskState::Running;
         task.startedAt = now;
         task.progressMs = reply.clockMs.value_or(worker->clockAtLeast(now));
+        task.acceptedMs = task.progressMs;
         if (isFinal(ref->job->state)) {
             sendStop(*ref);
         }
@@ -238,11 +242,15 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
+        worker->silentSince = worker->renewFailures == 0 ? now : worker->silentSince;
         ++worker->renewFailures;
+        worker->isReplaced = worker->isReplaced || outcome == OrderOutcome::OtherIncarnation;
         worker->nextRenewal = now + renewalBackoff(worker->renewFailures);
         return;
     }
     worker->renewFailures = 0;
+    worker->silentSince = {};
+    worker->isReplaced = false;
     applyLeaseReport(*worker, report, sentAt, now, nowUnixMs);
 }
 
@@ -380,7 +388,7 @@
 {
     while (!worker.tasks.empty()) {
         m_state.logDecision("lease over", worker.tasks.back(),
-                            "failed_renewals=" + std::to_string(worker.renewFailures));
+                            worker.describeLoss(worker.tasks.back().task(), m_now));
         TaskLedger::release(worker.tasks.back());
     }
     m_state.wantsPlacement = true;
