Add a failing test of tasks that crash their workers

Mixed sound jobs and, one in ten, jobs with a task that crashes each worker 10 ms after it starts there; the worker is back 3.3 s later under another id at its address.

--- a/test/fakes/CellAudit.h
+++ b/test/fakes/CellAudit.h
@@ -32,6 +32,12 @@
     std::map<TaskName, std::set<std::string>> checkpoints;
     std::map<std::string, ResourceVector> used; ///< By worker.
     std::set<TaskName> everDone;
+    std::map<TaskName, int> crashes; ///< Workers that the task has crashed.
+    /// Starts of the task since it crashed its MaxCrashes-th worker.
+    std::map<TaskName, int> startsAfterCrashes;
+    static constexpr int MaxCrashes = 3;
+    /// Number of such starts that breaks the platform's budget.
+    static constexpr int MaxStartsAfterCrashes = 3;
     std::set<std::string> everStarted; ///< Ids of jobs.
     std::vector<std::string> violations;
 
@@ -55,6 +61,9 @@
                 addViolation("start after done", task);
             }
         }
+        if (crashes[task] >= MaxCrashes && ++startsAfterCrashes[task] >= MaxStartsAfterCrashes) {
+            addViolation("start after the budget of crashes", task);
+        }
         runningOn[task].insert(worker);
         runs[task].push_back(order.run);
         everStarted.insert(task.job.value());
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -44,7 +44,9 @@
         }
         owner->finishRestore(now, unixMs());
         for (const auto &[id, worker] : workers) {
-            owner->onWorkerListed(worker->describe(), now);
+            if (worker->isRegistered) {
+                owner->onWorkerListed(worker->describe(), now);
+            }
         }
         m_isAppending = false;
     }
@@ -96,6 +98,34 @@
         append();
     }
 
+    /// Crashes the worker \a id; it is back after \a downtime under another id at its address.
+    void crashWorker(const std::string &id, Duration downtime)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        if (worker.state != FakeCellWorker::State::Up) {
+            return;
+        }
+        worker.crash(now);
+        ++crashCount;
+        after(downtime, [this, id] {
+            FakeCellWorker &old = *workers.at(id);
+            old.state = FakeCellWorker::State::Replaced;
+            const std::string next = id.substr(0, id.find('.')) + "." + std::to_string(crashCount)
+                                     + "-" + std::to_string(workers.size());
+            auto &created = workers[next];
+            created = std::make_unique<FakeCellWorker>(next, audit);
+            created->workTime = old.workTime;
+            created->capacity = old.capacity;
+            created->rack = old.rack;
+            created->incarnation = unixMs();
+            owner->onWorkerListed(created->describe(), now);
+        });
+        after(downtime + ListingDelay, [this, id] {
+            workers.at(id)->isRegistered = false;
+            owner->onWorkerGone(WorkerId(id), now);
+        });
+    }
+
     /// Lets time pass while the owner's process is paused; messages to it wait.  Then it ticks
     /// before it reads any.
     void pauseOwner(Duration span)
@@ -128,6 +158,10 @@
     double lateOrderFraction =
         0.0; ///< Fraction of orders that time out and are carried out seconds later.
     bool isStoreDown = false;
+    std::set<TaskName> crashingTasks; ///< Tasks that crash each worker that starts them.
+    Duration crashDelay = std::chrono::milliseconds(10); ///< From such a start to the crash.
+    Duration crashDowntime = std::chrono::milliseconds(3300);
+    int crashCount = 0; ///< Crashes of workers.
 
     std::function<void(const DelegateTasks &)> onDelegate; ///< Empty to drop the requests.
     std::function<void(const RevokeDelegation &)> onRevoke;
@@ -139,6 +173,9 @@
     double ownerSeconds = 0.0; ///< Wall time spent in the owner.
 
 private:
+    /// From the return of a crashed worker until the platform no longer lists its earlier id.
+    static constexpr Duration ListingDelay = std::chrono::milliseconds(700);
+
     struct Event
     {
         TimePoint at;
@@ -192,6 +229,13 @@
             after(Timeout, [reply] { reply(OrderOutcome::Unknown); });
             return;
         }
+        if (worker.state != FakeCellWorker::State::Up) {
+            const bool isReplaced = worker.state == FakeCellWorker::State::Replaced;
+            after(randomDelay(), [reply, isReplaced] {
+                reply(isReplaced ? OrderOutcome::OtherIncarnation : OrderOutcome::NotSent);
+            });
+            return;
+        }
         if (chance(lateOrderFraction)) {
             const auto late =
                 std::chrono::milliseconds(std::uniform_int_distribution<int>(2000, 9000)(random));
@@ -212,8 +256,13 @@
         exchange(
             order.worker,
             [this, order, clock, by = epoch] {
-                *clock = workers.at(order.worker.value())->clockMs(now);
-                return workers.at(order.worker.value())->start(order, by, now);
+                FakeCellWorker &worker = *workers.at(order.worker.value());
+                *clock = worker.clockMs(now);
+                const OrderOutcome outcome = worker.start(order, by, now);
+                if (outcome == OrderOutcome::Accepted && crashingTasks.contains(order.task)) {
+                    crashAfterStart(order, worker.incarnation);
+                }
+                return outcome;
             },
             [this, order, clock](OrderOutcome outcome) {
                 timeOwner([&] {
@@ -223,6 +272,19 @@
             });
     }
 
+    /// Crashes the worker that has started the task of \a order, unless the run ends before.
+    void crashAfterStart(const StartTask &order, std::int64_t incarnation)
+    {
+        after(crashDelay, [this, order, incarnation] {
+            const std::string &id = order.worker.value();
+            if (workers.at(id)->incarnation == incarnation
+                && audit.runningOn[order.task].contains(id)) {
+                ++audit.crashes[order.task];
+                crashWorker(id, crashDowntime);
+            }
+        });
+    }
+
     void send(const StopTask &order)
     {
         exchange(
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -147,6 +147,20 @@
         ++incarnation;
     }
 
+    /// Ends the process: all state is lost, and nothing listens at its address.
+    void crash(TimePoint now)
+    {
+        reboot(now);
+        state = State::Down;
+    }
+
+    /// What answers at the worker's address.
+    enum class State {
+        Up,
+        Down,     ///< Nothing.
+        Replaced, ///< Another incarnation, under another id.
+    };
+
     /// Reading of the worker's steady clock, which may run slow or fast.
     std::int64_t clockMs(TimePoint now) const
     {
@@ -159,6 +173,8 @@
     bool hasEndedRuns() const { return !m_ended.empty(); }
 
     std::int64_t incarnation = 1; ///< Increases with each reboot().
+    State state = State::Up;
+    bool isRegistered = true; ///< The platform lists it.
     bool isReachable = true;
     bool isDraining = false;
     bool isProgressing = true; ///< The progress of tasks changes from report to report.
