--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -212,6 +212,29 @@
     status.acceptedCount = status.requestedCount;
 }
 
+std::set<int> CellScheduler::guests() const
+{
+    std::set<int> cells;
+    for (const std::string &id : m_delegatingJobs) {
+        for (const auto &[guest, status] : m_state.jobs.at(id)->delegations) {
+            cells.insert(guest);
+        }
+    }
+    return cells;
+}
+
+void CellScheduler::onTasksGivenUp(int guest, std::span<const JobId> jobs, TimePoint now,
+                                   std::int64_t nowUnixMs)
+{
+    m_now = now;
+    for (const JobId &id : jobs) {
+        CellJob *job = m_state.findOwnJob(id);
+        if (job && !isFinal(job->state) && job->delegations.contains(guest)) {
+            finalize(*job, JobState::Failed, nowUnixMs);
+        }
+    }
+}
+
 void CellScheduler::endDelegation(CellJob &job, int guest)
 {
     for (const TaskProgress &it : progressOf(job)) {
@@ -304,8 +327,21 @@
             ref.task().firstRun = it->run;
             ref.task().run = it->run;
             ref.task().checkpoint = it->checkpoint;
+            ref.task().crashes = it->crashes;
+        }
+    }
+}
+
+std::vector<JobId> CellScheduler::givenUpJobs() const
+{
+    std::vector<JobId> ids;
+    for (const auto &[id, job] : m_state.jobs) {
+        if (job->isGuestPart && job->durableState == JobState::Failed) {
+            ids.push_back(job->id);
         }
     }
+    std::ranges::sort(ids);
+    return ids;
 }
 
 void CellScheduler::recordGuestPart(const CellJob &job)
@@ -327,6 +363,7 @@
         task.firstRun = it.run;
         task.run = it.run;
         task.checkpoint = it.checkpoint;
+        task.crashes = it.crashes;
         TaskLedger::moveBack(ref);
         m_state.logDecision("delegated task accepted", ref, {});
     }
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -42,7 +42,10 @@
     CellWorker *worker = nullptr;          ///< Set exactly while isPlaced(state).
     std::uint32_t run = 0;                 ///< Number of the latest run.
     std::vector<std::uint32_t> failedRuns; ///< Numbers of the runs that failed.
-    std::int64_t startDeadlineMs = 0;      ///< On the worker's clock.
+    CrashHistory crashes;
+    TimePoint suspectSince{};         ///< Latest crash that it may have caused; zero if none.
+    std::string crashAddress;         ///< Of the worker of that crash; not recorded.
+    std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
     /// When the worker accepted the start, on its clock; unset while that isn't known.
     std::optional<std::int64_t> acceptedMs;
     TimePoint startedAt{}; ///< Acceptance of the start, or first report that lists the run.
@@ -197,7 +200,10 @@
     std::vector<TaskRef> tasks;      ///< Placed tasks.
     TimePoint avoidUntil{};          ///< No placements before this time.
     std::uint32_t consecutiveFailures = 0; ///< Failed or stuck runs since the last success.
-    TimePoint noFillersUntil{};            ///< No placements of fillers before this time.
+    /// No placements before this time but of the job whose suspect is observed here.
+    TimePoint observedUntil{};
+    JobId observedJob;
+    TimePoint noFillersUntil{}; ///< No placements of fillers before this time.
     /// Predicted tail latency of one serving task.
     struct ServingForecast
     {
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -62,6 +62,7 @@
     m_state.epoch = 0;
     m_placement.reset();
     m_guests.reset();
+    m_crashDetector.reset();
     m_delegatingJobs.clear();
 }
 
@@ -173,6 +174,7 @@
         task.failedRuns = it.failedRuns;
         task.run = it.failedRuns.empty() ? 0 : std::ranges::max(it.failedRuns);
         task.checkpoint = it.checkpoint;
+        task.crashes = it.crashes;
         if (it.isDone && task.state != TaskState::Done) {
             TaskLedger::finish(*ref);
         }
@@ -343,10 +345,12 @@
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const CellTask &task = step.tasks[i];
                 const bool isDone = task.state == TaskState::Done;
-                if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty() || task.guest) {
+                if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty() || task.guest
+                    || !task.crashes.isEmpty()) {
                     rows.push_back({k, s, i, isDone, task.failedRuns,
                                     isDone ? std::string() : task.checkpoint, task.guest,
-                                    task.guest ? task.run : 0});
+                                    task.guest ? task.run : 0,
+                                    isDone ? CrashHistory() : task.crashes});
                 }
             }
         }
@@ -415,7 +419,7 @@
 {
     m_now = now;
     detectPause(now);
-    expireLeases(now);
+    expireLeases(now, nowUnixMs);
     resolveUnlocatedTasks(now);
     if (now - m_lastCleanup >= CleanupInterval) {
         m_lastCleanup = now;
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellState.h"
+#include "Cell/CrashDetector.h"
 #include "Cell/GuestSelection.h"
 #include "Cell/Placement.h"
 #include "Workload/JobRecords.h"
@@ -90,6 +91,13 @@
     /// Handles the answer to a DelegateTasks or RevokeDelegation for \a job; \a isAccepted is false
     /// if the request may not have taken effect.
     void onDelegationReply(const JobId &job, int guest, bool isAccepted, TimePoint now);
+    /// Cells that have tasks of jobs of this cell.  O(jobs with delegations).
+    std::set<int> guests() const;
+    /// The cell \a guest has given up its tasks of \a jobs, which thereby fail.
+    void onTasksGivenUp(int guest, std::span<const JobId> jobs, TimePoint now,
+                        std::int64_t nowUnixMs);
+    /// As guest: jobs whose tasks were given up here, as far as that is durable.  O(jobs).
+    std::vector<JobId> givenUpJobs() const;
     /// As guest: takes over the tasks in \a record, as encoded by JobRecords::encodeDelegation().
     /// The verdict is Accepted once they are durable here; repeated requests add only new tasks.
     /// \throws JobRecordError
@@ -182,9 +190,16 @@
     /// True if at least half of the registered workers reported lately; otherwise their silence
     /// tells of this process or its link, not of them.
     bool hearsWorkers(TimePoint now) const;
-    void expireLeases(TimePoint now);
+    void expireLeases(TimePoint now, std::int64_t nowUnixMs);
     void resolveUnlocatedTasks(TimePoint now);
-    void releaseTasks(CellWorker &worker);
+    /// Releases the runs on \a worker that ended because another incarnation has answered an order
+    /// of \a sentAt.  Runs ordered since may belong to that one.
+    void releaseEarlierRuns(CellWorker &worker, TimePoint sentAt, std::int64_t nowUnixMs);
+    void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
+    /// Marks those of \a lost, runs on \a worker that are about to be released, that may have
+    /// crashed it, and gives up the jobs of the convicted ones.
+    void judgeCrash(CellWorker &worker, std::span<const TaskRef> lost, CrashDetector::Loss loss,
+                    std::int64_t nowUnixMs);
     void recordFailure(CellWorker &worker, TimePoint now);
     void resendStops(CellWorker &worker, TimePoint now);
     void restartStuckTasks(CellWorker &worker, TimePoint now);
@@ -194,8 +209,8 @@
 
     void applyLeaseReport(CellWorker &worker, const LeaseReport &report, TimePoint sentAt,
                           TimePoint now, std::int64_t nowUnixMs);
-    void beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs,
-                          TimePoint sentAt);
+    void beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs, TimePoint sentAt,
+                          std::int64_t nowUnixMs);
     void applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now);
     void applyEndedRun(CellWorker &worker, const EndedRun &row, TimePoint now,
                        std::int64_t nowUnixMs);
@@ -211,6 +226,7 @@
     InterferenceGuard m_interference;
     Placement m_placement{m_state, m_interference};
     GuestSelection m_guests;
+    CrashDetector m_crashDetector{m_state};
     std::set<std::string> m_delegatingJobs; ///< Jobs with delegations, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{}; ///< Time of the latest input.
--- /dev/null
+++ b/src/Cell/CrashDetector.cpp
@@ -0,0 +1,203 @@
+#include "Cell/CrashDetector.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace firefly {
+namespace {
+
+/// Longest time from a start to the silence of a worker that the start has crashed.
+constexpr Duration PromptTime = std::chrono::milliseconds(500);
+/// Time from a suspect's start in which other jobs start nothing beside it.
+constexpr Duration ObservationTime = std::chrono::milliseconds(1000);
+/// A run that has survived this long, in ms, has nothing to do with a crash of its worker.
+constexpr std::int64_t SettledMs = 10000;
+/// Other workers without a fresh task that fall silent within this time of a worker, for a reason
+/// that is none of its tasks.
+constexpr Duration CommonCauseWindow = std::chrono::milliseconds(1000);
+constexpr std::size_t CommonCauseCount = 2;
+/// Other workers, whatever they run, whose silence within this time makes that reason possible.
+constexpr Duration CrowdWindow = std::chrono::milliseconds(300);
+constexpr std::size_t CrowdCount = 3;
+/// Time for which losses are compared; longer than a lease, the longest time to a judgement.
+constexpr Duration LossMemory = std::chrono::seconds(15);
+
+/// Weight of a crash soon after the start of a single job's tasks, and of any other.
+constexpr std::uint32_t ClearEvidence = 2;
+constexpr std::uint32_t SharedEvidence = 1;
+/// A task is convicted from this evidence and number of certain crashes on.
+constexpr std::uint32_t ConvictingEvidence = 4;
+constexpr std::uint32_t ConvictingCrashes = 2;
+/// Without enough evidence a task is given up after this many losses.  The platform tolerates five
+/// crashes; a suspect by two early ones leaves one that no owner may have seen.
+constexpr std::uint32_t MaxLosses = 5;
+constexpr std::uint32_t MaxLossesOfSuspect = 4;
+constexpr std::uint32_t SuspectEarlyCrashes = 2;
+/// A suspect that has waited this long may start beside fresh tasks of other jobs.
+constexpr Duration SeparationPatience = std::chrono::milliseconds(2000);
+/// Late crashes from which on a task is a suspect.
+constexpr std::uint32_t SuspectLateCrashes = 2;
+
+bool hasSurvived(const CellTask &task, const CellWorker &worker, std::int64_t ms)
+{
+    const auto survivedMs = worker.survivedMs(task);
+    return survivedMs && *survivedMs >= ms;
+}
+
+void noteCrash(CellTask &task, const CellWorker &worker, TimePoint now)
+{
+    task.suspectSince = now;
+    task.crashAddress = worker.info.endpoint.address;
+}
+
+} // namespace
+
+bool CrashDetector::isAtCrashAddress(const CellTask &task, const CellWorker &worker)
+{
+    return !task.crashAddress.empty() && task.crashAddress == worker.info.endpoint.address;
+}
+
+bool CrashDetector::isSuspect(const CellTask &task)
+{
+    return task.crashes.early > 0 || task.crashes.late >= SuspectLateCrashes;
+}
+
+bool CrashDetector::isFresh(const CellTask &task, const CellWorker &worker)
+{
+    return !hasSurvived(task, worker, FreshMs);
+}
+
+CrashDetector::Coincidence CrashDetector::findCoincidence(const CellWorker &worker,
+                                                          TimePoint silentSince, TimePoint now)
+{
+    std::erase_if(m_losses,
+                  [now](const RecentLoss &it) { return now - it.silentSince > LossMemory; });
+    std::vector<RecentLoss> others(m_losses.begin(), m_losses.end());
+    for (const auto &[id, other] : m_state.workers) {
+        // A silent worker without tasks has been judged already, or had none to judge.
+        if (other.get() == &worker || other->renewFailures == 0 || other->tasks.empty()
+            || other->info.isDraining) {
+            continue;
+        }
+        const bool hasFreshTasks = std::ranges::any_of(
+            other->tasks, [&](const TaskRef &it) { return isFresh(it.task(), *other); });
+        others.push_back({other->silentSince, hasFreshTasks});
+    }
+    std::size_t unexplained = 0;
+    std::size_t crowd = 0;
+    for (const RecentLoss &it : others) {
+        const Duration distance = std::chrono::abs(it.silentSince - silentSince);
+        unexplained += distance <= CommonCauseWindow && !it.hasFreshTasks ? 1 : 0;
+        crowd += distance <= CrowdWindow ? 1 : 0;
+    }
+    if (unexplained >= CommonCauseCount) {
+        return Coincidence::CommonCause;
+    }
+    return crowd >= CrowdCount ? Coincidence::Crowd : Coincidence::None;
+}
+
+std::vector<TaskRef> CrashDetector::onRunsLost(const CellWorker &worker,
+                                               std::span<const TaskRef> lost, Loss loss,
+                                               TimePoint now)
+{
+    if (worker.info.isDraining || lost.empty()) {
+        return {};
+    }
+    const TimePoint silentSince = worker.silentSince == TimePoint{} ? now : worker.silentSince;
+    const Coincidence coincidence = findCoincidence(worker, silentSince, now);
+    const bool isCommon = coincidence == Coincidence::CommonCause;
+    std::vector<TaskRef> fresh;
+    std::ranges::copy_if(lost, std::back_inserter(fresh),
+                         [&worker](const TaskRef &it) { return isFresh(it.task(), worker); });
+    m_losses.push_back({silentSince, !fresh.empty()});
+    std::vector<TaskRef> marked;
+    const bool isOneJob = std::ranges::all_of(
+        fresh, [&fresh](const TaskRef &it) { return it.job == fresh.front().job; });
+    for (const TaskRef &it : fresh) {
+        CellTask &task = it.task();
+        if (isCommon && task.crashes.early == 0) {
+            continue;
+        }
+        const bool isPrompt = silentSince - task.startedAt <= PromptTime;
+        const bool isClear = isOneJob && isPrompt && loss == Loss::Crashed;
+        const bool isSameMachine = isAtCrashAddress(task, worker);
+        noteCrash(task, worker, now);
+        ++task.crashes.early;
+        task.crashes.certain += loss == Loss::Crashed ? 1 : 0;
+        if (coincidence == Coincidence::None && !isSameMachine) {
+            task.crashes.evidence += isClear ? ClearEvidence : SharedEvidence;
+        }
+        marked.push_back(it);
+    }
+    if (!fresh.empty() || isCommon || loss != Loss::Crashed) {
+        return marked;
+    }
+    for (const TaskRef &it : lost) {
+        CellTask &task = it.task();
+        if (hasSurvived(task, worker, SettledMs) || isAtCrashAddress(task, worker)) {
+            continue;
+        }
+        noteCrash(task, worker, now);
+        ++task.crashes.late;
+        marked.push_back(it);
+    }
+    return marked;
+}
+
+bool CrashDetector::onAlive(const TaskRef &ref, CellWorker &worker)
+{
+    CrashHistory &crashes = ref.task().crashes;
+    if (crashes.isEmpty()) {
+        return false;
+    }
+    CrashHistory left = crashes;
+    if (hasSurvived(ref.task(), worker, SettledMs)) {
+        left = {};
+    } else if (left.early > 0 && hasSurvived(ref.task(), worker, FreshMs)) {
+        // It may still crash its worker later.
+        left = {0, 0, 0, left.early + left.late};
+    }
+    if (left == crashes) {
+        return false;
+    }
+    crashes = left;
+    if (!isSuspect(ref.task()) && worker.observedJob == ref.job->id) {
+        worker.observedUntil = {};
+    }
+    return true;
+}
+
+void CrashDetector::onStart(const TaskRef &ref, CellWorker &worker, TimePoint now)
+{
+    const CrashHistory &crashes = ref.task().crashes;
+    if (!isSuspect(ref.task())) {
+        return;
+    }
+    worker.observedJob = ref.job->id;
+    worker.observedUntil =
+        now
+        + (crashes.late >= SuspectLateCrashes ? std::chrono::milliseconds(SettledMs)
+                                              : ObservationTime);
+}
+
+bool CrashDetector::isSeparable(const TaskRef &ref, const CellWorker &worker, TimePoint now)
+{
+    if (now < worker.observedUntil && worker.observedJob != ref.job->id) {
+        return false;
+    }
+    const CellTask &task = ref.task();
+    return !isSuspect(task) || now - task.suspectSince >= SeparationPatience
+           || std::ranges::all_of(worker.tasks, [&](const TaskRef &it) {
+                  return it.job == ref.job || !isFresh(it.task(), worker);
+              });
+}
+
+bool CrashDetector::isConvicted(const CellTask &task)
+{
+    const CrashHistory &crashes = task.crashes;
+    return (crashes.certain >= ConvictingCrashes && crashes.evidence >= ConvictingEvidence)
+           || crashes.early + crashes.late
+                  >= (crashes.early >= SuspectEarlyCrashes ? MaxLossesOfSuspect : MaxLosses);
+}
+
+} // namespace firefly
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -21,8 +21,11 @@
                                      TimePoint sentAt, TimePoint now, std::int64_t nowUnixMs)
 {
     if (report.incarnationStartUnixMs != worker.incarnationStartUnixMs) {
-        beginIncarnation(worker, report.incarnationStartUnixMs, sentAt);
+        beginIncarnation(worker, report.incarnationStartUnixMs, sentAt, nowUnixMs);
     }
+    worker.renewFailures = 0;
+    worker.silentSince = {};
+    worker.isReplaced = false;
     worker.isRestartSuspected = false;
     worker.clockMs = report.clockMs;
     worker.clockAt = now;
@@ -56,23 +59,15 @@
 }
 
 void CellScheduler::beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs,
-                                     TimePoint sentAt)
+                                     TimePoint sentAt, std::int64_t nowUnixMs)
 {
-    // Runs ordered after the renewal was sent may already belong to the new incarnation.
-    const std::vector<TaskRef> tasks = worker.tasks;
-    for (const TaskRef &it : tasks) {
-        if (it.task().state != TaskState::Starting && it.task().startedAt < sentAt) {
-            m_state.logDecision("worker restarted", it, worker.describeLoss(it.task(), m_now));
-            TaskLedger::release(it);
-        }
-    }
+    releaseEarlierRuns(worker, sentAt, nowUnixMs);
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.grantedDeadlineMs = 0;
     worker.lastSignMs = 0;
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
     worker.durableEndNumber = 0;
-    m_state.wantsPlacement = true;
 }
 
 void CellScheduler::applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now)
@@ -88,8 +83,8 @@
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
         task.progressMs = worker.clockMs;
-        // An earlier owner started the run, at an unknown time.
-        task.acceptedMs = 0;
+        // An earlier owner started the run, so that it has survived its start.
+        task.acceptedMs = worker.clockMs - CrashDetector::FreshMs;
     }
     if (task.worker != &worker || task.run != row.run) {
         sendStop(worker, row.task, row.run);
@@ -108,6 +103,9 @@
     task.percent = row.percent;
     task.usage = row.usage;
     task.lastListedReport = worker.reportCount;
+    if (CrashDetector::onAlive(*ref, worker) && !isFinal(ref->job->state)) {
+        recordProgress(*ref->job);
+    }
     if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
     }
@@ -146,6 +144,7 @@
         task.checkpoint = row.checkpoint.empty() ? task.checkpoint : row.checkpoint;
     }
     if (row.reason == RunEndReason::Failed) {
+        task.crashes = {};
         recordFailure(worker, now);
         task.notBefore = isLongRunning ? now + RestartDelay : now;
         // The failure of an earlier run counts even if a later run was reported first.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -1,5 +1,6 @@
 #include "Cell/Placement.h"
 
+#include "Cell/CrashDetector.h"
 #include "Cell/PlacementRules.h"
 #include "Cell/TaskLedger.h"
 
@@ -19,6 +20,8 @@
 constexpr Duration StartValidity = std::chrono::milliseconds(1500);
 /// Score of the rack that holds the data; other scores mostly lie between 0 and 1.
 constexpr double DataRackBonus = 10.0;
+/// Score lost at the address of the latest crash under the task.
+constexpr double CrashAddressPenalty = 100.0;
 /// Score of a serving task on a worker with serving tasks of its own image, and of another image.
 constexpr double SameImageBonus = 1.0;
 constexpr double OtherImagePenalty = -2.0;
@@ -256,6 +259,11 @@
             return;
         }
         CellWorker *worker = chooseWorker(ref, now);
+        if (!worker && CrashDetector::isSuspect(task)) {
+            // The others of the step don't need a worker without fresh tasks.
+            onUnplaceable(ref, now);
+            continue;
+        }
         if (!worker) {
             recordUnplaceable(ref);
             onUnplaceable(ref, now);
@@ -368,7 +376,7 @@
         {Obstacle::Unavailable, "unavailable"}, {Obstacle::Unresponsive, "unresponsive"},
         {Obstacle::Avoided, "avoided"},         {Obstacle::Capacity, "full"},
         {Obstacle::Fillers, "fillers"},         {Obstacle::Label, "label"},
-        {Obstacle::TaskLimit, "task_limit"}};
+        {Obstacle::Observed, "observed"},       {Obstacle::TaskLimit, "task_limit"}};
     std::map<Obstacle, int> counts;
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
@@ -414,6 +422,9 @@
             return std::nullopt;
         }
         value -= ViolationWeight * violations;
+    } else if (CrashDetector::isSuspect(ref.task())) {
+        // A crash takes all of the worker's tasks with it.
+        value = -static_cast<double>(worker.tasks.size());
     } else {
         value = -static_cast<double>(worker.freeRoom().milliCpu) / capacity;
         if (spec.targetMs > 0) {
@@ -423,6 +434,9 @@
     if (!spec.dataRack.empty() && worker.info.rack == spec.dataRack) {
         value += DataRackBonus;
     }
+    if (CrashDetector::isAtCrashAddress(ref.task(), worker)) {
+        value -= CrashAddressPenalty;
+    }
     return value;
 }
 
@@ -431,6 +445,7 @@
     TaskLedger::place(ref, worker, TaskState::Starting, run);
     CellTask &task = ref.task();
     task.startedAt = now;
+    CrashDetector::onStart(ref, worker, now);
     if (task.waitingSince != TimePoint{} && now - task.waitingSince >= FirstWaitReport) {
         m_state.logDecision("long-running task placed", ref,
                             "waited_ms=" + std::to_string(toMs(now - task.waitingSince)));
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -1,5 +1,7 @@
 #include "Cell/PlacementRules.h"
 
+#include "Cell/CrashDetector.h"
+
 #include <algorithm>
 
 namespace firefly::PlacementRules {
@@ -34,6 +36,9 @@
     if (worker.avoidUntil > now) {
         return Obstacle::Avoided;
     }
+    if (!CrashDetector::isSeparable(ref, worker, now)) {
+        return Obstacle::Observed;
+    }
     if (!available.fits(spec.reservation())) {
         return Obstacle::Capacity;
     }
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -17,6 +17,7 @@
     Capacity,
     Fillers, ///< It takes no fillers, or has too little idle processor time for this one.
     Label,
+    Observed,  ///< A suspect of CrashDetector could not be told from the other fresh tasks there.
     TaskLimit, ///< It runs as many tasks of the step as the step allows.
 };
 
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -248,9 +248,6 @@
         worker->nextRenewal = now + renewalBackoff(worker->renewFailures);
         return;
     }
-    worker->renewFailures = 0;
-    worker->silentSince = {};
-    worker->isReplaced = false;
     applyLeaseReport(*worker, report, sentAt, now, nowUnixMs);
 }
 
@@ -326,7 +323,7 @@
     return 2 * heard >= registered;
 }
 
-void CellScheduler::expireLeases(TimePoint now)
+void CellScheduler::expireLeases(TimePoint now, std::int64_t nowUnixMs)
 {
     if (now - m_lastWorkerCheck < WorkerCheckInterval) {
         return;
@@ -341,7 +338,7 @@
         const bool isSilenceCertain = hearsMost || (wasListening && !worker.isRegistered);
         const bool isExpired = hasRenewalResult && isSilenceCertain && now >= leaseEnd(worker);
         if (isExpired && !worker.tasks.empty()) {
-            releaseTasks(worker);
+            releaseTasks(worker, nowUnixMs);
         }
         if (isExpired && !worker.isRegistered && !worker.isRenewing) {
             m_state.journal.put({JobRecords::workerKey(it->first), std::nullopt});
@@ -384,8 +381,50 @@
     }
 }
 
-void CellScheduler::releaseTasks(CellWorker &worker)
+void CellScheduler::judgeCrash(CellWorker &worker, std::span<const TaskRef> lost,
+                               CrashDetector::Loss loss, std::int64_t nowUnixMs)
 {
+    std::set<CellJob *> changed;
+    for (const TaskRef &it : m_crashDetector.onRunsLost(worker, lost, loss, m_now)) {
+        const CrashHistory &crashes = it.task().crashes;
+        const bool isConvicted = CrashDetector::isConvicted(it.task());
+        m_state.logDecision(isConvicted ? "task given up" : "task suspected of a crash", it,
+                            "early=" + std::to_string(crashes.early)
+                                + " certain=" + std::to_string(crashes.certain)
+                                + " evidence=" + std::to_string(crashes.evidence)
+                                + " late=" + std::to_string(crashes.late));
+        changed.insert(it.job);
+        if (isConvicted && !isFinal(it.job->state)) {
+            finalize(*it.job, JobState::Failed, nowUnixMs);
+        }
+    }
+    for (CellJob *it : changed) {
+        if (!isFinal(it->state)) {
+            recordProgress(*it);
+        }
+    }
+}
+
+void CellScheduler::releaseEarlierRuns(CellWorker &worker, TimePoint sentAt, std::int64_t nowUnixMs)
+{
+    std::vector<TaskRef> lost;
+    std::ranges::copy_if(worker.tasks, std::back_inserter(lost), [sentAt](const TaskRef &it) {
+        return it.task().state != TaskState::Starting && it.task().startedAt < sentAt;
+    });
+    judgeCrash(worker, lost, CrashDetector::Loss::Crashed, nowUnixMs);
+    for (const TaskRef &it : lost) {
+        m_state.logDecision("worker restarted", it, worker.describeLoss(it.task(), m_now));
+        TaskLedger::release(it);
+    }
+    m_state.wantsPlacement = true;
+}
+
+void CellScheduler::releaseTasks(CellWorker &worker, std::int64_t nowUnixMs)
+{
+    const std::vector<TaskRef> lost = worker.tasks;
+    judgeCrash(worker, lost,
+               worker.isReplaced ? CrashDetector::Loss::Crashed : CrashDetector::Loss::Silent,
+               nowUnixMs);
     while (!worker.tasks.empty()) {
         m_state.logDecision("lease over", worker.tasks.back(),
                             worker.describeLoss(worker.tasks.back().task(), m_now));
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -21,6 +21,8 @@
     std::map<std::string, int> pendingByQueue; ///< Number of jobs without a started task.
     CellLoad load;
     std::map<std::string, ServiceRoom> rooms; ///< By service; only in the directory.
+    /// Jobs of other cells whose tasks were given up here; only in the directory.
+    std::vector<JobId> givenUpJobs;
 };
 
 /// Leader election for a cell by conditional appends to its ownership topic.
--- a/src/CellLease/ClaimRecord.cpp
+++ b/src/CellLease/ClaimRecord.cpp
@@ -30,6 +30,10 @@
         rooms[service] = json::array({toJson(room.largestFree), toJson(room.largestAfterBatch)});
     }
     const CellLoad &load = claim.load;
+    json givenUp = json::array();
+    for (const JobId &it : claim.givenUpJobs) {
+        givenUp.push_back(it.value());
+    }
     return json{{"epoch", claim.epoch},
                 {"holder", claim.holder},
                 {"node", claim.node},
@@ -38,7 +42,8 @@
                 {"renewal", claim.renewal},
                 {"pending", claim.pendingByQueue},
                 {"load", {load.reserved, load.fillers, load.longRunning, load.milliCpu}},
-                {"rooms", std::move(rooms)}}
+                {"rooms", std::move(rooms)},
+                {"given_up", std::move(givenUp)}}
         .dump();
 }
 
@@ -64,6 +69,9 @@
         for (const auto &[service, room] : rooms.items()) {
             claim.rooms[service] = {toAmount(room.at(0)), toAmount(room.at(1))};
         }
+        for (const json &it : object.value("given_up", json::array())) {
+            claim.givenUpJobs.emplace_back(it.get<std::string>());
+        }
         return claim;
     } catch (const json::exception &e) {
         throw ClaimRecordError(std::string("ownership claim: ") + e.what());
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -179,11 +179,14 @@
         for (const HeldJob &it : held) {
             load += it.load;
         }
+        std::vector<JobId> givenUp = scheduler.givenUpJobs();
+        isPublicationDue = isPublicationDue || givenUp != publishedGivenUp;
         const double change = std::abs(load.reserved - publishedLoad.reserved)
                               + std::abs(load.fillers - publishedLoad.fillers);
         if (std::exchange(isPublicationDue, false) || change > SignificantLoadChange
             || now - lastPublishedAt >= FleetDirectory::CellInterval) {
             publishedLoad = load;
+            publishedGivenUp = std::move(givenUp);
             election.setPending(scheduler.pendingByQueue());
             election.setLoad(load);
             publish(now);
@@ -198,6 +201,7 @@
         claim.pendingByQueue = election.pending();
         claim.load = election.load();
         claim.rooms = scheduler.roomByService();
+        claim.givenUpJobs = publishedGivenUp;
         claim.renewal = ++publications;
         options.publish(claim);
     }
@@ -209,6 +213,11 @@
             return;
         }
         lastDelegationAt = now;
+        for (const int guest : scheduler.guests()) {
+            if (const OwnershipClaim *claim = options.publishedClaim(guest)) {
+                scheduler.onTasksGivenUp(guest, claim->givenUpJobs, now, unixMs());
+            }
+        }
         for (const std::string &it : scheduler.servicesToDelegate(now)) {
             scheduler.delegateTasks(it, options.guestOffers(it), now);
         }
@@ -315,6 +324,7 @@
             {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
         // Until the workers are known, other cells should send no jobs or tasks here.
         election.setLoad({1.0, 1.0, 1.0});
+        publishedGivenUp.clear();
         publish(now);
         scheduler.beginOwnership(epoch, now, election.earlierOrdersExpiry());
         const auto afterReply = guarded([](Private &self) { self.postStep(); });
@@ -530,7 +540,8 @@
     TimePoint lastWantedAt{}; ///< When this process was last an owner or a candidate.
     std::optional<TimePoint> betterOwnerSince;
     CellLoad publishedLoad;
-    std::uint64_t publications = 0; ///< Number of publications of this process.
+    std::vector<JobId> publishedGivenUp; ///< As OwnershipClaim::givenUpJobs.
+    std::uint64_t publications = 0;      ///< Number of publications of this process.
     Epoch epoch = 0;
     std::uint64_t generation = 0; ///< Number of ownerships that have ended.
     bool isOwning = false;
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -58,6 +58,8 @@
         /// tasks of \a service.
         std::function<std::vector<std::optional<GuestOffer>>(const std::string &service)>
             guestOffers;
+        /// What the owner of \a cell publishes; null if nothing is known of it.
+        std::function<const OwnershipClaim *(int cell)> publishedClaim;
         SendDelegation sendDelegation;
     };
 
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -52,6 +52,9 @@
         options.lessLoadedCell = [this, cell](const CellHost::NewJob &job, const CellLoad &own) {
             return lessLoadedCell(cell, job, own);
         };
+        options.publishedClaim = [this](int other) {
+            return m_directory.directory().findCell(other);
+        };
         options.guestOffers = [this, cell](const std::string &service) {
             return guestOffers(cell, service);
         };
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace firefly::JobRecords {
 namespace {
 
@@ -213,12 +215,42 @@
     return tasks;
 }
 
+// Rows of their own, so that processes of an earlier version can read the rows of the tasks.
+json crashesToJson(const std::vector<TaskProgress> &tasks)
+{
+    json rows = json::array();
+    for (const TaskProgress &it : tasks) {
+        if (!it.crashes.isEmpty()) {
+            rows.push_back(json::array({it.occurrence, it.step, it.index, it.crashes.early,
+                                        it.crashes.certain, it.crashes.evidence, it.crashes.late}));
+        }
+    }
+    return rows;
+}
+
+void readCrashes(const json &record, std::size_t field, std::vector<TaskProgress> &tasks)
+{
+    if (record.size() <= field) {
+        return;
+    }
+    for (const json &row : record.at(field)) {
+        const auto at = [&row](std::size_t i) { return row.at(i).get<std::uint32_t>(); };
+        const auto it = std::ranges::find_if(tasks, [&at](const TaskProgress &task) {
+            return task.occurrence == at(0) && task.step == at(1) && task.index == at(2);
+        });
+        if (it != tasks.end()) {
+            it->crashes = {at(3), at(4), at(5), at(6)};
+        }
+    }
+}
+
 } // namespace
 
 std::string encodeProgress(const JobProgress &progress)
 {
-    return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
-                                progress.isStarted, toJson(progress.tasks)}));
+    return toBytes(
+        json::array({static_cast<int>(progress.state), progress.finalAtUnixMs, progress.isStarted,
+                     toJson(progress.tasks), crashesToJson(progress.tasks)}));
 }
 
 JobProgress decodeProgress(std::string_view bytes)
@@ -230,6 +262,7 @@
         row.at(1).get_to(progress.finalAtUnixMs);
         row.at(2).get_to(progress.isStarted);
         progress.tasks = toTasks(row.at(3));
+        readCrashes(row, 4, progress.tasks);
         return progress;
     } catch (const json::exception &e) {
         throw JobRecordError(std::string("progress record: ") + e.what());
@@ -239,8 +272,8 @@
 std::string encodeDelegation(const TaskDelegation &delegation)
 {
     const std::string spec = encodeSpec(delegation.spec, delegation.submittedAtUnixMs);
-    return toBytes(
-        json::array({json::binary({spec.begin(), spec.end()}), toJson(delegation.tasks)}));
+    return toBytes(json::array({json::binary({spec.begin(), spec.end()}), toJson(delegation.tasks),
+                                crashesToJson(delegation.tasks)}));
 }
 
 TaskDelegation decodeDelegation(std::string_view bytes)
@@ -252,6 +285,7 @@
         delegation.spec =
             decodeSpec(std::string(spec.begin(), spec.end()), delegation.submittedAtUnixMs);
         delegation.tasks = toTasks(row.at(1));
+        readCrashes(row, 2, delegation.tasks);
         for (const TaskProgress &it : delegation.tasks) {
             const bool isTask = delegation.spec.repetitions == 0 && it.occurrence == 0
                                 && it.step < delegation.spec.steps.size()
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -11,7 +11,20 @@
 
 namespace firefly {
 
-/// Durable progress of a task that is done, has failed or has saved a checkpoint.
+/// Crashes of workers under one task, as CrashDetector judges them.
+struct CrashHistory
+{
+    std::uint32_t early = 0;    ///< Workers that were lost soon after they started the task.
+    std::uint32_t certain = 0;  ///< Those of \a early that are known to have crashed.
+    std::uint32_t evidence = 0; ///< How clearly \a early points to this task.
+    std::uint32_t late = 0;     ///< Workers that crashed later in a run, with no other suspect.
+
+    bool isEmpty() const { return early == 0 && late == 0; }
+    bool operator==(const CrashHistory &) const = default;
+};
+
+/// Durable progress of a task that is done, has failed, has saved a checkpoint or may have crashed
+/// a worker.
 struct TaskProgress
 {
     std::uint32_t occurrence = 0;
@@ -23,6 +36,7 @@
     std::string checkpoint;   ///< Newest one; empty for none.
     std::optional<int> guest; ///< Cell that the task was delegated to, if any.
     std::uint32_t run = 0;    ///< Of a delegated task: no earlier run has a higher number.
+    CrashHistory crashes;
 };
 
 /// Durable progress of one job.
--- a/test/CrashingTasks.cpp
+++ b/test/CrashingTasks.cpp
@@ -1,5 +1,4 @@
-#include "fakes/CellWorld.h"
-#include "fakes/LongRunningTasks.h"
+#include "fakes/FleetWorld.h"
 
 #include <gtest/gtest.h>
 
@@ -13,15 +12,18 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t SeedCount = 20;
+/// Of the tests with long simulated times.
+constexpr std::uint32_t FewSeeds = 6;
 constexpr int WorkerCount = 12;
 
 /// Jobs of two steps with six tasks that arrive every 100 ms; one in ten has a task that crashes
-/// its workers.
+/// its workers, if \a hasCrashingTasks.
 class MixedJobs
 {
 public:
-    explicit MixedJobs(CellWorld &world)
+    MixedJobs(CellWorld &world, bool hasCrashingTasks)
         : m_world(world)
+        , m_hasCrashingTasks(hasCrashingTasks)
     {
         for (auto &[id, worker] : world.workers) {
             worker->workTime = 1s;
@@ -32,7 +34,7 @@
     {
         for (const TimePoint end = m_world.now + span; m_world.now < end;) {
             const std::string id = "job" + std::to_string(m_count);
-            if (m_count % 10 == 4) {
+            if (m_hasCrashingTasks && m_count % 10 == 4) {
                 m_crashing.push_back({JobId(id), 0, static_cast<std::uint32_t>(m_count / 10 % 2),
                                       static_cast<std::uint32_t>(m_count / 10 % 6)});
                 m_world.crashingTasks.insert(m_crashing.back());
@@ -58,30 +60,224 @@
         return ids;
     }
 
-    const std::vector<TaskName> &crashing() const { return m_crashing; }
+    /// Jobs with a crashing task that aren't shown as failed.
+    std::vector<std::string> unfailedCrashingJobs() const
+    {
+        std::vector<std::string> ids;
+        for (const TaskName &it : m_crashing) {
+            if (m_world.owner->stateOf(it.job) != JobState::Failed) {
+                ids.push_back(it.job.value());
+            }
+        }
+        return ids;
+    }
 
 private:
     CellWorld &m_world;
+    bool m_hasCrashingTasks;
     int m_count = 0;
     std::vector<JobId> m_sound;
     std::vector<TaskName> m_crashing;
 };
 
+/// Expects that \a jobs ended as they should, within the platform's limits.
+void expectSoundOutcome(const CellWorld &world, const MixedJobs &jobs, std::uint32_t seed)
+{
+    EXPECT_EQ(jobs.unfailedCrashingJobs(), std::vector<std::string>{}) << seed;
+    EXPECT_EQ(jobs.unfinishedSoundJobs(), std::vector<std::string>{}) << seed;
+    EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << seed;
+}
+
+/// Submits \a spec with a crashing task \a name and one sound long-running task per worker beside
+/// it, and runs the world long enough for a verdict.
+void runBesideSoundTasks(CellWorld &world, const JobSpec &spec, const TaskName &name)
+{
+    world.run(1s);
+    world.submit(JobId("sound"), makeSpreadLongRunning(WorkerCount, 2000));
+    world.run(1s);
+    world.crashingTasks.insert(name);
+    world.submit(name.job, spec);
+    world.run(60s);
+    for (std::uint32_t i = 0; i < WorkerCount; ++i) {
+        EXPECT_TRUE(isRunning(world, {JobId("sound"), 0, 0, i})) << i;
+    }
+    EXPECT_EQ(world.owner->stateOf(name.job), JobState::Failed);
+    EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
+}
+
+// Guards against a task that crashes one worker after another without end.
 TEST(CrashingTasks, ATaskThatCrashesItsWorkersIsGivenUpAndSoundJobsFinish)
 {
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         CellWorld world(seed, WorkerCount);
-        MixedJobs jobs(world);
+        MixedJobs jobs(world, true);
         world.run(1s);
         jobs.run(5s);
         world.run(40s);
-        for (const TaskName &it : jobs.crashing()) {
-            EXPECT_EQ(world.owner->stateOf(it.job), JobState::Failed) << seed;
+        expectSoundOutcome(world, jobs, seed);
+    }
+}
+
+// Guards against crashes that a new owner doesn't know of.
+TEST(CrashingTasks, CrashesBeforeAChangeOfOwnerCount)
+{
+    for (std::uint32_t seed = 1; seed <= FewSeeds; ++seed) {
+        CellWorld world(seed, WorkerCount);
+        MixedJobs jobs(world, true);
+        world.run(1s);
+        jobs.run(3s);
+        for (int i = 0; i < 2; ++i) {
+            world.run(4s + seed * 300ms);
+            world.replaceOwner(world.now + 6s);
+        }
+        world.run(50s);
+        expectSoundOutcome(world, jobs, seed);
+    }
+}
+
+// Guards against sound jobs that fail because whole racks crash.
+TEST(CrashingTasks, JobsOutliveRepeatedCrashesOfManyWorkers)
+{
+    for (std::uint32_t seed = 1; seed <= FewSeeds / 2; ++seed) {
+        CellWorld world(seed, WorkerCount);
+        MixedJobs jobs(world, false);
+        world.run(1s);
+        for (int round = 0; round < 6; ++round) {
+            jobs.run(2s);
+            std::vector<std::string> up;
+            for (const auto &[id, worker] : world.workers) {
+                if (worker->state == FakeCellWorker::State::Up) {
+                    up.push_back(id);
+                }
+            }
+            std::ranges::shuffle(up, world.random);
+            up.resize(std::min<std::size_t>(up.size(), WorkerCount / 3));
+            for (const std::string &it : up) {
+                world.crashWorker(it, world.crashDowntime);
+            }
+            world.run(2s);
+        }
+        world.run(40s);
+        expectSoundOutcome(world, jobs, seed);
+    }
+}
+
+// Guards against workers that are cut off or leave and are taken for crashed ones.
+TEST(CrashingTasks, JobsOutliveWorkersThatAreCutOffOrDrained)
+{
+    for (std::uint32_t seed = 1; seed <= FewSeeds; ++seed) {
+        CellWorld world(seed, WorkerCount);
+        MixedJobs jobs(world, false);
+        world.run(1s);
+        for (int round = 0; round < 4; ++round) {
+            const std::string cut = "w" + std::to_string(round);
+            const std::string drained = "w" + std::to_string(round + 4);
+            jobs.run(1s);
+            world.workers.at(cut)->isReachable = false;
+            world.workers.at(drained)->isDraining = true;
+            world.owner->onWorkerListed(world.workers.at(drained)->describe(), world.now);
+            world.run(300ms);
+            world.crashWorker(drained, 20s);
+            world.run(6500ms);
+            world.workers.at(cut)->isReachable = true;
+        }
+        world.run(30s);
+        expectSoundOutcome(world, jobs, seed);
+        EXPECT_TRUE(std::ranges::none_of(world.decisions, [](const LogDecision &it) {
+            return std::string_view(it.message) == "task given up";
+        })) << seed;
+    }
+}
+
+// Guards against tasks that survive their start and crash the worker later.
+TEST(CrashingTasks, ATaskThatCrashesItsWorkersLateIsGivenUp)
+{
+    for (const Duration delay :
+         {Duration(400ms), Duration(700ms), Duration(1500ms), Duration(4s)}) {
+        CellWorld world(1, WorkerCount);
+        world.crashDelay = delay;
+        SCOPED_TRACE(std::to_string(delay / 1ms) + " ms");
+        for (auto &[id, worker] : world.workers) {
+            worker->workTime = 5s;
         }
-        EXPECT_EQ(jobs.unfinishedSoundJobs(), std::vector<std::string>{}) << seed;
-        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << seed;
+        runBesideSoundTasks(world, makeChain(1, 3), {JobId("a"), 0, 0, 1});
+    }
+}
+
+// Guards against crashes that count only once the worker is back.
+TEST(CrashingTasks, ATaskWhoseWorkersStayDownIsGivenUp)
+{
+    CellWorld world(1, WorkerCount + 6);
+    world.crashDowntime = 60s;
+    runBesideSoundTasks(world, makeChain(1, 3), {JobId("a"), 0, 0, 1});
+}
+
+// Guards against members of a gang that are started again with it without end.
+TEST(CrashingTasks, AGangWithACrashingMemberIsGivenUp)
+{
+    CellWorld world(2, WorkerCount);
+    JobSpec spec = makeChain(1, 4);
+    spec.steps[0].isGang = true;
+    runBesideSoundTasks(world, spec, {JobId("a"), 0, 0, 2});
+}
+
+// Guards against occurrences of a job whose crashes don't count.
+TEST(CrashingTasks, AScheduledJobWithACrashingTaskIsGivenUp)
+{
+    CellWorld world(3, WorkerCount);
+    JobSpec spec = makeChain(1, 3);
+    spec.repetitions = 3;
+    spec.startAtUnixMs = world.unixMs() + 3000;
+    spec.intervalMs = 1000;
+    runBesideSoundTasks(world, spec, {JobId("a"), 1, 0, 2});
+}
+
+// Guards against long-running tasks that are restarted for ever however they end.
+TEST(CrashingTasks, ALongRunningTaskThatCrashesItsWorkersIsGivenUp)
+{
+    CellWorld world(4, WorkerCount);
+    runBesideSoundTasks(world, makeLongRunning(3, 1000), {JobId("a"), 0, 0, 1});
+}
+
+// Guards against delegated tasks that crash the guest's workers without end, or that their home
+// waits for.
+TEST(CrashingTasks, ADelegatedTaskThatCrashesItsWorkersFailsItsJobAtHome)
+{
+    constexpr int Home = 0;
+    constexpr int Guest = 1;
+    for (std::uint32_t seed = 1; seed <= FewSeeds; ++seed) {
+        FleetWorld world(seed, 2, 4);
+        world.run(500ms);
+        world.cell(Home).submit(JobId("full"), makeSpreadLongRunning(4, 7000));
+        world.run(1s);
+        world.cell(Guest).crashingTasks.insert({JobId("a"), 0, 0, 0});
+        world.cell(Home).submit(JobId("a"), makeLongRunning(1, 7000));
+        world.run(40s);
+        const CellWorld &guest = world.cell(Guest);
+        EXPECT_GE(guest.crashCount, 2) << seed;
+        EXPECT_EQ(world.cell(Home).owner->stateOf(JobId("a")), JobState::Failed) << seed;
+        EXPECT_EQ(world.allViolations(), std::vector<std::string>{}) << seed;
     }
 }
 
+// Guards against crashes that are forgotten when a task goes to another cell, or that an earlier
+// version can't read.
+TEST(CrashingTasks, RecordsKeepTheCrashesOfATask)
+{
+    TaskProgress task;
+    task.index = 1;
+    task.crashes = {2, 1, 3, 1};
+    JobProgress progress;
+    progress.tasks = {TaskProgress{}, task};
+    const JobProgress restored = JobRecords::decodeProgress(JobRecords::encodeProgress(progress));
+    EXPECT_EQ(restored.tasks.at(0).crashes, CrashHistory{});
+    EXPECT_EQ(restored.tasks.at(1).crashes, task.crashes);
+
+    task.guest = 1;
+    const TaskDelegation delegation{0, makeChain(1, 2), {task}};
+    const std::string record = JobRecords::encodeDelegation(delegation);
+    EXPECT_EQ(JobRecords::decodeDelegation(record).tasks.at(0).crashes, task.crashes);
+}
+
 } // namespace
 } // namespace firefly
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -29,6 +29,7 @@
         for (int i = 0; i < workerCount; ++i) {
             const std::string id = "w" + std::to_string(i);
             workers[id] = std::make_unique<FakeCellWorker>(id, audit);
+            workers[id]->endpoint.address = "10.0.0." + std::to_string(i + 1);
         }
         replaceOwner(now);
     }
@@ -98,6 +99,13 @@
         append();
     }
 
+    /// Changes the capacity of the worker \a id; the owner reads of it after \a delay.
+    void resizeWorker(const std::string &id, const ResourceVector &capacity, Duration delay)
+    {
+        workers.at(id)->resize(capacity, now);
+        after(delay, [this, id] { owner->onWorkerListed(workers.at(id)->describe(), now); });
+    }
+
     /// Crashes the worker \a id; it is back after \a downtime under another id at its address.
     void crashWorker(const std::string &id, Duration downtime)
     {
@@ -105,6 +113,7 @@
         if (worker.state != FakeCellWorker::State::Up) {
             return;
         }
+        breakGangs(id);
         worker.crash(now);
         ++crashCount;
         after(downtime, [this, id] {
@@ -117,6 +126,7 @@
             created->workTime = old.workTime;
             created->capacity = old.capacity;
             created->rack = old.rack;
+            created->endpoint = old.endpoint;
             created->incarnation = unixMs();
             owner->onWorkerListed(created->describe(), now);
         });
@@ -272,6 +282,25 @@
             });
     }
 
+    /// Ends the runs of all gangs with a member on the worker \a id.
+    void breakGangs(const std::string &id)
+    {
+        for (const TaskName &lost : workers.at(id)->runningTasks()) {
+            if (!audit.stepOf(lost)->isGang) {
+                continue;
+            }
+            for (auto &[other, worker] : workers) {
+                for (const TaskName &it : worker->runningTasks()) {
+                    const bool isMember = it.job == lost.job && it.occurrence == lost.occurrence
+                                          && it.step == lost.step;
+                    if (isMember && other != id) {
+                        worker->end(it, RunEndReason::Broken, now);
+                    }
+                }
+            }
+        }
+    }
+
     /// Crashes the worker that has started the task of \a order, unless the run ends before.
     void crashAfterStart(const StartTask &order, std::int64_t incarnation)
     {
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -54,7 +54,7 @@
         if (it != m_running.end() || m_highestRun[order.task] >= order.run) {
             return OrderOutcome::OldRun;
         }
-        m_audit.recordStart(m_id, capacity, order);
+        m_audit.recordStart(m_id, countedCapacity(now), order);
         m_running[order.task] = {order.run, now, now + workTime, hasFailingRuns, order.checkpoint};
         return OrderOutcome::Accepted;
     }
@@ -154,6 +154,14 @@
         state = State::Down;
     }
 
+    /// Changes the capacity while runs go on; describe() tells at once.
+    void resize(const ResourceVector &to, TimePoint now)
+    {
+        m_earlierCapacity = countedCapacity(now);
+        m_resizedAt = now;
+        capacity = to;
+    }
+
     /// What answers at the worker's address.
     enum class State {
         Up,
@@ -168,6 +176,31 @@
         return static_cast<std::int64_t>(elapsed.count() * clockRate);
     }
 
+    /// Ends the run of \a task, and lists the end.
+    void end(const TaskName &task, RunEndReason reason, TimePoint now)
+    {
+        const Run run = m_running.at(task);
+        m_running.erase(task);
+        m_highestRun[task] = std::max(m_highestRun[task], run.run);
+        std::string checkpoint = run.checkpoint;
+        const StepSpec *step = m_audit.stepOf(task);
+        if (step && step->isCheckpointing && reason != RunEndReason::Done) {
+            checkpoint = m_id + "-" + std::to_string((now - run.startedAt).count());
+            m_audit.checkpoints[task].insert(checkpoint);
+        }
+        m_ended.push_back({++m_lastEndNumber, task, run.run, reason, checkpoint});
+        m_audit.recordEnd(m_id, m_lastEndNumber, task, reason);
+    }
+
+    std::vector<TaskName> runningTasks() const
+    {
+        std::vector<TaskName> tasks;
+        for (const auto &[task, run] : m_running) {
+            tasks.push_back(task);
+        }
+        return tasks;
+    }
+
     bool isIdle() const { return m_running.empty(); }
     /// True while the worker lists ended runs that no owner has acknowledged.
     bool hasEndedRuns() const { return !m_ended.empty(); }
@@ -190,6 +223,20 @@
     static constexpr int StartedPercent =
         100; ///< Progress of a long-running task that has started up.
 
+    /// Time from a resize until starts that exceed a smaller capacity count against the owner.
+    static constexpr Duration ResizeTolerance = std::chrono::milliseconds(4500);
+
+    /// Limit of the starts at \a now: a smaller capacity counts only once an owner must know it.
+    ResourceVector countedCapacity(TimePoint now) const
+    {
+        if (m_resizedAt == TimePoint{} || now - m_resizedAt >= ResizeTolerance) {
+            return capacity;
+        }
+        return {std::max(capacity.milliCpu, m_earlierCapacity.milliCpu),
+                std::max(capacity.memoryMb, m_earlierCapacity.memoryMb),
+                std::max(capacity.gpus, m_earlierCapacity.gpus)};
+    }
+
     struct Run
     {
         std::uint32_t run = 0;
@@ -221,21 +268,8 @@
         m_deadlineMs = std::max(m_deadlineMs, std::min(deadlineMs, clockMs(now) + longest));
     }
 
-    void end(const TaskName &task, RunEndReason reason, TimePoint now)
-    {
-        const Run run = m_running.at(task);
-        m_running.erase(task);
-        m_highestRun[task] = std::max(m_highestRun[task], run.run);
-        std::string checkpoint = run.checkpoint;
-        const StepSpec *step = m_audit.stepOf(task);
-        if (step && step->isCheckpointing && reason != RunEndReason::Done) {
-            checkpoint = m_id + "-" + std::to_string((now - run.startedAt).count());
-            m_audit.checkpoints[task].insert(checkpoint);
-        }
-        m_ended.push_back({++m_lastEndNumber, task, run.run, reason, checkpoint});
-        m_audit.recordEnd(m_id, m_lastEndNumber, task, reason);
-    }
-
+    ResourceVector m_earlierCapacity; ///< Before the latest resize.
+    TimePoint m_resizedAt{};
     std::string m_id;
     CellAudit &m_audit;
     TimePoint m_bootAt{};
--- a/test/fakes/FleetWorld.h
+++ b/test/fakes/FleetWorld.h
@@ -290,7 +290,8 @@
     {
         std::vector<PublishedState> current;
         for (const auto &it : cells) {
-            current.push_back({it->owner->load(), it->owner->roomByService()});
+            current.push_back(
+                {it->owner->load(), it->owner->roomByService(), it->owner->givenUpJobs()});
         }
         m_loads.push_back(std::move(current));
         if (m_loads.size() <= LoadAge) {
@@ -300,6 +301,10 @@
         m_loads.pop_front();
         for (std::size_t i = 0; i < cells.size(); ++i) {
             CellScheduler &owner = *cells[i]->owner;
+            for (const int guest : owner.guests()) {
+                owner.onTasksGivenUp(guest, known[static_cast<std::size_t>(guest)].givenUpJobs,
+                                     now(), cells[i]->unixMs());
+            }
             for (const std::string &service : owner.servicesToDelegate(now())) {
                 std::vector<std::optional<GuestOffer>> others(known.size());
                 for (std::size_t k = 0; k < known.size(); ++k) {
@@ -389,6 +394,7 @@
     {
         CellLoad load;
         std::map<std::string, ServiceRoom> rooms;
+        std::vector<JobId> givenUpJobs;
     };
     std::deque<std::vector<PublishedState>> m_loads; ///< Of all cells, oldest first.
     TimePoint m_nextLoads{};
