Start lost tasks again once another incarnation answers for their worker

That refusal proves that the earlier incarnation is gone with all that it ran, so its runs are now released at once, except those ordered since the renewal was sent: after a restart under the same id they may belong to the new incarnation. For the same reason a new owner no longer waits for such a worker before it starts unlocated tasks.

TasksStartAgainOnceAnotherIncarnationAnswers and ANewOwnerDoesNotWaitForACrashedWorker fail without the change.

--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -177,8 +177,10 @@
     case OrderOutcome::Unhealthy:
         worker->avoidUntil = std::max(worker->avoidUntil, now + UnhealthyBackoff);
         break;
-    case OrderOutcome::NotSent:
     case OrderOutcome::OtherIncarnation:
+        worker->nextRenewal = now; // Tells what became of the worker's other tasks.
+        [[fallthrough]];
+    case OrderOutcome::NotSent:
     case OrderOutcome::Invalid:
         worker->avoidUntil = std::max(worker->avoidUntil, now + UnreachableBackoff);
         break;
@@ -246,6 +248,9 @@
         ++worker->renewFailures;
         worker->isReplaced = worker->isReplaced || outcome == OrderOutcome::OtherIncarnation;
         worker->nextRenewal = now + renewalBackoff(worker->renewFailures);
+        if (outcome == OrderOutcome::OtherIncarnation) {
+            releaseEarlierRuns(*worker, sentAt, nowUnixMs);
+        }
         return;
     }
     applyLeaseReport(*worker, report, sentAt, now, nowUnixMs);
@@ -362,7 +367,7 @@
         now >= m_state.locateUntil && now >= m_judgeSilenceFrom && hearsWorkers(now);
     const bool isComplete =
         std::ranges::all_of(m_state.workers, [hasLocateTimeExpired](const auto &it) {
-            return it.second->isContacted || !it.second->isRecorded
+            return it.second->isContacted || !it.second->isRecorded || it.second->isReplaced
                    || (hasLocateTimeExpired && it.second->renewFailures > 0);
         });
     if (!isComplete) {
