Place tasks at once on a worker whose capacity grows again

After it grew, waiting tasks stayed pending for up to a second, until the next periodic pass: a change of capacity alone didn't ask for one.

CapacityChange plays a worker that shrinks below what runs there, while starts are under way, below a gang and a reservation, in a guest before a delegated task starts, before the owner reads of it, and in random schedules with changes of owner, and that grows back. What runs there goes on; nothing starts above the capacity.

--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -84,6 +84,7 @@
         worker = std::make_unique<CellWorker>();
     }
     const bool wasReady = worker->isRegistered && !worker->info.isDraining;
+    const bool hasGrown = !worker->info.capacity.fits(info.capacity);
     worker->info = info;
     worker->isRegistered = true;
     if (!worker->isRecorded) {
@@ -94,7 +95,7 @@
     }
     if (info.isDraining) {
         evacuate(*worker);
-    } else if (!wasReady) {
+    } else if (!wasReady || hasGrown) {
         m_state.wantsPlacement = true;
     }
 }
