--- a/src/Cell/CrashDetector.cpp
+++ b/src/Cell/CrashDetector.cpp
@@ -73,15 +73,16 @@
     std::erase_if(m_losses,
                   [now](const RecentLoss &it) { return now - it.silentSince > LossMemory; });
     std::vector<RecentLoss> others(m_losses.begin(), m_losses.end());
-    for (const auto &[id, other] : m_state.workers) {
+    for (const auto &entry : m_state.workers) {
+        const CellWorker &other = *entry.second;
         // A silent worker without tasks has been judged already, or had none to judge.
-        if (other.get() == &worker || other->renewFailures == 0 || other->tasks.empty()
-            || other->info.isDraining) {
+        if (&other == &worker || other.renewFailures == 0 || other.tasks.empty()
+            || other.info.isDraining) {
             continue;
         }
         const bool hasFreshTasks = std::ranges::any_of(
-            other->tasks, [&](const TaskRef &it) { return isFresh(it.task(), *other); });
-        others.push_back({other->silentSince, hasFreshTasks});
+            other.tasks, [&other](const TaskRef &it) { return isFresh(it.task(), other); });
+        others.push_back({other.silentSince, hasFreshTasks});
     }
     std::size_t unexplained = 0;
     std::size_t crowd = 0;
