Log what a process still owes when it stops

The line 'stopped' told only the requests that the router had not answered, so an answer that the HTTP server had not written, and a drain that ended by its time limit, could not be told from a clean end.

No change of behaviour.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -39,7 +39,35 @@
     return request;
 }
 
-void send(const restinio::request_handle_t &request, HttpResponse response)
+/// Counts a request as open until it is closed, or destroyed without having been answered.
+class OpenRequest
+{
+public:
+    explicit OpenRequest(std::shared_ptr<std::size_t> count)
+        : m_count(std::move(count))
+    {
+        ++*m_count;
+    }
+    ~OpenRequest() { close(); }
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
+
+    /// Has no effect when called again.
+    void close()
+    {
+        if (const auto count = std::exchange(m_count, nullptr)) {
+            --*count;
+        }
+    }
+
+private:
+    std::shared_ptr<std::size_t> m_count;
+};
+
+using OpenRequestPtr = std::shared_ptr<OpenRequest>;
+
+/// Sends \a response; \a open is closed once it is written or its connection has ended.
+void send(const restinio::request_handle_t &request, HttpResponse response, OpenRequestPtr open)
 {
     const auto code = static_cast<std::uint16_t>(response.status);
     auto builder = request->create_response(
@@ -52,7 +80,7 @@
         builder.connection_close();
     }
     builder.set_body(std::move(response.body));
-    builder.done();
+    builder.done([open = std::move(open)](const asio::error_code &) { open->close(); });
 }
 
 HttpResponse overloadedResponse()
@@ -133,19 +161,20 @@
     restinio::request_handling_status_t handle(const restinio::request_handle_t &source)
     {
         const std::size_t size = source->body().size();
+        const auto open = std::make_shared<OpenRequest>(openRequests);
         if (size > bodyLimit) {
-            send(source, bodyTooLargeResponse());
+            send(source, bodyTooLargeResponse(), open);
             return restinio::request_accepted();
         }
         if (bufferedBytes + size > bufferedLimit) {
-            send(source, overloadedResponse());
+            send(source, overloadedResponse(), open);
             return restinio::request_accepted();
         }
         bufferedBytes += size;
         HttpRequest request = toRequest(*source);
-        handler(std::move(request), [this, source, size](HttpResponse response) {
+        handler(std::move(request), [this, source, size, open](HttpResponse response) {
             bufferedBytes -= size;
-            send(source, std::move(response));
+            send(source, std::move(response), open);
         });
         return restinio::request_accepted();
     }
@@ -154,6 +183,8 @@
     std::size_t bodyLimit;
     std::size_t bufferedLimit;
     std::size_t bufferedBytes = 0;
+    /// Shared with the responses, which may outlive the server.
+    std::shared_ptr<std::size_t> openRequests = std::make_shared<std::size_t>(0);
     Server server;
 };
 
@@ -173,4 +204,9 @@
         [] {}, [](std::exception_ptr e) { std::rethrow_exception(std::move(e)); });
 }
 
+std::size_t HttpServer::openRequests() const
+{
+    return *m_private->openRequests;
+}
+
 } // namespace firefly
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -74,6 +74,8 @@
 
     /// Closes the listening socket and all connections, once the io_context runs.
     void stop();
+    /// Number of requests that have arrived whole and whose response isn't written completely.
+    std::size_t openRequests() const;
 
 private:
     struct Private;
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -137,7 +137,8 @@
     {
         return {{"node", settings.node},          {"incarnation", incarnation},
                 {"config", routes.version()},     {"draining", isDraining},
-                {"in_flight", router.inFlight()}, {"cells", cells.dump()}};
+                {"in_flight", router.inFlight()}, {"unsent", clientServer.openRequests()},
+                {"cells", cells.dump()}};
     }
 
     void followConfig()
@@ -191,7 +192,13 @@
             router.finishAll();
         }
         if (isDrained || since >= settings.gracePeriod - ShutdownMargin) {
-            log.write(LogLevel::Info, "node", "stopped", {{"in_flight", router.inFlight()}});
+            log.write(LogLevel::Info, "node", "stopped",
+                      {{"drained", isDrained},
+                       {"drain_ms", since.count() / 1000},
+                       {"in_flight", router.inFlight()},
+                       {"unsent", clientServer.openRequests()},
+                       {"unsent_internal", internalServer.openRequests()},
+                       {"resigned", cells.hasResigned()}});
             context.stop();
             return;
         }
