End a process without the static destructors of its libraries

Cause: a static destructor of log4cplus waits for the threads of its pool. On the users' platform they don't get to run any more once main() has returned, so the process stays until it is killed at the end of its grace period. The class: an end that depends on the cooperation of something that nobody watches. The same end is used by fireflyswitchd and after an error.

Why it works: the daemons are torn down in order first (connections, listening sockets, log lines); nothing that the destructors do is needed then, and the kernel ends the threads.

--- a/apps/fireflynode.cpp
+++ b/apps/fireflynode.cpp
@@ -1,6 +1,7 @@
 /// \file Scheduler process on the users' platform: reads the settings and runs a NodeRuntime.
 
 #include "Node.h"
+#include "Ops/ProcessExit.h"
 #include "platform/SettingsFile.h"
 
 #include <asio/io_context.hpp>
@@ -77,9 +78,7 @@
     return 0;
 }
 
-} // namespace
-
-int main(int argc, char *argv[])
+int run(int argc, char *argv[])
 {
     std::map<std::string, docopt::value> options;
     try {
@@ -108,3 +107,10 @@
         return ExitFailed;
     }
 }
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    firefly::exitProcess(run(argc, argv));
+}
--- a/apps/fireflyswitchd.cpp
+++ b/apps/fireflyswitchd.cpp
@@ -1,6 +1,7 @@
 /// \file The entry process: parses its command line and settings, and runs an EntryRuntime.
 
 #include "Config/Settings.h"
+#include "Ops/ProcessExit.h"
 #include "Runtime.h"
 
 #include <asio/io_context.hpp>
@@ -48,9 +49,7 @@
     return 0;
 }
 
-} // namespace
-
-int main(int argc, char *argv[])
+int run(int argc, char *argv[])
 {
     std::map<std::string, docopt::value> options;
     try {
@@ -80,3 +79,10 @@
         return ExitFailed;
     }
 }
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    firefly::exitProcess(run(argc, argv));
+}
