Drain in two stages: take no more, then finish what was taken

Cause: a draining process took new connections until it ended. With some request always open it ended only after it had answered all of them by force, at the first poll that found the router's count at zero, whatever had just been accepted or was still to be written. The class: a shutdown without a boundary, which ends by its clock and not by what it owes.

Change: once the load balancer has had time to notice, the listening socket is closed. The process ends when no request is open, counted until its response is written, for clients and for other processes alike, at the next poll at the earliest. Answers forced at the end of the grace period get the whole 250 ms to be written instead of the 50 until the next poll. HttpServer::stop() never closed connections; it is stopAccepting() now, with the same effect in Fireflyctl.

Why it works: from then on what is owed can only decrease, by requests that take at most 1.5 s to find an owner and 3 s in all.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -198,7 +198,7 @@
 
 HttpServer::~HttpServer() = default;
 
-void HttpServer::stop()
+void HttpServer::stopAccepting()
 {
     m_private->server.close_async(
         [] {}, [](std::exception_ptr e) { std::rethrow_exception(std::move(e)); });
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -72,8 +72,10 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// Closes the listening socket and all connections, once the io_context runs.
-    void stop();
+    /// Closes the listening socket once the io_context runs; open connections stay usable.
+    ///
+    /// Connections that the server hasn't accepted yet are reset.
+    void stopAccepting();
     /// Number of requests that have arrived whole and whose response isn't written completely.
     std::size_t openRequests() const;
 
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -183,25 +183,26 @@
         pollDrain();
     }
 
+    /// Ends the process once it owes nothing any more, or shortly before it would be killed.
+    ///
+    /// Until the load balancer has noticed, new connections are served; from then on the process
+    /// takes none, so that what it owes only decreases.
     void pollDrain()
     {
         const Duration since = Clock::now() - drainBeganAt;
-        const bool isDrained =
-            since >= BalancerDetectionTime && router.inFlight() == 0 && cells.hasResigned();
-        if (!isDrained && since >= settings.gracePeriod - ShutdownMargin - FlushTime) {
+        const bool isOver = since >= settings.gracePeriod - ShutdownMargin;
+        if (since >= settings.gracePeriod - ShutdownMargin - FlushTime) {
             router.finishAll();
         }
-        if (isDrained || since >= settings.gracePeriod - ShutdownMargin) {
-            log.write(LogLevel::Info, "node", "stopped",
-                      {{"drained", isDrained},
-                       {"drain_ms", since.count() / 1000},
-                       {"in_flight", router.inFlight()},
-                       {"unsent", clientServer.openRequests()},
-                       {"unsent_internal", internalServer.openRequests()},
-                       {"resigned", cells.hasResigned()}});
+        const bool isDrained = hasStoppedAccepting && !owesAnswers() && cells.hasResigned();
+        if (isDrained || isOver) {
+            logStop(since, isDrained);
             context.stop();
             return;
         }
+        if (since >= BalancerDetectionTime && !std::exchange(hasStoppedAccepting, true)) {
+            clientServer.stopAccepting();
+        }
         drainTimer.expires_after(DrainPollInterval);
         drainTimer.async_wait([this](asio::error_code ec) {
             if (!ec) {
@@ -210,6 +211,24 @@
         });
     }
 
+    /// True while a client or another process waits for an answer, or for the rest of it.
+    bool owesAnswers() const
+    {
+        return router.inFlight() > 0 || clientServer.openRequests() > 0
+               || internalServer.openRequests() > 0;
+    }
+
+    void logStop(Duration drainTime, bool isDrained)
+    {
+        log.write(LogLevel::Info, "node", "stopped",
+                  {{"drained", isDrained},
+                   {"drain_ms", drainTime.count() / 1000},
+                   {"in_flight", router.inFlight()},
+                   {"unsent", clientServer.openRequests()},
+                   {"unsent_internal", internalServer.openRequests()},
+                   {"resigned", cells.hasResigned()}});
+    }
+
     asio::io_context &context;
     NodeSettings settings;
     std::string incarnation;
@@ -229,6 +248,7 @@
     asio::basic_waitable_timer<Clock> drainTimer;
     TimePoint drainBeganAt{};
     bool isDraining = false;
+    bool hasStoppedAccepting = false;
 };
 
 NodeRuntime::NodeRuntime(asio::io_context &context, NodeSettings settings)
--- a/test/Fireflyctl.cpp
+++ b/test/Fireflyctl.cpp
@@ -50,7 +50,7 @@
     }
     ~FireflyctlTest() override
     {
-        server.stop();
+        server.stopAccepting();
         guard.reset();
         thread.join();
     }
