Free the bytes of a request whose respond function is dropped

What callers would see: 503 for any body, until the process restarts, once handlers have dropped the respond functions of requests with 64 MB of bodies in all. A handler that throws, or that is destroyed while it waits, drops its respond function too.

Cause: the bytes were freed by the response only, through a pointer to the server, which a late answer used after the server was gone.

Change: the bytes and the count of open requests are shares of counters, which end with the response or with the respond function, whichever comes first. The counters belong to the requests too.

Why it works: a share is released exactly once, by its first release or by its destruction.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -39,35 +39,37 @@
     return request;
 }
 
-/// Counts a request as open until it is closed, or destroyed without having been answered.
-class OpenRequest
+/// Adds an amount to a counter until it is released or destroyed.
+class CounterShare
 {
 public:
-    explicit OpenRequest(std::shared_ptr<std::size_t> count)
-        : m_count(std::move(count))
+    CounterShare(std::shared_ptr<std::size_t> counter, std::size_t amount)
+        : m_counter(std::move(counter))
+        , m_amount(amount)
     {
-        ++*m_count;
+        *m_counter += m_amount;
     }
-    ~OpenRequest() { close(); }
-    OpenRequest(const OpenRequest &) = delete;
-    OpenRequest &operator=(const OpenRequest &) = delete;
+    ~CounterShare() { release(); }
+    CounterShare(const CounterShare &) = delete;
+    CounterShare &operator=(const CounterShare &) = delete;
 
     /// Has no effect when called again.
-    void close()
+    void release()
     {
-        if (const auto count = std::exchange(m_count, nullptr)) {
-            --*count;
+        if (const auto counter = std::exchange(m_counter, nullptr)) {
+            *counter -= m_amount;
         }
     }
 
 private:
-    std::shared_ptr<std::size_t> m_count;
+    std::shared_ptr<std::size_t> m_counter;
+    std::size_t m_amount;
 };
 
-using OpenRequestPtr = std::shared_ptr<OpenRequest>;
+using CounterSharePtr = std::shared_ptr<CounterShare>;
 
-/// Sends \a response; \a open is closed once it is written or its connection has ended.
-void send(const restinio::request_handle_t &request, HttpResponse response, OpenRequestPtr open)
+/// Sends \a response; \a open is released once it is written or its connection has ended.
+void send(const restinio::request_handle_t &request, HttpResponse response, CounterSharePtr open)
 {
     const auto code = static_cast<std::uint16_t>(response.status);
     auto builder = request->create_response(
@@ -80,7 +82,7 @@
         builder.connection_close();
     }
     builder.set_body(std::move(response.body));
-    builder.done([open = std::move(open)](const asio::error_code &) { open->close(); });
+    builder.done([open = std::move(open)](const asio::error_code &) { open->release(); });
 }
 
 HttpResponse overloadedResponse()
@@ -161,19 +163,19 @@
     restinio::request_handling_status_t handle(const restinio::request_handle_t &source)
     {
         const std::size_t size = source->body().size();
-        const auto open = std::make_shared<OpenRequest>(openRequests);
+        const auto open = std::make_shared<CounterShare>(openRequests, 1);
         if (size > bodyLimit) {
             send(source, bodyTooLargeResponse(), open);
             return restinio::request_accepted();
         }
-        if (bufferedBytes + size > bufferedLimit) {
+        if (*bufferedBytes + size > bufferedLimit) {
             send(source, overloadedResponse(), open);
             return restinio::request_accepted();
         }
-        bufferedBytes += size;
+        const auto body = std::make_shared<CounterShare>(bufferedBytes, size);
         HttpRequest request = toRequest(*source);
-        handler(std::move(request), [this, source, size, open](HttpResponse response) {
-            bufferedBytes -= size;
+        handler(std::move(request), [source, body, open](HttpResponse response) {
+            body->release();
             send(source, std::move(response), open);
         });
         return restinio::request_accepted();
@@ -182,8 +184,8 @@
     Handler handler;
     std::size_t bodyLimit;
     std::size_t bufferedLimit;
-    std::size_t bufferedBytes = 0;
-    /// Shared with the responses, which may outlive the server.
+    /// The counters are shared with the requests, which may outlive the server.
+    std::shared_ptr<std::size_t> bufferedBytes = std::make_shared<std::size_t>(0);
     std::shared_ptr<std::size_t> openRequests = std::make_shared<std::size_t>(0);
     Server server;
 };
