Keep a server for the connections that outlive it

What callers would see: nothing certain. A process that ends with open connections, as each drained one does with idle clients, used freed memory.

Cause: a RESTinio connection refers to its server's acceptor and handler, and lives until its last operation on the io_context. The acceptor was kept by its pending accept only, so that since stopAccepting() it ended with the HttpServer, before the connections.

Change: a destroyed HttpServer closes its listening socket and leaves the rest to a service of the io_context, which is destroyed after all pending operations. A request that still arrives is answered with 501. A server that is destroyed before its io_context runs doesn't open its port later.

Evidence: under AddressSanitizer (built by hand: HttpServer.cpp and HttpServerDrain.cpp) RequestAfterTheEndOfTheServerIsRejected and ServerDestroyedBeforeItOpensDoesNotListen abort on a use of freed memory before, and so does the end of StoppedServerRefusesNewConnectionsAndServesOpenOnes; all 13 tests pass after, without leaks.

Why it works: an execution context destroys all operations, and with them the connections, before it destroys any of its services.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -39,6 +39,25 @@
     return request;
 }
 
+/// Keeps destroyed servers for the connections that outlive them, until the io_context's end.
+class ServerKeeper : public asio::execution_context::service
+{
+public:
+    static inline asio::execution_context::id id; // NOLINT(readability-identifier-naming)
+
+    explicit ServerKeeper(asio::execution_context &context)
+        : service(context)
+    {}
+
+    void add(std::shared_ptr<void> server) { m_servers.push_back(std::move(server)); }
+
+private:
+    /// The connections are destroyed after this call, and need their servers.
+    void shutdown() override {}
+
+    std::vector<std::shared_ptr<void>> m_servers;
+};
+
 /// Adds an amount to a counter until it is released or destroyed.
 class CounterShare
 {
@@ -162,6 +181,9 @@
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t &source)
     {
+        if (!handler) {
+            return restinio::request_rejected();
+        }
         const std::size_t size = source->body().size();
         const auto open = std::make_shared<CounterShare>(openRequests, 1);
         if (size > bodyLimit) {
@@ -181,6 +203,7 @@
         return restinio::request_accepted();
     }
 
+    /// Empty once the HttpServer is destroyed.
     Handler handler;
     std::size_t bodyLimit;
     std::size_t bufferedLimit;
@@ -198,7 +221,15 @@
         [] {}, [](std::exception_ptr e) { std::rethrow_exception(std::move(e)); });
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+    m_private->server.close_sync();
+    // If the io_context hasn't run yet, the server opens later, and is closed then.
+    stopAccepting();
+    m_private->handler = nullptr;
+    asio::io_context &context = m_private->server.io_context();
+    asio::use_service<ServerKeeper>(context).add(std::move(m_private));
+}
 
 void HttpServer::stopAccepting()
 {
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -68,6 +68,7 @@
     /// If the endpoint can't be bound, the io_context's run() throws a std::exception.
     HttpServer(asio::io_context &context, const Endpoint &endpoint, const HttpLimits &limits,
                Handler handler);
+    /// Stops listening; a request that still arrives on an open connection is answered with 501.
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/test/HttpServerDrain.cpp
+++ b/test/HttpServerDrain.cpp
@@ -319,4 +319,39 @@
     }));
 }
 
+// A connection that outlived its server used the destroyed handler and the destroyed acceptor.
+TEST(HttpServerDrain, RequestAfterTheEndOfTheServerIsRejected)
+{
+    asio::io_context context;
+    auto server =
+        std::make_unique<HttpServer>(context, ServerEndpoint, HttpLimits{},
+                                     [](const HttpRequest &, const HttpServer::Respond &) {});
+    context.poll();
+    ClientConnection client;
+    context.run_for(20ms);
+    server->stopAccepting();
+    context.restart();
+    context.poll();
+    server.reset();
+    client.get();
+    for (int i = 0; i < 1000 && !client.isClosed(); ++i) {
+        context.restart();
+        context.run_for(1ms);
+        client.read();
+    }
+    EXPECT_EQ(client.status(), 501);
+    EXPECT_TRUE(client.isClosed());
+}
+
+// A server that was destroyed before its io_context ran opened its port with a destroyed handler.
+TEST(HttpServerDrain, ServerDestroyedBeforeItOpensDoesNotListen)
+{
+    asio::io_context context;
+    std::make_unique<HttpServer>(context, ServerEndpoint, HttpLimits{},
+                                 [](const HttpRequest &, const HttpServer::Respond &) {})
+        .reset();
+    context.poll();
+    EXPECT_THROW(ClientConnection(), asio::system_error);
+}
+
 } // namespace firefly
