End an entry once nothing has been owed for 200 ms

What callers would see: a connection closed without an answer if its request reached a draining entry in its last 200 ms and wasn't answered in them.

Cause: fireflyswitchd took connections until it ended, and ended by its clock, 200 ms after the core had drained, whatever had arrived since.

Change: after MinDrainTime the listening socket for callers is closed, and each answer while draining closes its connection. The process ends once nothing has been open in the core or at the HTTP servers for FlushTime, at the latest after MaxDrainTime. 'drained' logs the unsent responses.

The wait for an open request has no test yet: without workers a call is refused at once.

Why it works: from MinDrainTime on, what is owed can only decrease.

--- a/src/Runtime/EntryRuntime.cpp
+++ b/src/Runtime/EntryRuntime.cpp
@@ -21,7 +21,8 @@
 static_assert(OperatorBackend<EntryCore>,
               "EntryCore must satisfy the requirements of the operator API");
 
-/// Time for pending responses to be sent before the io_context is stopped.
+/// Time without open requests before the io_context is stopped, in which answers to other entries
+/// are sent.
 constexpr Duration FlushTime = std::chrono::milliseconds(200);
 /// Maximum duration of draining, which may have to wait for example for a log outage to end.
 constexpr Duration MaxDrainTime = std::chrono::seconds(30);
@@ -111,7 +112,11 @@
     HttpServer::Handler callerHandler()
     {
         return [this](HttpRequest request, HttpServer::Respond respond) {
-            callerApi.handle(std::move(request), std::move(respond));
+            callerApi.handle(std::move(request),
+                             [this, respond = std::move(respond)](HttpResponse response) {
+                                 response.closesConnection |= core.isDraining();
+                                 respond(std::move(response));
+                             });
         };
     }
 
@@ -138,13 +143,18 @@
             }
             runner.runStep([this](TimePoint now) { core.tick(now); });
             if (isDrainFinished()) {
-                stopAfterFlush();
+                logStop();
+                context.stop();
                 return;
             }
             scheduleTick();
         });
     }
 
+    /// True once nothing has been owed for FlushTime, or after MaxDrainTime.
+    ///
+    /// After MinDrainTime callers can't open connections any more, and each answer closes one, so
+    /// that what is owed only decreases.
     bool isDrainFinished()
     {
         if (!core.isDraining()) {
@@ -155,15 +165,31 @@
             drainStart = now;
         }
         const Duration elapsed = now - drainStart;
-        return elapsed >= MaxDrainTime || (elapsed >= MinDrainTime && core.isDrained());
+        if (elapsed < MinDrainTime) {
+            return false;
+        }
+        const bool hadStoppedAccepting = std::exchange(hasStoppedAccepting, true);
+        if (!hadStoppedAccepting) {
+            callerServer.stopAccepting();
+        }
+        if (!hadStoppedAccepting || owesAnswers()) {
+            lastOwedAt = now;
+        }
+        return elapsed >= MaxDrainTime || now - lastOwedAt >= FlushTime;
+    }
+
+    /// True while a caller, an operator or another entry waits for an answer, or the rest of it.
+    bool owesAnswers() const
+    {
+        return !core.isDrained() || callerServer.openRequests() > 0
+               || operatorServer.openRequests() > 0;
     }
 
-    void stopAfterFlush()
+    void logStop()
     {
         log.write(LogLevel::Info, "entry", "drained",
-                  {{"handedOver", core.workers().authority().shards().empty()}});
-        timer.expires_after(FlushTime);
-        timer.async_wait([this](const std::error_code &) { context.stop(); });
+                  {{"handedOver", core.workers().authority().shards().empty()},
+                   {"unsent", callerServer.openRequests() + operatorServer.openRequests()}});
     }
 
     asio::io_context &context;
@@ -177,6 +203,8 @@
     HttpServer operatorServer;
     asio::basic_waitable_timer<Clock> timer;
     TimePoint drainStart{};
+    TimePoint lastOwedAt{}; ///< Valid once hasStoppedAccepting.
+    bool hasStoppedAccepting = false;
 };
 
 EntryRuntime::EntryRuntime(asio::io_context &context, const Settings &settings)
