Soak rolling restarts and clients that keep their connections

The soak couldn't see it: it sent each request on a link that it resets, and terminated one process at a time.

Change: series of SIGTERM to many or all processes, 0.2 to 1 s apart, beside the other faults; a second SIGTERM, SIGHUP and a freeze of up to 1 s while a process drains.

The series have random numbers of their own, so the other faults of a seed are drawn as before. The kill at the end of the grace period no longer hits the process that was started since.

Not shown yet: that the new checks fail on the code from before the fix.

--- a/soak/FaultSchedule.cpp
+++ b/soak/FaultSchedule.cpp
@@ -1,5 +1,6 @@
 #include "FaultSchedule.h"
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 
@@ -13,6 +14,18 @@
 constexpr Duration MaxDelay = std::chrono::milliseconds(300);
 constexpr Duration MinDelay = std::chrono::milliseconds(20);
 constexpr Duration ExitPollInterval = std::chrono::milliseconds(20);
+constexpr Duration MinSeriesInterval = std::chrono::milliseconds(1000);
+constexpr Duration MaxSeriesInterval = std::chrono::milliseconds(7000);
+constexpr Duration MinRestartGap = std::chrono::milliseconds(200);
+constexpr Duration MaxRestartGap = std::chrono::milliseconds(1000);
+/// Signals and freezes come at most this long after SIGTERM.
+constexpr Duration MaxDrainTime = std::chrono::milliseconds(4500);
+constexpr Duration MaxDrainFreeze = std::chrono::milliseconds(1000);
+constexpr double DrainFaultShare = 0.3;
+/// From the log line `stopped` to the end of the process.
+constexpr Duration MaxExitTime = std::chrono::milliseconds(500);
+/// Spreads the seeds of the series away from those of the other faults.
+constexpr std::uint64_t SeriesSeedOffset = 1U << 20U;
 
 } // namespace
 
@@ -20,13 +33,16 @@
     : m_context(context)
     , m_fleet(fleet)
     , m_random(seed)
+    , m_restartRandom(seed + SeriesSeedOffset)
     , m_timer(context)
+    , m_restartTimer(context)
 {}
 
 void FaultSchedule::start(TimePoint endAt)
 {
     m_endAt = endAt;
     scheduleNext();
+    scheduleRestarts();
 }
 
 bool FaultSchedule::isOver() const
@@ -66,7 +82,7 @@
         kill(randomNode());
         break;
     case 2:
-        terminate(randomNode());
+        terminate(randomNode(), m_random);
         break;
     case 3: {
         SoakNode &node = randomNode();
@@ -115,9 +131,14 @@
 }
 
 Duration FaultSchedule::drawDuration(Duration min, Duration max)
+{
+    return drawDuration(m_random, min, max);
+}
+
+Duration FaultSchedule::drawDuration(std::mt19937_64 &random, Duration min, Duration max)
 {
     std::uniform_int_distribution<Duration::rep> distribution(min.count(), max.count());
-    return Duration(distribution(m_random));
+    return Duration(distribution(random));
 }
 
 SoakNode &FaultSchedule::randomNode()
@@ -142,6 +163,13 @@
     }
 }
 
+SoakNode *FaultSchedule::nodeOf(const LinkProxy &link)
+{
+    const auto it = std::ranges::find_if(
+        m_fleet.nodes, [&link](const SoakNode &node) { return node.store.get() == &link; });
+    return it == m_fleet.nodes.end() ? nullptr : &*it;
+}
+
 void FaultSchedule::freeze(SoakNode &node)
 {
     if (std::exchange(m_hasFault[&node], true)) {
@@ -149,8 +177,10 @@
     }
     ++m_counts["freeze"];
     node.process->signal(SIGSTOP);
+    beginFault(node);
     runAfter(drawDuration(MinFaultDuration, MaxFaultDuration), [this, &node] {
         node.process->signal(SIGCONT);
+        endFault(node);
         m_hasFault[&node] = false;
     });
 }
@@ -161,23 +191,119 @@
         return;
     }
     ++m_counts["kill"];
+    node.lastFaultAt = Clock::now();
     node.process->signal(SIGKILL);
     restartAfterExit(node, drawDuration(MinFaultDuration, MaxFaultDuration));
 }
 
-void FaultSchedule::terminate(SoakNode &node)
+void FaultSchedule::terminate(SoakNode &node, std::mt19937_64 &random)
 {
     if (std::exchange(m_hasFault[&node], true)) {
         return;
     }
     ++m_counts["terminate"];
     node.process->signal(SIGTERM);
-    runAfter(node.settings.gracePeriod, [&node] {
-        if (node.process->isRunning()) {
-            node.process->signal(SIGKILL);
+    node.terminatedAt = Clock::now();
+    runWhileDraining(node, node.settings.gracePeriod, [this, &node] {
+        m_fleet.audit.violations.push_back("still running at the end of its grace period: "
+                                           + node.settings.node + ", log "
+                                           + node.process->lastLogLine());
+        node.process->signal(SIGKILL);
+    });
+    restartAfterExit(node, drawDuration(random, MinFaultDuration, MaxFaultDuration));
+    // Not drawn from random, so that the other faults of a seed stay the same.
+    disturbDrain(node, m_restartRandom);
+}
+
+void FaultSchedule::disturbDrain(SoakNode &node, std::mt19937_64 &random)
+{
+    std::bernoulli_distribution happens(DrainFaultShare);
+    for (const int number : {SIGTERM, SIGHUP}) {
+        if (!happens(random)) {
+            continue;
+        }
+        runWhileDraining(node, drawDuration(random, {}, MaxDrainTime), [this, &node, number] {
+            ++m_counts[number == SIGHUP ? "SIGHUP in drain" : "second SIGTERM"];
+            node.process->signal(number);
+        });
+    }
+    if (!happens(random)) {
+        return;
+    }
+    const Duration length = drawDuration(random, {}, MaxDrainFreeze);
+    runWhileDraining(node, drawDuration(random, {}, MaxDrainTime), [this, &node, length] {
+        ++m_counts["freeze in drain"];
+        node.process->signal(SIGSTOP);
+        beginFault(node);
+        runAfter(length, [this, &node] {
+            node.process->signal(SIGCONT);
+            endFault(node);
+        });
+    });
+}
+
+void FaultSchedule::runWhileDraining(SoakNode &node, Duration delay, const Action &action)
+{
+    runAfter(delay, [&node, action, terminatedAt = node.terminatedAt] {
+        if (node.terminatedAt == terminatedAt && node.process->isRunning()) {
+            action();
         }
     });
-    restartAfterExit(node, drawDuration(MinFaultDuration, MaxFaultDuration));
+}
+
+void FaultSchedule::checkEnd(const SoakNode &node)
+{
+    // A process that is told to stop before it has logged its start can't handle the signal yet.
+    if (node.process->hasBeenKilled() || !node.process->hasLogged()) {
+        return;
+    }
+    const Duration exitTime = node.process->timeSinceLog();
+    const std::string line = node.process->lastLogLine();
+    if (line.find("\"message\":\"stopped\"") == std::string::npos) {
+        m_fleet.audit.violations.push_back("ended without 'stopped': " + node.settings.node
+                                           + ", log " + line);
+    } else if (exitTime > MaxExitTime && !node.isDisturbedSince(Clock::now() - exitTime)) {
+        m_fleet.audit.violations.push_back("ended " + std::to_string(exitTime.count() / 1000)
+                                           + " ms after 'stopped': " + node.settings.node + ", log "
+                                           + line);
+    }
+}
+
+void FaultSchedule::scheduleRestarts()
+{
+    m_restartTimer.expires_after(
+        drawDuration(m_restartRandom, MinSeriesInterval, MaxSeriesInterval));
+    m_restartTimer.async_wait([this](asio::error_code ec) {
+        if (ec || Clock::now() >= m_endAt) {
+            return;
+        }
+        restartInSeries();
+        scheduleRestarts();
+    });
+}
+
+void FaultSchedule::restartInSeries()
+{
+    ++m_counts["series of restarts"];
+    const std::size_t nodes = m_fleet.nodes.size();
+    const std::size_t count = nodes - m_restartRandom() % (nodes / 2 + 1);
+    const std::size_t first = m_restartRandom() % nodes;
+    const Duration gap = drawDuration(m_restartRandom, MinRestartGap, MaxRestartGap);
+    for (std::size_t i = 0; i < count; ++i) {
+        SoakNode &node = m_fleet.nodes[(first + i) % nodes];
+        runAfter(gap * i, [this, &node] { terminate(node, m_restartRandom); });
+    }
+}
+
+void FaultSchedule::beginFault(SoakNode &node)
+{
+    ++node.activeFaults;
+}
+
+void FaultSchedule::endFault(SoakNode &node)
+{
+    --node.activeFaults;
+    node.lastFaultAt = Clock::now();
 }
 
 void FaultSchedule::restartAfterExit(SoakNode &node, Duration downtime)
@@ -187,7 +313,11 @@
             restartAfterExit(node, downtime);
             return;
         }
+        if (node.terminatedAt != TimePoint{}) {
+            checkEnd(node);
+        }
         runAfter(downtime, [this, &node] {
+            node.terminatedAt = {};
             node.process->start();
             m_hasFault[&node] = false;
         });
@@ -203,10 +333,14 @@
 
 void FaultSchedule::injectLinkFault(LinkProxy &link)
 {
+    SoakNode *const node = nodeOf(link);
     switch (std::uniform_int_distribution<int>(0, 4)(m_random)) {
     case 0:
         ++m_counts["link reset"];
         link.reset();
+        if (node) {
+            node->lastFaultAt = Clock::now();
+        }
         return;
     case 1:
         ++m_counts["link requests cut"];
@@ -227,7 +361,13 @@
         break;
     }
     ++m_linkFaults[&link];
-    runAfter(drawDuration(MinFaultDuration, MaxFaultDuration), [this, &link] {
+    if (node) {
+        beginFault(*node);
+    }
+    runAfter(drawDuration(MinFaultDuration, MaxFaultDuration), [this, &link, node] {
+        if (node) {
+            endFault(*node);
+        }
         if (--m_linkFaults[&link] > 0) {
             return;
         }
--- a/soak/FaultSchedule.h
+++ b/soak/FaultSchedule.h
@@ -33,13 +33,26 @@
     /// Runs \a action after \a delay; isOver() is false until then.
     void runAfter(Duration delay, const Action &action);
     Duration drawDuration(Duration min, Duration max);
+    static Duration drawDuration(std::mt19937_64 &random, Duration min, Duration max);
     SoakNode &randomNode();
     SoakWorker &randomWorker();
     LinkProxy &randomLink();
+    /// The process that reaches the store by \a link; null if none does.
+    SoakNode *nodeOf(const LinkProxy &link);
 
     void freeze(SoakNode &node);
     void kill(SoakNode &node);
-    void terminate(SoakNode &node);
+    /// Draws from \a random how long the process stays away and what it meets while it drains.
+    void terminate(SoakNode &node, std::mt19937_64 &random);
+    void disturbDrain(SoakNode &node, std::mt19937_64 &random);
+    /// Runs \a action after \a delay if the process is still draining.
+    void runWhileDraining(SoakNode &node, Duration delay, const Action &action);
+    void checkEnd(const SoakNode &node);
+    void scheduleRestarts();
+    /// Terminates many or all processes one after the other.
+    void restartInSeries();
+    void beginFault(SoakNode &node);
+    void endFault(SoakNode &node);
     void restartAfterExit(SoakNode &node, Duration downtime);
     void killAll();
     void injectLinkFault(LinkProxy &link);
@@ -48,7 +61,10 @@
     asio::io_context &m_context;
     SoakFleet &m_fleet;
     std::mt19937_64 m_random; ///< Not shared, so that the schedule depends only on the seed.
+    std::mt19937_64
+        m_restartRandom; ///< For the series, so that they don't change the other faults.
     asio::basic_waitable_timer<Clock> m_timer;
+    asio::basic_waitable_timer<Clock> m_restartTimer;
     TimePoint m_endAt{};
     int m_pendingActions = 0; ///< Actions that runAfter() has yet to run.
     std::map<std::string, int> m_counts;
--- a/soak/NodeProcess.cpp
+++ b/soak/NodeProcess.cpp
@@ -5,9 +5,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <fstream>
 #include <system_error>
 #include <utility>
 
@@ -35,6 +37,25 @@
     return ec ? 0 : size;
 }
 
+std::string NodeProcess::lastLogLine() const
+{
+    constexpr std::uintmax_t MaxLineBytes = 1000;
+    const std::uintmax_t size = logSize();
+    std::ifstream file(m_log);
+    file.seekg(static_cast<std::streamoff>(size - std::min(size, MaxLineBytes)));
+    std::string last;
+    for (std::string line; std::getline(file, line);) {
+        last = line;
+    }
+    return last;
+}
+
+Duration NodeProcess::timeSinceLog() const
+{
+    return std::chrono::duration_cast<Duration>(std::filesystem::file_time_type::clock::now()
+                                                - std::filesystem::last_write_time(m_log));
+}
+
 void NodeProcess::start()
 {
     m_logSizeAtStart = logSize();
--- a/soak/NodeProcess.h
+++ b/soak/NodeProcess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/Clock.h"
+
 #include <sys/types.h>
 
 #include <filesystem>
@@ -24,6 +26,13 @@
     void signal(int number);
     /// True while the process runs; otherwise collects its exit status.
     bool isRunning();
+    bool hasBeenKilled() const { return m_hasBeenKilled; }
+    /// True if the process has written to its log.
+    bool hasLogged() const { return logSize() > m_logSizeAtStart; }
+    /// Last line of the log, empty if there is none.
+    std::string lastLogLine() const;
+    /// Time since the log was last written to.
+    Duration timeSinceLog() const;
     /// Statuses of the processes started here that crashed or exited with an error; empty if none.
     const std::string &crashes() const { return m_crashes; }
 
--- a/soak/SoakFleet.h
+++ b/soak/SoakFleet.h
@@ -42,6 +42,11 @@
     std::unique_ptr<LinkProxy> store;   ///< To the store.
     std::unique_ptr<NodeProcess> process;
     Endpoint callersEndpoint;
+    TimePoint terminatedAt{}; ///< Of SIGTERM, until the process is started again.
+    int activeFaults = 0;     ///< Faults other than SIGTERM.
+    TimePoint lastFaultAt{};  ///< End of the last of them.
+
+    bool isDisturbedSince(TimePoint time) const { return activeFaults > 0 || lastFaultAt >= time; }
 };
 
 /// One simulated worker and the link through which the processes reach it.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,6 +1,7 @@
 /// \file Randomized soak test of the real processes on one machine, with injected faults.
 
 #include "FaultSchedule.h"
+#include "KeepAliveClients.h"
 #include "SoakCallers.h"
 #include "SoakFleet.h"
 
@@ -72,11 +73,14 @@
     fleet.start();
     SoakCallers callers(context, fleet, options.seed);
     callers.start();
+    KeepAliveClients keepAliveClients(context, fleet, options.seed);
+    keepAliveClients.start();
     runUntil(context, startedAt + StartupTime, [] { return false; });
     FaultSchedule faults(context, fleet, options.seed);
     faults.start(Clock::now() + options.faultPeriod);
     runUntil(context, TimePoint::max(), [&faults] { return faults.isOver(); });
     callers.stopSubmitting();
+    keepAliveClients.stopSending();
     const TimePoint faultsEndedAt = Clock::now();
     runUntil(context, faultsEndedAt + options.settlingTimeout,
              [&callers] { return callers.isSettled(); });
@@ -84,8 +88,8 @@
     callers.checkGuarantees();
     fleet.stop();
     std::cout << "seed " << options.seed << ": " << fleet.audit.violations.size() << " violations; "
-              << callers.summary() << "; settled in " << settlingTime.count() / 1000 << " ms; "
-              << faults.summary() << '\n';
+              << callers.summary() << "; " << keepAliveClients.summary() << "; settled in "
+              << settlingTime.count() / 1000 << " ms; " << faults.summary() << '\n';
     for (const std::string &it : fleet.audit.violations) {
         std::cout << "  " << it << '\n';
     }
