--- a/soak/KeepAliveClients.cpp
+++ b/soak/KeepAliveClients.cpp
@@ -217,8 +217,7 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, max.count())(m_random));
 }
 
-void KeepAliveClients::addViolation(const SoakNode &node, TimePoint sentAt,
-                                    std::size_t answerBytes)
+void KeepAliveClients::addViolation(const SoakNode &node, TimePoint sentAt, std::size_t answerBytes)
 {
     const std::string origin =
         node.terminatedAt == TimePoint{}
