Add a failing test of a request read at the last poll of a drain

A client sends a request of 6 KB on a connection that it held open, 5 ms before the poll that ends the process. The process reads it to its end in two reads; the second read completes at once, its handler is queued behind the poll, and the poll stops the loop. Seen: the connection is closed without an answer and without a reset, so the process had read all.

--- a/test/NodeDrain.cpp
+++ b/test/NodeDrain.cpp
@@ -39,10 +39,13 @@
 
     void send(std::string_view text) { asio::write(m_socket, asio::buffer(text)); }
 
-    void submit(const std::string &job)
+    /// Submits \a job with a body of at least \a minBodySize bytes.
+    void submit(const std::string &job, std::size_t minBodySize = 0)
     {
+        std::string body = Body;
+        body.resize(std::max(body.size(), minBodySize), ' ');
         send("POST /q/" + job + " HTTP/1.1\r\nHost: a.example\r\nContent-Length: "
-             + std::to_string(Body.size()) + "\r\nX-Deadline-Ms: 3000\r\n\r\n" + Body);
+             + std::to_string(body.size()) + "\r\nX-Deadline-Ms: 3000\r\n\r\n" + body);
     }
 
     void poll()
@@ -56,10 +59,13 @@
                 return;
             }
             m_isClosed = static_cast<bool>(ec);
+            m_isReset = m_isClosed && ec != asio::error::eof;
         }
     }
 
     bool isClosed() const { return m_isClosed; }
+    /// Closed while the node had bytes that it hadn't read.
+    bool isReset() const { return m_isReset; }
     bool isAnswered() const { return received.starts_with("HTTP/1.1 "); }
 
     std::string received;
@@ -69,6 +75,7 @@
         R"({"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimate_ms":1000}]})";
     asio::ip::tcp::socket m_socket;
     bool m_isClosed = false;
+    bool m_isReset = false;
 };
 
 /// A node process whose configuration is known and whose cells have no owner, on a paused clock.
@@ -225,5 +232,26 @@
     }
 }
 
+// A request in several reads was read to its end by the process, and the loop was stopped before the
+// handler of the last read ran (issue 33).
+TEST(NodeDrain, RequestThatIsReadCompletelyAtTheLastPollIsAnswered)
+{
+    constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
+    constexpr std::size_t SeveralReads = 6000;
+    DrainingNode node;
+    ClientConnection client(node.partners, node.settings.clientEndpoint);
+    node.settle();
+    node.node->drain();
+    node.run(BalancerDetectionTime + DrainPollInterval - Step);
+    ASSERT_FALSE(node.hasStopped());
+    client.submit("0123456789abcdef", SeveralReads);
+    node.run(RequestRouter::MaxOwnerWait + Tolerance);
+    EXPECT_TRUE(node.hasStopped());
+    node.exit();
+    client.poll();
+    EXPECT_TRUE(client.isAnswered() || client.isReset());
+    EXPECT_TRUE(client.isClosed());
+}
+
 } // namespace
 } // namespace firefly
