Handle what has been read before a drained process ends

A 6 KB request on a kept connection, sent 5 ms before the last poll of a drain, was read and closed without an answer.

Cause: the request arrives in two reads. The second completes at once, and its handler waits behind the drain timer, which ends the loop. Found by the review (NodeDrain.RequestThatIsReadCompletelyAtTheLastPollIsAnswered).

Change: before the loop ends, all ready handlers run, and the drain is judged again. The listening socket is closed also if the grace period is shorter than the load balancer needs. 'stopped' counts the answers that were forced by the end of the grace period, so that such an end isn't taken for a clean one, and names its counts by what they are: open requests.

ProcessExit waits until the program listens instead of 0.7 s, which could be too short on a busy machine.

Why it works: handlers that are ready hold all that the process has read; nothing else can run between the last check and the stop.

--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -12,6 +12,7 @@
 #include <asio/basic_waitable_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace firefly {
@@ -137,7 +138,7 @@
     {
         return {{"node", settings.node},          {"incarnation", incarnation},
                 {"config", routes.version()},     {"draining", isDraining},
-                {"in_flight", router.inFlight()}, {"unsent", clientServer.openRequests()},
+                {"in_flight", router.inFlight()}, {"open_requests", clientServer.openRequests()},
                 {"cells", cells.dump()}};
     }
 
@@ -185,22 +186,26 @@
 
     /// Ends the process once it owes nothing any more, or shortly before it would be killed.
     ///
-    /// Until the load balancer has noticed, new connections are served; from then on the process
-    /// takes none, so that what it owes only decreases.
+    /// Until the load balancer has noticed, new connections are served; from then on only those
+    /// that are open, each with one request more at most.
     void pollDrain()
     {
         const Duration since = Clock::now() - drainBeganAt;
-        const bool isOver = since >= settings.gracePeriod - ShutdownMargin;
-        if (since >= settings.gracePeriod - ShutdownMargin - FlushTime) {
-            router.finishAll();
+        const Duration answerLimit = settings.gracePeriod - ShutdownMargin - FlushTime;
+        const bool isGraceOver = since >= settings.gracePeriod - ShutdownMargin;
+        if (since >= answerLimit) {
+            forcedAnswers += router.finishAll();
         }
-        const bool isDrained = hasStoppedAccepting && !owesAnswers() && cells.hasResigned();
-        if (isDrained || isOver) {
-            logStop(since, isDrained);
+        if (isGraceOver || isDrained()) {
+            runReadyHandlers();
+        }
+        if (isGraceOver || isDrained()) {
+            logStop(since);
             context.stop();
             return;
         }
-        if (since >= BalancerDetectionTime && !std::exchange(hasStoppedAccepting, true)) {
+        if (since >= std::min(BalancerDetectionTime, answerLimit)
+            && !std::exchange(hasStoppedAccepting, true)) {
             clientServer.stopAccepting();
         }
         drainTimer.expires_after(DrainPollInterval);
@@ -211,6 +216,18 @@
         });
     }
 
+    bool isDrained() const { return hasStoppedAccepting && !owesAnswers() && cells.hasResigned(); }
+
+    /// Handles what has been read already: the rest of a request may wait behind the drain timer.
+    void runReadyHandlers()
+    {
+        const TimePoint limit = Clock::now() + FlushTime;
+        bool isReady = true;
+        while (isReady && Clock::now() < limit) {
+            isReady = context.poll_one() > 0;
+        }
+    }
+
     /// True while a client or another process waits for an answer, or for the rest of it.
     bool owesAnswers() const
     {
@@ -218,14 +235,15 @@
                || internalServer.openRequests() > 0;
     }
 
-    void logStop(Duration drainTime, bool isDrained)
+    void logStop(Duration drainTime)
     {
         log.write(LogLevel::Info, "node", "stopped",
-                  {{"drained", isDrained},
+                  {{"drained", isDrained()},
                    {"drain_ms", drainTime.count() / 1000},
+                   {"forced_answers", forcedAnswers},
                    {"in_flight", router.inFlight()},
-                   {"unsent", clientServer.openRequests()},
-                   {"unsent_internal", internalServer.openRequests()},
+                   {"open_requests", clientServer.openRequests()},
+                   {"open_internal_requests", internalServer.openRequests()},
                    {"resigned", cells.hasResigned()}});
     }
 
@@ -249,6 +267,7 @@
     TimePoint drainBeganAt{};
     bool isDraining = false;
     bool hasStoppedAccepting = false;
+    std::size_t forcedAnswers = 0; ///< Given because the grace period ends.
 };
 
 NodeRuntime::NodeRuntime(asio::io_context &context, NodeSettings settings)
--- a/src/Node/RequestRouter.cpp
+++ b/src/Node/RequestRouter.cpp
@@ -245,14 +245,16 @@
         respond(std::move(response));
     }
 
-    void finishAll()
+    std::size_t finishAll()
     {
         isStopping = true;
-        for (const ExchangePtr &it : std::exchange(open, {})) {
+        const std::set<ExchangePtr> unanswered = std::exchange(open, {});
+        for (const ExchangePtr &it : unanswered) {
             const bool mayHaveRun = it->isUncertain || it->isAsking;
             finish(it, {mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun,
                         JobState::Queued, 0, "stopping"});
         }
+        return unanswered.size();
     }
 
     void logResult(const Exchange &exchange, const CallerReply &reply, Duration took)
@@ -305,9 +307,9 @@
     m_private->isDraining = true;
 }
 
-void RequestRouter::finishAll()
+std::size_t RequestRouter::finishAll()
 {
-    m_private->finishAll();
+    return m_private->finishAll();
 }
 
 std::size_t RequestRouter::inFlight() const
--- a/src/Node/RequestRouter.h
+++ b/src/Node/RequestRouter.h
@@ -36,7 +36,8 @@
     /// Makes every answer from now on close its connection.
     void drain();
     /// Answers all open requests, and each later one, at once: the process is about to stop.
-    void finishAll();
+    /// \returns the number of requests answered by this call.
+    std::size_t finishAll();
     /// Number of requests not answered yet.
     std::size_t inFlight() const;
 
--- a/test/NodeDrain.cpp
+++ b/test/NodeDrain.cpp
@@ -232,8 +232,8 @@
     }
 }
 
-// A request in several reads was read to its end by the process, and the loop was stopped before the
-// handler of the last read ran (issue 33).
+// A request in several reads was read to its end by the process, and the loop was stopped before
+// the handler of the last read ran (issue 33).
 TEST(NodeDrain, RequestThatIsReadCompletelyAtTheLastPollIsAnswered)
 {
     constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
--- a/test/ProcessExit.cpp
+++ b/test/ProcessExit.cpp
@@ -1,5 +1,7 @@
 #include "platform/standins/PartnerWire.h"
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -18,7 +20,7 @@
 namespace {
 
 constexpr Duration PollInterval = std::chrono::milliseconds(10);
-constexpr Duration StartTime = std::chrono::milliseconds(700);
+constexpr Duration MaxStartTime = std::chrono::seconds(20);
 
 /// A program that was started here; killed at the end if it still runs.
 class Program
@@ -27,6 +29,7 @@
     explicit Program(std::vector<std::string> words)
     {
         std::vector<char *> argv;
+        argv.reserve(words.size() + 1);
         for (std::string &it : words) {
             argv.push_back(it.data());
         }
@@ -81,6 +84,22 @@
     return settings;
 }
 
+bool waitUntilListening(const Endpoint &endpoint)
+{
+    asio::io_context context;
+    const auto deadline = std::chrono::steady_clock::now() + MaxStartTime;
+    while (std::chrono::steady_clock::now() < deadline) {
+        asio::ip::tcp::socket socket(context);
+        asio::error_code ec;
+        socket.connect({asio::ip::make_address(endpoint.address), endpoint.port}, ec);
+        if (!ec) {
+            return true;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return false;
+}
+
 // A process that had stopped stayed, serving nothing, until it was killed at the end of its grace
 // period: a static destructor waited for a library's thread that never got to run (issue 33).
 TEST(ProcessExit, ANodeThatHasDrainedIsGoneThoughAThreadOfALibraryNeverRuns)
@@ -89,7 +108,7 @@
     const auto file = std::filesystem::path(testing::TempDir()) / "process-exit.yaml";
     std::ofstream(file) << platform::encodeSettings(settings);
     Program node({NODE_WITH_IDLE_THREADS, "--settings", file.string()});
-    std::this_thread::sleep_for(StartTime);
+    ASSERT_TRUE(waitUntilListening(settings.clientEndpoint));
     node.terminate();
     EXPECT_EQ(node.waitForExit(settings.gracePeriod), 0);
 }
