Stop starts in zones that operators evacuate

Cause: nothing read the operators' requests, so tasks started in evacuated zones. The requests are now folded from the topic that every process follows, and owners start nothing in these zones.

--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -92,7 +92,7 @@
     }
     const TaskState state = ref->task().state;
     return (state == TaskState::Pending || state == TaskState::Stopping) && worker->isRegistered
-           && !worker->info.isDraining;
+           && worker->acceptsTasks();
 }
 
 const CapacityReservations::Entry *CapacityReservations::find(const TaskName &task) const
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -178,6 +178,7 @@
     bool isRegistered = false; ///< Currently listed by the platform.
     bool isRecorded = false;   ///< The cell's topic holds its record.
     bool isContacted = false;  ///< Has answered a renewal of this owner.
+    bool isEvacuated = false;  ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
     TimePoint clockAt{};
@@ -232,6 +233,8 @@
     }
     /// Log text on the end of the run of \a task here, which the worker hasn't reported.
     std::string describeLoss(const CellTask &task, TimePoint now) const;
+    /// False while it should only finish what runs.
+    bool acceptsTasks() const { return !info.isDraining && !isEvacuated; }
     ResourceVector freeRoom() const
     {
         ResourceVector room = info.capacity;
--- a/src/Cell/CellReferrals.cpp
+++ b/src/Cell/CellReferrals.cpp
@@ -46,17 +46,21 @@
 {
     std::int64_t milliCpu = 0;
     for (const auto &[id, worker] : m_state.workers) {
-        milliCpu += worker->info.isDraining ? 0 : worker->info.capacity.milliCpu;
+        milliCpu += worker->acceptsTasks() ? worker->info.capacity.milliCpu : 0;
     }
     return std::max(1.0, static_cast<double>(milliCpu));
 }
 
-CellLoad CellScheduler::load() const
+bool CellScheduler::hasUsableWorkers() const
 {
-    const bool hasWorkers = std::ranges::any_of(m_state.workers, [](const auto &it) {
-        return it.second->isRegistered && !it.second->info.isDraining;
+    return std::ranges::any_of(m_state.workers, [](const auto &it) {
+        return it.second->isRegistered && it.second->acceptsTasks();
     });
-    if (!hasWorkers) {
+}
+
+CellLoad CellScheduler::load() const
+{
+    if (!hasUsableWorkers()) {
         return {1.0, 1.0, 1.0};
     }
     const double milliCpu = usableMilliCpu();
@@ -72,7 +76,10 @@
 
 CellLoad CellScheduler::loadOf(const JobSpec &spec) const
 {
-    const double milliCpu = usableMilliCpu();
+    // A job that leaves an evacuated cell is measured by that cell's size, since no usable capacity
+    // is left to measure it by.
+    const double milliCpu =
+        hasUsableWorkers() ? usableMilliCpu() : std::max(usableMilliCpu(), evacuatedMilliCpu());
     CellLoad sum;
     for (const StepSpec &it : spec.steps) {
         const double share = it.taskCount * static_cast<double>(it.demand.milliCpu) / milliCpu;
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -430,8 +430,8 @@
         m_lastModelRecord = now;
         m_state.journal.put({JobRecords::interferenceKey(), m_interference.encodeModel(now)});
     }
-    if (m_state.wantsPlacement && now - m_lastPlacement >= placementInterval()
-        && now < m_state.ordersUntil) {
+    if (m_state.wantsPlacement && !m_state.areStartsSuspended
+        && now - m_lastPlacement >= placementInterval() && now < m_state.ordersUntil) {
         m_state.wantsPlacement = false;
         m_lastPlacement = now;
         m_placement.run(now, nowUnixMs);
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -40,6 +40,11 @@
     void endOwnership();
     /// Limits the deadlines of leases and starts to \a until.
     void setOrdersUntil(TimePoint until) { m_state.ordersUntil = until; }
+    /// Starts no tasks until setEvacuatedZones() is called.
+    void suspendStarts() { m_state.areStartsSuspended = true; }
+    /// Starts no further tasks on workers of \a zones; what runs there goes on.  Lasts over changes
+    /// of the ownership.  O(workers + pending actions).
+    void setEvacuatedZones(std::set<std::string> zones);
     bool isFenced() const { return m_state.isFenced; }
     Epoch epoch() const { return m_state.epoch; }
 
@@ -62,6 +67,8 @@
     bool isReferred(const JobId &id) const { return m_state.referrals.contains(id.value()); }
     /// Outstanding processor demand; full for a cell without workers.  O(jobs + workers).
     CellLoad load() const;
+    /// True if only evacuations keep all workers of \a service from new tasks.  O(workers).
+    bool isEvacuated(const std::string &service) const;
     /// Processor demand that a new job would add, over all its steps.
     CellLoad loadOf(const JobSpec &spec) const;
     bool hasJob(const JobId &id) const;
@@ -138,9 +145,10 @@
 private:
     // Jobs
 
-    /// Processor capacity of the workers that aren't draining, in thousandths of a core; at
-    /// least 1.
+    /// Processor capacity of the workers that accept tasks, in thousandths of a core; at least 1.
     double usableMilliCpu() const;
+    bool hasUsableWorkers() const;
+    double evacuatedMilliCpu() const;
     static CellJournal::OnLost verdictOnLoss(OnVerdict onVerdict);
     void recordProgress(CellJob &job);
     static std::vector<TaskProgress> progressOf(const CellJob &job);
@@ -203,7 +211,10 @@
     void recordFailure(CellWorker &worker, TimePoint now);
     void resendStops(CellWorker &worker, TimePoint now);
     void restartStuckTasks(CellWorker &worker, TimePoint now);
+    /// Stops the tasks that a draining worker would not finish.
     void evacuate(CellWorker &worker);
+    /// Takes back the start orders for evacuated workers that haven't been passed on yet.
+    void withdrawStarts();
 
     // Reports
 
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +45,8 @@
     TimePoint locateUntil{}; ///< All orders of earlier owners have expired by then.
     bool isLocating = false; ///< Some worker may run tasks of an earlier owner unseen.
     bool isFenced = false;   ///< A worker has seen a higher epoch.
+    bool areStartsSuspended = false; ///< The evacuated zones aren't known yet.
+    std::set<std::string> evacuatedZones;
     bool wantsPlacement = false;                                    ///< A placement pass is due.
     std::unordered_map<std::string, std::unique_ptr<CellJob>> jobs; ///< By id.
     std::map<std::string, std::unique_ptr<CellWorker>> workers;     ///< By id.
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -30,6 +30,9 @@
         || worker.info.service != ref.job->spec.policy.service) {
         return Obstacle::Unavailable;
     }
+    if (worker.isEvacuated) {
+        return Obstacle::Evacuated;
+    }
     if (worker.renewFailures > 0) {
         return Obstacle::Unresponsive;
     }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -83,9 +83,10 @@
     if (!worker) {
         worker = std::make_unique<CellWorker>();
     }
-    const bool wasReady = worker->isRegistered && !worker->info.isDraining;
+    const bool wasReady = worker->isRegistered && worker->acceptsTasks();
     const bool hasGrown = !worker->info.capacity.fits(info.capacity);
     worker->info = info;
+    worker->isEvacuated = m_state.evacuatedZones.contains(info.zone);
     worker->isRegistered = true;
     if (!worker->isRecorded) {
         recordWorker(*worker);
--- a/src/Fleet/ReferralPolicy.cpp
+++ b/src/Fleet/ReferralPolicy.cpp
@@ -20,6 +20,9 @@
 constexpr double MinLoadDifference = 0.04;
 /// Difference of load from which on every batch job is referred.
 constexpr double FullReferralDifference = 0.25;
+/// Load of a cell that can't take a job at all, above the load of the fullest other one.  Recent
+/// referrals, which count towards the others, must not use it up.
+constexpr double UnusableLoadMargin = 2.0;
 
 /// Load that competes with \a job: all tasks for a filler, only reserving tasks for other jobs.
 double competingLoad(const CellLoad &cell, const CellLoad &job)
@@ -128,6 +131,16 @@
     return target;
 }
 
+CellLoad ReferralPolicy::loadAbove(std::span<const std::optional<CellLoad>> others)
+{
+    CellLoad load;
+    for (const auto &it : others) {
+        load.reserved = std::max(load.reserved, it ? it->reserved + it->fillers : 0.0);
+    }
+    load.reserved += UnusableLoadMargin;
+    return load;
+}
+
 bool ReferralPolicy::shouldHold(TimePoint now)
 {
     const auto last = std::exchange(m_lastLongRunningAt, now);
--- a/src/Fleet/ReferralPolicy.h
+++ b/src/Fleet/ReferralPolicy.h
@@ -48,6 +48,8 @@
     std::optional<int> chooseForLongRunning(const Job &job, std::size_t home, bool isHeld,
                                             std::span<const std::optional<CellLoad>> loads,
                                             TimePoint now);
+    /// Load to assume for a cell without any worker for a job, so that one of \a others gets it.
+    static CellLoad loadAbove(std::span<const std::optional<CellLoad>> others);
     /// Takes note of a new long-running job; true if it should be held.
     bool shouldHold(TimePoint now);
 
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -102,15 +102,19 @@
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
     int usable = 0;
+    int evacuatedWorkers = 0;
+    std::size_t evacuatedTasks = 0;
     int overTarget = 0;
     int paced = 0;
     for (const auto &[id, it] : state.workers) {
-        if (it->isRegistered && it->isContacted && !it->info.isDraining) {
+        if (it->isRegistered && it->isContacted && it->acceptsTasks()) {
             ++usable;
             usableCapacity += it->info.capacity.milliCpu;
             freeCpu += it->freeRoom().milliCpu;
             largestFreeCpu = std::max(largestFreeCpu, it->freeRoom().milliCpu);
         }
+        evacuatedWorkers += it->isEvacuated ? 1 : 0;
+        evacuatedTasks += it->isEvacuated ? it->tasks.size() : 0;
         capacity += it->info.capacity.milliCpu;
         reserved += it->reserved.milliCpu;
         longRunning += it->longRunningCpu;
@@ -148,6 +152,8 @@
         }
     }
     return {{"workers", usable},
+            {"evacuated_workers", evacuatedWorkers},
+            {"evacuated_tasks", evacuatedTasks},
             {"capacity", capacity},
             {"usable_capacity", usableCapacity},
             {"reserved", reserved},
@@ -175,7 +181,8 @@
                        {"draining", it->info.isDraining},    {"service", it->info.service},
                        {"cpu", it->info.capacity.milliCpu},  {"cpu_used", it->reserved.milliCpu},
                        {"filler_cpu", it->fillerCpu},        {"tasks", it->tasks.size()},
-                       {"strikes", it->consecutiveFailures}, {"renew_failures", it->renewFailures}};
+                       {"evacuated", it->isEvacuated},       {"strikes", it->consecutiveFailures},
+                       {"renew_failures", it->renewFailures}};
     }
     std::map<std::string, int> jobs;
     std::map<std::string, int> tasks;
@@ -193,6 +200,8 @@
             {"owner", election.claim().node},
             {"isOwner", election.isOwner()},
             {"locating", state.isLocating},
+            {"evacuated_zones", state.evacuatedZones},
+            {"starts_suspended", state.areStartsSuspended},
             {"jobs", jobs},
             {"tasks", tasks},
             {"workers", workers}};
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -73,7 +73,9 @@
         , election(electionOptions(settings, options))
         , scheduler(settings.bounds)
         , timer(contextIn)
-    {}
+    {
+        scheduler.suspendStarts();
+    }
 
     void begin()
     {
@@ -253,6 +255,44 @@
         };
     }
 
+    void setEvacuatedZones(const std::set<std::string> &zones)
+    {
+        const std::set<std::string> before = scheduler.state().evacuatedZones;
+        scheduler.setEvacuatedZones(zones);
+        isPublicationDue = true;
+        if (!isServing) {
+            return;
+        }
+        for (const std::string &it : zones) {
+            if (!before.contains(it)) {
+                logEvacuation("zone evacuated", it);
+            }
+        }
+        for (const std::string &it : before) {
+            if (!zones.contains(it)) {
+                logEvacuation("zone given back", it);
+            }
+        }
+        postStep();
+    }
+
+    void logEvacuation(const char *message, const std::string &zone)
+    {
+        std::size_t workerCount = 0;
+        std::size_t taskCount = 0;
+        for (const auto &[id, worker] : scheduler.state().workers) {
+            const bool isInZone = worker->isRegistered && worker->info.zone == zone;
+            workerCount += isInZone ? 1 : 0;
+            taskCount += isInZone ? worker->tasks.size() : 0;
+        }
+        log.write(LogLevel::Info, "cell", message,
+                  {{"cell", options.cell},
+                   {"epoch", epoch},
+                   {"zone", zone},
+                   {"workers", workerCount},
+                   {"tasks", taskCount}});
+    }
+
     void logLoad(TimePoint now)
     {
         if (now - lastLoadLogAt < LoadLogInterval) {
@@ -349,7 +389,9 @@
                   {{"cell", options.cell},
                    {"epoch", epoch},
                    {"jobs", scheduler.state().jobs.size()},
-                   {"workers", scheduler.state().workers.size()}});
+                   {"workers", scheduler.state().workers.size()},
+                   {"evacuated_zones", scheduler.state().evacuatedZones},
+                   {"starts_suspended", scheduler.state().areStartsSuspended}});
         directory =
             std::make_unique<WorkerDirectory>(context, store, scheduler, log, options.layout,
                                               options.cell, guarded([](Private &self) {
@@ -416,9 +458,11 @@
         const bool hasDataRack = std::ranges::any_of(
             spec.steps, [](const StepSpec &it) { return !it.dataRack.empty(); });
         const bool isLongRunning = std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
-        const NewJob job{id, spec.policy.service, scheduler.loadOf(spec), isLongRunning, isHeld};
-        const auto cell =
-            hasDataRack ? std::nullopt : options.lessLoadedCell(job, scheduler.load());
+        const bool isStranded = scheduler.isEvacuated(spec.policy.service);
+        const NewJob job{id,     spec.policy.service, scheduler.loadOf(spec), isLongRunning,
+                         isHeld, isStranded};
+        const bool mayRefer = !hasDataRack || isStranded;
+        const auto cell = mayRefer ? options.lessLoadedCell(job, scheduler.load()) : std::nullopt;
         if (!cell && !scheduler.isReferred(id)) {
             return false;
         }
@@ -578,6 +622,11 @@
     return m_private->claims != nullptr;
 }
 
+void CellHost::setEvacuatedZones(const std::set<std::string> &zones)
+{
+    m_private->setEvacuatedZones(zones);
+}
+
 void CellHost::resign()
 {
     m_private->election.resign();
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,8 @@
         std::string service;
         CellLoad load; ///< That the job would add to its cell.
         bool isLongRunning = false;
-        bool isHeld = false; ///< The published load of its home includes it.
+        bool isHeld = false;     ///< The published load of its home includes it.
+        bool isStranded = false; ///< Evacuations leave its home no worker for it.
     };
 
     struct Options
@@ -75,6 +77,8 @@
     const CellElection &election() const;
     /// True while the claims of the cell are followed, so that election() is up to date.
     bool isWatching() const;
+    /// Stops starting tasks in \a zones; no task starts anywhere before the first call.
+    void setEvacuatedZones(const std::set<std::string> &zones);
     /// Gives the cell up to another process.
     void resign();
     bool hasResigned() const;
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -64,6 +64,9 @@
         };
         m_hosts.push_back(std::make_unique<CellHost>(m_context, m_settings, std::move(options),
                                                      m_store, m_workers, m_log, m_metrics));
+        if (m_evacuatedZones) {
+            m_hosts.back()->setEvacuatedZones(*m_evacuatedZones);
+        }
         if (m_isResigning) {
             m_hosts.back()->resign();
         }
@@ -115,10 +118,14 @@
 std::vector<std::optional<CellLoad>> CellSet::publishedLoads(int cell,
                                                              const std::string &service) const
 {
+    const bool isEvacuating = m_evacuatedZones && !m_evacuatedZones->empty();
     std::vector<std::optional<CellLoad>> loads(m_hosts.size());
     for (int i = 0; i < static_cast<int>(m_hosts.size()); ++i) {
         const OwnershipClaim *claim = claimOf(i);
         const OwnershipClaim *published = m_directory.directory().findCell(i);
+        if (isEvacuating && published && !published->rooms.contains(service)) {
+            continue;
+        }
         if (i != cell && claim && !claim->holder.empty() && published
             && m_layout->hasService(i, service)) {
             loads[static_cast<std::size_t>(i)] = published->load;
@@ -180,12 +187,13 @@
 {
     std::vector<std::optional<CellLoad>> others = publishedLoads(cell, job.service);
     const ReferralPolicy::Job request{job.id, job.load};
+    const CellLoad ownOrAbove = job.isStranded ? ReferralPolicy::loadAbove(others) : own;
     if (!job.isLongRunning) {
-        return m_referrals.chooseForBatch(request, own, others, Clock::now());
+        return m_referrals.chooseForBatch(request, ownOrAbove, others, Clock::now());
     }
     // Its own load as old as the others' keeps the comparison fair while all loads grow.
     const OwnershipClaim *home = m_directory.directory().findCell(cell);
-    others[static_cast<std::size_t>(cell)] = home ? home->load : own;
+    others[static_cast<std::size_t>(cell)] = home && !job.isStranded ? home->load : ownOrAbove;
     return m_referrals.chooseForLongRunning(request, static_cast<std::size_t>(cell), job.isHeld,
                                             others, Clock::now());
 }
@@ -204,6 +212,14 @@
     return total;
 }
 
+void CellSet::setEvacuatedZones(const std::set<std::string> &zones)
+{
+    m_evacuatedZones = zones;
+    for (const auto &it : m_hosts) {
+        it->setEvacuatedZones(zones);
+    }
+}
+
 void CellSet::resign()
 {
     m_isResigning = true;
--- a/src/Node/CellSet.h
+++ b/src/Node/CellSet.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,6 +50,8 @@
     /// Answers \a request to a cell of this process; NotRun if the cell isn't served here.
     void answerDelegation(const DelegationRequest &request, const OnCallerReply &done);
 
+    /// Passes on the zones that operators have evacuated; until then no cell starts tasks.
+    void setEvacuatedZones(const std::set<std::string> &zones);
     /// Releases all owned cells to other processes.
     void resign();
     bool hasResigned() const;
@@ -61,7 +64,7 @@
     /// Whether this process may become the owner of \a cell soon.
     bool isCandidate(int cell) const;
     /// Loads that the owners of the cells with workers of \a service publish, by cell; unset for
-    /// \a cell itself.
+    /// \a cell itself, and during an evacuation for those without a usable worker.
     std::vector<std::optional<CellLoad>> publishedLoads(int cell, const std::string &service) const;
     /// What owners that published lately offer to tasks of \a service, by cell; unset for \a cell
     /// itself.
@@ -80,6 +83,7 @@
     std::vector<std::unique_ptr<CellHost>> m_hosts; ///< By cell.
     ReferralPolicy m_referrals;
     ForwardDelegation m_forwardDelegation;
+    std::optional<std::set<std::string>> m_evacuatedZones; ///< Unset until they are known.
     bool m_isResigning = false;
     DirectoryClient m_directory;
     LayoutLoader m_layoutLoader;
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -1,5 +1,6 @@
 #include "Node/NodeRuntime.h"
 
+#include "Fleet/EvacuationList.h"
 #include "Fleet/RouteTable.h"
 #include "Node/CellSet.h"
 #include "Node/RequestForwarder.h"
@@ -38,6 +39,11 @@
     return node + "." + std::to_string(device());
 }
 
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 CurlLoopOptions curlOptions(const NodeSettings &settings)
 {
     // An owner keeps connections to all of its workers; the other half is left for clients.
@@ -83,7 +89,7 @@
             readinessServer = std::make_unique<HttpServer>(context, *settings.readinessEndpoint,
                                                            HttpLimits{}, readinessHandler());
         }
-        followConfig();
+        followOperators();
         log.write(LogLevel::Info, "node", "started",
                   {{"incarnation", incarnation},
                    {"zone", settings.zone},
@@ -139,25 +145,82 @@
         return {{"node", settings.node},          {"incarnation", incarnation},
                 {"config", routes.version()},     {"draining", isDraining},
                 {"in_flight", router.inFlight()}, {"open_requests", clientServer.openRequests()},
-                {"cells", cells.dump()}};
+                {"evacuated", dumpEvacuations()}, {"cells", cells.dump()}};
+    }
+
+    /// Start of each current evacuation, by zone.
+    nlohmann::json dumpEvacuations() const
+    {
+        nlohmann::json sinceMs = nlohmann::json::object();
+        for (const auto &[zone, since] : evacuations.begins()) {
+            sinceMs[zone] = toMs(Clock::now() - since);
+        }
+        return sinceMs;
     }
 
-    void followConfig()
+    void followOperators()
     {
         TopicFollower::Callbacks callbacks;
-        callbacks.onRecord = [this](const KeyedRecord &it) { onConfigRecord(it); };
-        callbacks.onSnapshot = [](const std::set<std::string> &) {};
+        callbacks.onRecord = [this](const KeyedRecord &it) { onOperatorRecord(it); };
+        callbacks.onSnapshot = [this](const std::set<std::string> &keys) {
+            onOperatorSnapshot(keys);
+        };
         callbacks.onRead = [](std::uint64_t) {};
-        configFollower =
+        operatorFollower =
             std::make_unique<TopicFollower>(context, store, platform::operatorTopic(),
                                             ConfigReadWait, Duration{}, std::move(callbacks));
     }
 
-    void onConfigRecord(const KeyedRecord &record)
+    void onOperatorRecord(const KeyedRecord &record)
     {
-        if (record.key != platform::ConfigKey || !record.value) {
-            return;
+        if (const auto zone = platform::evacuatedZone(record.key)) {
+            if (const auto change =
+                    evacuations.apply(*zone, record.value.has_value(), Clock::now())) {
+                onEvacuationChange(*change);
+                updateCells();
+            }
+        } else if (record.key == platform::ConfigKey && record.value) {
+            onConfigRecord(record);
         }
+    }
+
+    void onOperatorSnapshot(const std::set<std::string> &keys)
+    {
+        std::set<std::string> requested;
+        for (const std::string &it : keys) {
+            if (auto zone = platform::evacuatedZone(it)) {
+                requested.insert(std::move(*zone));
+            }
+        }
+        for (const EvacuationList::Change &it : evacuations.retain(requested)) {
+            onEvacuationChange(it);
+        }
+        hasReadOperators = true;
+        updateCells();
+    }
+
+    void onEvacuationChange(const EvacuationList::Change &change)
+    {
+        metrics.set("firefly_evacuated_zones", static_cast<double>(evacuations.begins().size()));
+        if (change.isEvacuated) {
+            metrics.add("firefly_evacuations_total");
+            log.write(LogLevel::Info, "node", "evacuation begins", {{"zone", change.zone}});
+        } else {
+            log.write(LogLevel::Info, "node", "evacuation ends",
+                      {{"zone", change.zone}, {"lasted_ms", toMs(Clock::now() - change.since)}});
+        }
+    }
+
+    /// Tells the cells which zones are evacuated, once all requests have been read.
+    void updateCells()
+    {
+        if (hasReadOperators) {
+            cells.setEvacuatedZones(evacuations.zones());
+        }
+    }
+
+    void onConfigRecord(const KeyedRecord &record)
+    {
         try {
             FleetConfig decoded = platform::decodeConfig(*record.value);
             const auto version = decoded.version;
@@ -256,13 +319,15 @@
     platform::StoreClient store;
     platform::WorkerClient workers;
     RouteTable routes;
+    EvacuationList evacuations;
+    bool hasReadOperators = false; ///< The newest record of each key of the operators is known.
     CellSet cells;
     RequestForwarder forwarder;
     RequestRouter router;
     HttpServer internalServer;
     HttpServer clientServer;
     std::unique_ptr<HttpServer> readinessServer;
-    std::unique_ptr<TopicFollower> configFollower;
+    std::unique_ptr<TopicFollower> operatorFollower;
     asio::basic_waitable_timer<Clock> drainTimer;
     TimePoint drainBeganAt{};
     bool isDraining = false;
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -39,6 +39,7 @@
     {
         owner = std::make_unique<CellScheduler>(bounds);
         ++m_generation;
+        owner->setEvacuatedZones(evacuatedZones);
         owner->beginOwnership(++epoch, now, locateUntil);
         for (const auto &[key, value] : store) {
             owner->restore(key, value);
@@ -99,6 +100,14 @@
         append();
     }
 
+    /// Tells the owner, and through it later ones, that \a zones are evacuated; from now on the
+    /// audit fails starts there.
+    void evacuate(const std::set<std::string> &zones)
+    {
+        evacuatedZones = zones;
+        owner->setEvacuatedZones(zones);
+    }
+
     /// Changes the capacity of the worker \a id; the owner reads of it after \a delay.
     void resizeWorker(const std::string &id, const ResourceVector &capacity, Duration delay)
     {
@@ -126,6 +135,7 @@
             created->workTime = old.workTime;
             created->capacity = old.capacity;
             created->rack = old.rack;
+            created->zone = old.zone;
             created->endpoint = old.endpoint;
             created->incarnation = unixMs();
             owner->onWorkerListed(created->describe(), now);
@@ -161,6 +171,7 @@
     CellAudit audit;
     std::map<std::string, std::unique_ptr<FakeCellWorker>> workers;
     std::map<std::string, std::string> store;
+    std::set<std::string> evacuatedZones;
     std::set<std::string> accepted; ///< Ids of the jobs whose submission was accepted.
     std::unique_ptr<CellScheduler> owner;
     std::vector<LogDecision> decisions; ///< Log lines of all owners.
@@ -262,6 +273,9 @@
     void send(const StartTask &order)
     {
         ++starts;
+        if (evacuatedZones.contains(workers.at(order.worker.value())->zone)) {
+            audit.addViolation("start order to an evacuated zone", order.task);
+        }
         const auto clock = std::make_shared<std::optional<std::int64_t>>();
         exchange(
             order.worker,
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -31,6 +31,7 @@
         info.endpoint = endpoint;
         info.capacity = capacity;
         info.rack = rack;
+        info.zone = zone;
         info.labels = {"kind", rack};
         info.incarnationStartUnixMs = incarnation;
         info.isDraining = isDraining;
@@ -205,6 +206,7 @@
     /// True while the worker lists ended runs that no owner has acknowledged.
     bool hasEndedRuns() const { return !m_ended.empty(); }
 
+    std::string zone;
     std::int64_t incarnation = 1; ///< Increases with each reboot().
     State state = State::Up;
     bool isRegistered = true; ///< The platform lists it.
