Back off reads of the store by fleet size and importance

A store that grants M calls a second to N > M readers was asked again every 200 ms by all of them, for every topic. StoreRetryPolicy decides the delay of each retry: exponential, with jitter, up to a limit that grows with the fleet and is shortest for the configuration and the claims.

In a large fleet, only the 32 VMs that may own a cell first follow the claims of a lost cell, and the workers while there is no layout; their number doubles every 5 s. Fast reads of the directory slow down with the size of the fleet.

--- a/src/CellLease/FleetDirectory.cpp
+++ b/src/CellLease/FleetDirectory.cpp
@@ -27,6 +27,7 @@
 void FleetDirectory::onVm(const std::string &node, const VmCapacity &capacity, TimePoint now)
 {
     m_vms[node] = {capacity, now};
+    m_firstVmAt = m_firstVmAt.value_or(now);
     m_latestVmAt = std::max(m_latestVmAt, now);
 }
 
@@ -56,6 +57,29 @@
     return it != m_cells.end() && it->second.changedAt && now - *it->second.changedAt < CellTimeout;
 }
 
+int FleetDirectory::standbyCount(int cell, TimePoint now) const
+{
+    if (isFresh(cell, now)) {
+        return StandbyCount;
+    }
+    const auto it = m_cells.find(cell);
+    const bool hasChanged = it != m_cells.end() && it->second.changedAt;
+    const TimePoint lostAt =
+        hasChanged ? *it->second.changedAt + CellTimeout : m_firstVmAt.value_or(now);
+    int count = LostCellStandbyCount;
+    for (TimePoint at = lostAt + StandbyGrowthInterval;
+         at <= now && count < static_cast<int>(vmCount()); at += StandbyGrowthInterval) {
+        count *= 2;
+    }
+    return count;
+}
+
+std::size_t FleetDirectory::vmCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_vms, [this](const auto &it) { return isSeenWithin(VmTimeout, it.second); }));
+}
+
 std::vector<VmCapacity> FleetDirectory::capacities() const
 {
     std::vector<VmCapacity> result;
@@ -82,7 +106,8 @@
 {
     const auto self = m_vms.find(node);
     if (self == m_vms.end()) {
-        return 0;
+        const std::size_t known = vmCount();
+        return known <= LostCellStandbyCount ? 0 : static_cast<int>(known);
     }
     const auto otherCounts = countOtherCells(cell);
     const OwnershipClaim *last = findCell(cell);
--- a/src/CellLease/FleetDirectory.h
+++ b/src/CellLease/FleetDirectory.h
@@ -28,6 +28,10 @@
     static constexpr Duration HandoverFreshness = std::chrono::seconds(6);
     /// Candidates that follow the claims of a cell besides its owner.
     static constexpr int StandbyCount = 3;
+    /// VMs that follow the claims of a cell whose owner may be lost: all of a small fleet.
+    static constexpr int LostCellStandbyCount = 32;
+    /// Their number doubles after each such time without an owner, in case they are lost too.
+    static constexpr Duration StandbyGrowthInterval = std::chrono::seconds(5);
     /// An owner gives a cell up to a VM that has this many times more resources for it.  A move
     /// multiplies the resources of the cell by more than 1, so moves can't alternate.
     static constexpr double HandoverRatio = 3.0;
@@ -48,10 +52,16 @@
     /// True if a new publication about \a cell has been seen within CellTimeout.  The first one
     /// after the start may be old.
     bool isFresh(int cell, TimePoint now) const;
+    /// Number of VMs that should follow the claims of \a cell to replace its owner.
+    int standbyCount(int cell, TimePoint now) const;
+    /// Number of VMs that announced themselves lately.
+    std::size_t vmCount() const;
     /// Capacities of the VMs that announced themselves lately.
     std::vector<VmCapacity> capacities() const;
     /// Number of VMs that can give \a cell more resources than \a node, which owns or claims
-    /// \a otherCells other cells.  The last owner of the cell isn't counted.  O(VMs + cells).
+    /// \a otherCells other cells.  The last owner of the cell isn't counted.  A \a node that isn't
+    /// known yet comes first in a fleet of up to LostCellStandbyCount VMs and last in a larger one.
+    /// O(VMs + cells).
     int rankOf(const std::string &node, int cell, int otherCells) const;
     /// True if some VM other than \a node, which owns \a ownedCells cells with \a cell, has
     /// HandoverRatio times its resources for the cell.  O(VMs + cells).
@@ -79,6 +89,7 @@
     std::map<std::string, Vm> m_vms; ///< By name.
     std::map<int, Cell> m_cells;
     TimePoint m_latestVmAt{};
+    std::optional<TimePoint> m_firstVmAt; ///< When the first VM became known.
 };
 
 } // namespace firefly
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -61,12 +61,13 @@
     using Timer = asio::basic_waitable_timer<Clock>;
 
     Private(asio::io_context &contextIn, const NodeSettings &settingsIn, Options optionsIn,
-            platform::StoreClient &storeIn, platform::WorkerClient &workersIn, EventLog &logIn,
-            Metrics &metricsIn)
+            platform::StoreClient &storeIn, StoreRetryPolicy &retriesIn,
+            platform::WorkerClient &workersIn, EventLog &logIn, Metrics &metricsIn)
         : context(contextIn)
         , settings(settingsIn)
         , options(std::move(optionsIn))
         , store(storeIn)
+        , retries(retriesIn)
         , workers(workersIn)
         , log(logIn)
         , metrics(metricsIn)
@@ -106,11 +107,14 @@
             postStep();
         };
         callbacks.onFailed = [this](const std::string &error) {
+            metrics.add("firefly_store_read_failures_total{topic=\"claims\"}");
             election.onReadFailed();
             updateStoreContact(false, error);
         };
-        claims = std::make_unique<TopicFollower>(context, store, platform::claimTopic(options.cell),
-                                                 ClaimReadWait, Duration{}, std::move(callbacks));
+        const TopicFollower::Options topic{platform::claimTopic(options.cell),
+                                           StoreReadKind::Ownership, ClaimReadWait, Duration{}};
+        claims =
+            std::make_unique<TopicFollower>(context, store, retries, topic, std::move(callbacks));
     }
 
     // Timing
@@ -350,12 +354,12 @@
                    {"epoch", epoch},
                    {"jobs", scheduler.state().jobs.size()},
                    {"workers", scheduler.state().workers.size()}});
-        directory =
-            std::make_unique<WorkerDirectory>(context, store, scheduler, log, options.layout,
-                                              options.cell, guarded([](Private &self) {
-                                                  self.hasReadWorkers = true;
-                                                  self.postStep();
-                                              }));
+        directory = std::make_unique<WorkerDirectory>(context, store, retries, scheduler, log,
+                                                      options.layout, options.cell,
+                                                      guarded([](Private &self) {
+                                                          self.hasReadWorkers = true;
+                                                          self.postStep();
+                                                      }));
         postStep();
     }
 
@@ -521,6 +525,7 @@
     const NodeSettings &settings;
     Options options;
     platform::StoreClient &store;
+    StoreRetryPolicy &retries;
     platform::WorkerClient &workers;
     EventLog &log;
     Metrics &metrics;
@@ -553,10 +558,10 @@
 };
 
 CellHost::CellHost(asio::io_context &context, const NodeSettings &settings, Options options,
-                   platform::StoreClient &store, platform::WorkerClient &workers, EventLog &log,
-                   Metrics &metrics)
-    : m_private(std::make_shared<Private>(context, settings, std::move(options), store, workers,
-                                          log, metrics))
+                   platform::StoreClient &store, StoreRetryPolicy &retries,
+                   platform::WorkerClient &workers, EventLog &log, Metrics &metrics)
+    : m_private(std::make_shared<Private>(context, settings, std::move(options), store, retries,
+                                          workers, log, metrics))
 {
     m_private->begin();
 }
--- a/src/Node/CellHost.h
+++ b/src/Node/CellHost.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CellScheduler.h"
 #include "CellLease/CellElection.h"
+#include "CellLease/StoreRetryPolicy.h"
 #include "Fleet/CallerRequest.h"
 #include "Fleet/CellLayout.h"
 #include "Fleet/NodeSettings.h"
@@ -64,8 +65,8 @@
     };
 
     CellHost(asio::io_context &context, const NodeSettings &settings, Options options,
-             platform::StoreClient &store, platform::WorkerClient &workers, EventLog &log,
-             Metrics &metrics);
+             platform::StoreClient &store, StoreRetryPolicy &retries,
+             platform::WorkerClient &workers, EventLog &log, Metrics &metrics);
     ~CellHost();
     CellHost(const CellHost &) = delete;
     CellHost &operator=(const CellHost &) = delete;
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -8,19 +8,19 @@
 
 namespace firefly {
 CellSet::CellSet(asio::io_context &context, const NodeSettings &settings, CellHost::Options options,
-                 platform::StoreClient &store, platform::WorkerClient &workers, EventLog &log,
-                 Metrics &metrics)
+                 platform::StoreClient &store, StoreRetryPolicy &retries,
+                 platform::WorkerClient &workers, EventLog &log, Metrics &metrics)
     : m_context(context)
     , m_settings(settings)
     , m_options(std::move(options))
     , m_store(store)
+    , m_retries(retries)
     , m_workers(workers)
     , m_log(log)
     , m_metrics(metrics)
-    , m_directory(context, settings, store, log, metrics)
-    , m_layoutLoader(
-          context, store, settings, log, [this] { return m_directory.directory().capacities(); },
-          [this](const CellLayout &layout) { applyLayout(layout); })
+    , m_directory(context, settings, store, retries, log, metrics)
+    , m_layoutLoader(context, store, retries, settings, log, m_directory.directory(),
+                     [this](const CellLayout &layout) { applyLayout(layout); })
 {}
 
 void CellSet::applyLayout(const CellLayout &layout)
@@ -63,7 +63,8 @@
             sendDelegation(request, done);
         };
         m_hosts.push_back(std::make_unique<CellHost>(m_context, m_settings, std::move(options),
-                                                     m_store, m_workers, m_log, m_metrics));
+                                                     m_store, m_retries, m_workers, m_log,
+                                                     m_metrics));
         if (m_isResigning) {
             m_hosts.back()->resign();
         }
@@ -92,9 +93,8 @@
     if (m_isResigning) {
         return false;
     }
-    return !directory.isFresh(cell, Clock::now())
-           || directory.rankOf(m_settings.node, cell, otherClaimCount(cell))
-                  < FleetDirectory::StandbyCount;
+    return directory.rankOf(m_settings.node, cell, otherClaimCount(cell))
+           < directory.standbyCount(cell, Clock::now());
 }
 
 const OwnershipClaim *CellSet::claimOf(int cell) const
--- a/src/Node/CellSet.h
+++ b/src/Node/CellSet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CellLease/StoreRetryPolicy.h"
 #include "Fleet/CellLayout.h"
 #include "Fleet/ReferralPolicy.h"
 #include "Node/CellHost.h"
@@ -23,8 +24,8 @@
 {
 public:
     CellSet(asio::io_context &context, const NodeSettings &settings, CellHost::Options options,
-            platform::StoreClient &store, platform::WorkerClient &workers, EventLog &log,
-            Metrics &metrics);
+            platform::StoreClient &store, StoreRetryPolicy &retries,
+            platform::WorkerClient &workers, EventLog &log, Metrics &metrics);
 
     /// Null until the layout is known.
     const CellLayout *layout() const { return m_layout ? &*m_layout : nullptr; }
@@ -73,6 +74,7 @@
     const NodeSettings &m_settings;
     CellHost::Options m_options;
     platform::StoreClient &m_store;
+    StoreRetryPolicy &m_retries;
     platform::WorkerClient &m_workers;
     EventLog &m_log;
     Metrics &m_metrics;
--- a/src/Node/DirectoryClient.cpp
+++ b/src/Node/DirectoryClient.cpp
@@ -24,17 +24,23 @@
 /// Duration of fast reading.
 constexpr Duration FastReadTime = std::chrono::milliseconds(1000);
 constexpr Duration AppendTimeout = std::chrono::milliseconds(1600);
-constexpr Duration AppendRetryPause = std::chrono::milliseconds(250);
+
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
 
 } // namespace
 
 struct DirectoryClient::Private : std::enable_shared_from_this<Private>
 {
     Private(asio::io_context &contextIn, const NodeSettings &settingsIn,
-            platform::StoreClient &storeIn, EventLog &logIn, Metrics &metricsIn)
+            platform::StoreClient &storeIn, StoreRetryPolicy &retriesIn, EventLog &logIn,
+            Metrics &metricsIn)
         : context(contextIn)
         , settings(settingsIn)
         , store(storeIn)
+        , retries(retriesIn)
         , log(logIn)
         , metrics(metricsIn)
         , announceTimer(contextIn)
@@ -46,11 +52,18 @@
         TopicFollower::Callbacks callbacks;
         callbacks.onRecord = [this](const KeyedRecord &it) { onRecord(it); };
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
-        callbacks.onRead = [this](std::uint64_t) { updatePause(); };
+        callbacks.onRead = [this](std::uint64_t) {
+            updateFleetSize();
+            updatePause();
+        };
         // The followers of the claims log that the store is lost or regained.
-        callbacks.onFailed = [](const std::string &) {};
-        follower = std::make_unique<TopicFollower>(context, store, platform::directoryTopic(),
-                                                   ReadWait, FrontPause, std::move(callbacks));
+        callbacks.onFailed = [this](const std::string &) {
+            metrics.add("firefly_store_read_failures_total{topic=\"directory\"}");
+        };
+        const TopicFollower::Options options{platform::directoryTopic(), StoreReadKind::Directory,
+                                             ReadWait, FrontPause};
+        follower =
+            std::make_unique<TopicFollower>(context, store, retries, options, std::move(callbacks));
         announce();
     }
 
@@ -76,10 +89,25 @@
         }
     }
 
+    void updateFleetSize()
+    {
+        const Duration before = retries.longestDelay(StoreReadKind::Layout);
+        retries.setFleetSize(directory.vmCount());
+        const Duration after = retries.longestDelay(StoreReadKind::Layout);
+        if (after != before) {
+            log.write(LogLevel::Info, "node", "store retries changed",
+                      {{"vms", retries.fleetSize()},
+                       {"config_ms", toMs(retries.longestDelay(StoreReadKind::Configuration))},
+                       {"layout_ms", toMs(after)},
+                       {"failed_reads", retries.failedReads()}});
+        }
+    }
+
     void updatePause()
     {
         const Duration usual = isOwner ? OwnerPause : FrontPause;
-        follower->setPause(Clock::now() < fastUntil ? FastPause : usual);
+        const bool isFast = Clock::now() < fastUntil;
+        follower->setPause(retries.pauseBetweenReads(isFast ? FastPause : usual));
     }
 
     void announce()
@@ -124,15 +152,17 @@
     {
         if (result.outcome == AppendOutcome::Stored) {
             isAppending = false;
+            appendFailures = 0;
             append();
             return;
         }
         metrics.add("firefly_store_append_failures_total");
+        ++appendFailures;
         // Newer values of the same keys replace those that weren't stored.
         for (const KeyedRecord &it : records) {
             waiting.try_emplace(it.key, it.value);
         }
-        retryTimer.expires_after(AppendRetryPause);
+        retryTimer.expires_after(retries.delayAfter(StoreReadKind::Directory, appendFailures));
         retryTimer.async_wait([weak = weak_from_this()](asio::error_code ec) {
             const auto self = weak.lock();
             if (!ec && self) {
@@ -145,6 +175,7 @@
     asio::io_context &context;
     const NodeSettings &settings;
     platform::StoreClient &store;
+    StoreRetryPolicy &retries;
     EventLog &log;
     Metrics &metrics;
     FleetDirectory directory;
@@ -154,13 +185,15 @@
     /// Records for the next append, by key; without a value to remove the key.
     std::map<std::string, std::optional<std::string>> waiting;
     bool isAppending = false;
+    int appendFailures = 0; ///< In a row.
     bool isOwner = false;
     TimePoint fastUntil{};
 };
 
 DirectoryClient::DirectoryClient(asio::io_context &context, const NodeSettings &settings,
-                                 platform::StoreClient &store, EventLog &log, Metrics &metrics)
-    : m_private(std::make_shared<Private>(context, settings, store, log, metrics))
+                                 platform::StoreClient &store, StoreRetryPolicy &retries,
+                                 EventLog &log, Metrics &metrics)
+    : m_private(std::make_shared<Private>(context, settings, store, retries, log, metrics))
 {
     m_private->begin();
 }
--- a/src/Node/DirectoryClient.h
+++ b/src/Node/DirectoryClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CellLease/FleetDirectory.h"
+#include "CellLease/StoreRetryPolicy.h"
 #include "Fleet/NodeSettings.h"
 #include "Ops/EventLog.h"
 #include "Ops/Metrics.h"
@@ -16,9 +17,11 @@
 class DirectoryClient
 {
 public:
-    /// Announces this VM at once and then every FleetDirectory::VmInterval.
+    /// Announces this VM at once and then every FleetDirectory::VmInterval; tells \a retries how
+    /// many VMs there are.
     DirectoryClient(asio::io_context &context, const NodeSettings &settings,
-                    platform::StoreClient &store, EventLog &log, Metrics &metrics);
+                    platform::StoreClient &store, StoreRetryPolicy &retries, EventLog &log,
+                    Metrics &metrics);
     ~DirectoryClient();
     DirectoryClient(const DirectoryClient &) = delete;
     DirectoryClient &operator=(const DirectoryClient &) = delete;
--- a/src/Node/LayoutLoader.cpp
+++ b/src/Node/LayoutLoader.cpp
@@ -30,13 +30,14 @@
 struct LayoutLoader::Private : std::enable_shared_from_this<Private>
 {
     Private(asio::io_context &contextIn, platform::StoreClient &storeIn,
-            const NodeSettings &settingsIn, EventLog &logIn, Capacities capacitiesIn,
-            OnLayout onLayoutIn)
+            StoreRetryPolicy &retriesIn, const NodeSettings &settingsIn, EventLog &logIn,
+            const FleetDirectory &directoryIn, OnLayout onLayoutIn)
         : context(contextIn)
         , store(storeIn)
+        , retries(retriesIn)
         , settings(settingsIn)
         , log(logIn)
-        , capacities(std::move(capacitiesIn))
+        , directory(directoryIn)
         , onLayout(std::move(onLayoutIn))
         , timer(contextIn)
     {}
@@ -48,9 +49,10 @@
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
         callbacks.onRead = [this](std::uint64_t end) { onLayoutTopicRead(end); };
         callbacks.onFailed = [](const std::string &) {};
+        const TopicFollower::Options options{platform::layoutTopic(), StoreReadKind::Layout,
+                                             LayoutReadWait, Duration{}};
         layoutFollower =
-            std::make_unique<TopicFollower>(context, store, platform::layoutTopic(), LayoutReadWait,
-                                            Duration{}, std::move(callbacks));
+            std::make_unique<TopicFollower>(context, store, retries, options, std::move(callbacks));
         scheduleCheck();
     }
 
@@ -69,11 +71,23 @@
         }
     }
 
-    /// Starts to follow the workers if there is no layout, to make one for them.
     void onLayoutTopicRead(std::uint64_t end)
     {
         topicEnd = end;
-        if (hasLayout || workerFollower) {
+        followWorkers();
+    }
+
+    /// True if this VM is among those that make a layout when there is none.
+    bool isProposer() const
+    {
+        // Any cell will do: before there is a layout, none has an owner.
+        return directory.rankOf(settings.node, 0, 0) < directory.standbyCount(0, Clock::now());
+    }
+
+    /// Starts to follow the workers if there is no layout, to make one for them.
+    void followWorkers()
+    {
+        if (hasLayout || workerFollower || !topicEnd || !isProposer()) {
             return;
         }
         lastChangeAt = followingSince = Clock::now();
@@ -82,9 +96,10 @@
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
         callbacks.onRead = [](std::uint64_t) {};
         callbacks.onFailed = [](const std::string &) {};
+        const TopicFollower::Options options{platform::workerTopic(), StoreReadKind::Workers,
+                                             WorkerReadWait, CheckInterval};
         workerFollower =
-            std::make_unique<TopicFollower>(context, store, platform::workerTopic(), WorkerReadWait,
-                                            CheckInterval, std::move(callbacks));
+            std::make_unique<TopicFollower>(context, store, retries, options, std::move(callbacks));
     }
 
     void onWorkerRecord(const KeyedRecord &record)
@@ -123,6 +138,12 @@
             registeredWorkers.clear();
             return;
         }
+        if (isProposer()) {
+            followWorkers();
+        } else {
+            workerFollower.reset();
+            registeredWorkers.clear();
+        }
         const TimePoint now = Clock::now();
         const bool isStable =
             !registeredWorkers.empty() && now - lastChangeAt >= RegistrationQuietPeriod;
@@ -140,7 +161,7 @@
         for (const auto &[id, worker] : registeredWorkers) {
             list.push_back(worker);
         }
-        const std::vector<VmCapacity> vms = capacities();
+        const std::vector<VmCapacity> vms = directory.capacities();
         const CellLayout layout = CellLayout::plan(list, settings.storePartitions, vms);
         log.write(LogLevel::Info, "node", "proposing layout",
                   {{"cells", layout.cellCount()}, {"workers", list.size()}, {"vms", vms.size()}});
@@ -161,9 +182,10 @@
 
     asio::io_context &context;
     platform::StoreClient &store;
+    StoreRetryPolicy &retries;
     const NodeSettings &settings;
     EventLog &log;
-    Capacities capacities;
+    const FleetDirectory &directory;
     OnLayout onLayout;
     asio::basic_waitable_timer<Clock> timer;
     std::unique_ptr<TopicFollower> layoutFollower;
@@ -177,9 +199,9 @@
 };
 
 LayoutLoader::LayoutLoader(asio::io_context &context, platform::StoreClient &store,
-                           const NodeSettings &settings, EventLog &log, Capacities capacities,
-                           OnLayout onLayout)
-    : m_private(std::make_shared<Private>(context, store, settings, log, std::move(capacities),
+                           StoreRetryPolicy &retries, const NodeSettings &settings, EventLog &log,
+                           const FleetDirectory &directory, OnLayout onLayout)
+    : m_private(std::make_shared<Private>(context, store, retries, settings, log, directory,
                                           std::move(onLayout)))
 {
     m_private->begin();
--- a/src/Node/LayoutLoader.h
+++ b/src/Node/LayoutLoader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "CellLease/FleetDirectory.h"
+#include "CellLease/StoreRetryPolicy.h"
 #include "Fleet/CellLayout.h"
 #include "Fleet/NodeSettings.h"
 #include "Ops/EventLog.h"
@@ -14,20 +16,19 @@
 
 /// Loads the fleet's layout from the store; creates it when the fleet starts for the first time.
 ///
-/// The append is conditional on the end of the layout topic, so of several proposals only one is
-/// stored and all processes read the same layout.
+/// Only the VMs that may own cells first follow the workers to make a layout; the others wait for
+/// it. The append is conditional on the end of the layout topic, so of several proposals only one
+/// is stored and all processes read the same layout.
 class LayoutLoader
 {
 public:
     using OnLayout = std::function<void(const CellLayout &)>;
-    /// Returns the capacities of the VMs that may own cells.
-    using Capacities = std::function<std::vector<VmCapacity>()>;
 
     static constexpr const char *RecordKey = "layout";
 
     /// \a onLayout is called once, when the layout is known.
-    LayoutLoader(asio::io_context &context, platform::StoreClient &store,
-                 const NodeSettings &settings, EventLog &log, Capacities capacities,
+    LayoutLoader(asio::io_context &context, platform::StoreClient &store, StoreRetryPolicy &retries,
+                 const NodeSettings &settings, EventLog &log, const FleetDirectory &directory,
                  OnLayout onLayout);
     ~LayoutLoader();
     LayoutLoader(const LayoutLoader &) = delete;
--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -1,5 +1,6 @@
 #include "Node/NodeRuntime.h"
 
+#include "CellLease/StoreRetryPolicy.h"
 #include "Fleet/RouteTable.h"
 #include "Node/CellSet.h"
 #include "Node/RequestForwarder.h"
@@ -67,8 +68,9 @@
         , log(settings.node, LogLevel::Info, LogStream::Output, LogLinesPerInterval)
         , curl(context, curlOptions(settings))
         , store(curl, settings.storeEndpoint)
+        , storeRetries(std::random_device{}())
         , workers(curl)
-        , cells(context, settings, cellOptions(), store, workers, log, metrics)
+        , cells(context, settings, cellOptions(), store, storeRetries, workers, log, metrics)
         , forwarder(curl, cells, &platform::decodeJob)
         , router(context, routes, cells, forwarder, log, metrics)
         , internalServer(context, internalEndpoint(), HttpLimits{}, internalHandler())
@@ -136,9 +138,13 @@
 
     nlohmann::json dump() const
     {
-        return {{"node", settings.node},          {"incarnation", incarnation},
-                {"config", routes.version()},     {"draining", isDraining},
-                {"in_flight", router.inFlight()}, {"open_requests", clientServer.openRequests()},
+        return {{"node", settings.node},
+                {"incarnation", incarnation},
+                {"config", routes.version()},
+                {"draining", isDraining},
+                {"in_flight", router.inFlight()},
+                {"open_requests", clientServer.openRequests()},
+                {"failed_store_reads", storeRetries.failedReads()},
                 {"cells", cells.dump()}};
     }
 
@@ -148,9 +154,13 @@
         callbacks.onRecord = [this](const KeyedRecord &it) { onConfigRecord(it); };
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
         callbacks.onRead = [](std::uint64_t) {};
-        configFollower =
-            std::make_unique<TopicFollower>(context, store, platform::operatorTopic(),
-                                            ConfigReadWait, Duration{}, std::move(callbacks));
+        callbacks.onFailed = [this](const std::string &) {
+            metrics.add("firefly_store_read_failures_total{topic=\"operators\"}");
+        };
+        const TopicFollower::Options options{
+            platform::operatorTopic(), StoreReadKind::Configuration, ConfigReadWait, Duration{}};
+        configFollower = std::make_unique<TopicFollower>(context, store, storeRetries, options,
+                                                         std::move(callbacks));
     }
 
     void onConfigRecord(const KeyedRecord &record)
@@ -254,6 +264,7 @@
     Metrics metrics;
     CurlLoop curl;
     platform::StoreClient store;
+    StoreRetryPolicy storeRetries;
     platform::WorkerClient workers;
     RouteTable routes;
     CellSet cells;
--- a/src/Node/TopicFollower.cpp
+++ b/src/Node/TopicFollower.cpp
@@ -3,21 +3,14 @@
 #include <utility>
 
 namespace firefly {
-namespace {
-
-constexpr Duration RetryPause = std::chrono::milliseconds(200);
-
-} // namespace
 
 struct TopicFollower::Private : std::enable_shared_from_this<Private>
 {
-    Private(asio::io_context &context, platform::StoreClient &storeIn,
-            platform::Partition partitionIn, Duration waitIn, Duration pauseIn,
-            Callbacks callbacksIn)
+    Private(asio::io_context &context, platform::StoreClient &storeIn, StoreRetryPolicy &retriesIn,
+            Options optionsIn, Callbacks callbacksIn)
         : store(storeIn)
-        , partition(std::move(partitionIn))
-        , wait(waitIn)
-        , pause(pauseIn)
+        , retries(retriesIn)
+        , options(std::move(optionsIn))
         , callbacks(std::move(callbacksIn))
         , timer(context)
     {}
@@ -44,7 +37,7 @@
 
     void loadPage()
     {
-        store.newest(partition, afterKey,
+        store.newest(options.partition, afterKey,
                      [weak = weak_from_this()](const platform::NewestPage &page) {
                          const auto self = weak.lock();
                          if (self && !self->isStopped) {
@@ -56,10 +49,10 @@
     void onPage(const platform::NewestPage &page)
     {
         if (!page.isOk) {
-            reportFailure(page.error);
-            scheduleAfter(RetryPause, &Private::loadPage);
+            retry(&Private::loadPage, page.error);
             return;
         }
+        failures = 0;
         if (isFirstPage) {
             // The pages aren't one consistent snapshot: records appended since the first page are
             // read again.
@@ -91,7 +84,7 @@
         if (isStopped) {
             return;
         }
-        store.read(partition, position, wait,
+        store.read(options.partition, position, options.wait,
                    [weak = weak_from_this()](const platform::ReadResult &result) {
                        const auto self = weak.lock();
                        if (self && !self->isStopped) {
@@ -107,12 +100,12 @@
             begin();
             return;
         case platform::ReadState::Failed:
-            reportFailure(result.error);
-            scheduleAfter(RetryPause, &Private::read);
+            retry(&Private::read, result.error);
             return;
         case platform::ReadState::Read:
             break;
         }
+        failures = 0;
         if (result.end < position) {
             begin();
             return;
@@ -130,9 +123,9 @@
         if (isStopped) {
             return;
         }
-        if (pause > Duration{}) {
+        if (options.pause > Duration{}) {
             isPausing = true;
-            scheduleAfter(pause, &Private::endPause);
+            scheduleAfter(options.pause, &Private::endPause);
         } else {
             read();
         }
@@ -146,31 +139,35 @@
         }
     }
 
-    void reportFailure(const std::string &error)
+    /// Reports that \a step has failed and repeats it later.
+    void retry(void (Private::*step)(), const std::string &error)
     {
+        ++failures;
         if (callbacks.onFailed) {
             callbacks.onFailed(error);
         }
+        if (!isStopped) {
+            scheduleAfter(retries.delayAfter(options.kind, failures), step);
+        }
     }
 
     platform::StoreClient &store;
-    platform::Partition partition;
-    Duration wait;
-    Duration pause;
+    StoreRetryPolicy &retries;
+    Options options;
     Callbacks callbacks;
     asio::basic_waitable_timer<Clock> timer;
     std::set<std::string> keys;
     std::string afterKey;
     std::uint64_t position = 0;
+    int failures = 0; ///< Failed reads in a row.
     bool isFirstPage = true;
     bool isPausing = false; ///< Between two reads.
     bool isStopped = false;
 };
 
 TopicFollower::TopicFollower(asio::io_context &context, platform::StoreClient &store,
-                             platform::Partition partition, Duration wait, Duration pause,
-                             Callbacks callbacks)
-    : m_private(std::make_shared<Private>(context, store, std::move(partition), wait, pause,
+                             StoreRetryPolicy &retries, Options options, Callbacks callbacks)
+    : m_private(std::make_shared<Private>(context, store, retries, std::move(options),
                                           std::move(callbacks)))
 {
     m_private->begin();
@@ -184,7 +181,7 @@
 
 void TopicFollower::setPause(Duration pause)
 {
-    m_private->pause = pause;
+    m_private->options.pause = pause;
 }
 
 void TopicFollower::readNow()
--- a/src/Node/TopicFollower.h
+++ b/src/Node/TopicFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CellLease/StoreRetryPolicy.h"
 #include "platform/StoreClient.h"
 
 #include <asio/basic_waitable_timer.hpp>
@@ -28,11 +29,17 @@
         std::function<void(const std::string &error)> onFailed; ///< May be empty.
     };
 
-    /// \param wait longest time that one read waits for a record.
-    /// \param pause time between reads, so that one read returns several records.
+    struct Options
+    {
+        platform::Partition partition;
+        StoreReadKind kind = StoreReadKind::Configuration;
+        Duration wait{};  ///< Longest time that one read waits for a record.
+        Duration pause{}; ///< Time between reads, so that one read returns several records.
+    };
+
+    /// \param retries decides when a failed read is tried again.
     TopicFollower(asio::io_context &context, platform::StoreClient &store,
-                  platform::Partition partition, Duration wait, Duration pause,
-                  Callbacks callbacks);
+                  StoreRetryPolicy &retries, Options options, Callbacks callbacks);
     ~TopicFollower();
     TopicFollower(const TopicFollower &) = delete;
     TopicFollower &operator=(const TopicFollower &) = delete;
--- a/src/Node/WorkerDirectory.cpp
+++ b/src/Node/WorkerDirectory.cpp
@@ -30,13 +30,14 @@
 } // namespace
 
 WorkerDirectory::WorkerDirectory(asio::io_context &context, platform::StoreClient &store,
-                                 CellScheduler &scheduler, EventLog &log, const CellLayout &layout,
-                                 int cell, std::function<void()> onRead)
+                                 StoreRetryPolicy &retries, CellScheduler &scheduler, EventLog &log,
+                                 const CellLayout &layout, int cell, std::function<void()> onRead)
     : m_scheduler(scheduler)
     , m_log(log)
     , m_layout(layout)
     , m_cell(cell)
-    , m_follower(context, store, platform::workerTopic(), ReadWait, ReadPause,
+    , m_follower(context, store, retries,
+                 {platform::workerTopic(), StoreReadKind::Workers, ReadWait, ReadPause},
                  makeCallbacks([this](const KeyedRecord &it) { onRecord(it); },
                                [this](const std::set<std::string> &keys) { onSnapshot(keys); },
                                std::move(onRead)))
--- a/src/Node/WorkerDirectory.h
+++ b/src/Node/WorkerDirectory.h
@@ -19,8 +19,8 @@
 public:
     /// \a onRead is called after each read of the registrations.
     WorkerDirectory(asio::io_context &context, platform::StoreClient &store,
-                    CellScheduler &scheduler, EventLog &log, const CellLayout &layout, int cell,
-                    std::function<void()> onRead);
+                    StoreRetryPolicy &retries, CellScheduler &scheduler, EventLog &log,
+                    const CellLayout &layout, int cell, std::function<void()> onRead);
     WorkerDirectory(const WorkerDirectory &) = delete;
     WorkerDirectory &operator=(const WorkerDirectory &) = delete;
 
--- a/test/DelegationRequests.cpp
+++ b/test/DelegationRequests.cpp
@@ -298,8 +298,9 @@
     Metrics metrics;
     CurlLoop curl{context};
     platform::StoreClient store{curl, settings.storeEndpoint};
+    StoreRetryPolicy retries{1};
     platform::WorkerClient workers{curl};
-    CellSet cells{context, settings, {}, store, workers, log, metrics};
+    CellSet cells{context, settings, {}, store, retries, workers, log, metrics};
     RequestForwarder forwarder{curl, cells, [](std::string_view) { return JobSpec(); }};
 };
 
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -198,6 +198,56 @@
     }
 }
 
+/// Number of VMs of \a fleet, weak ones only, that follow the claims of a cell without an owner.
+int countCandidates(const FleetDirectory &fleet, int vms, TimePoint now)
+{
+    int count = 0;
+    for (int i = 0; i < vms; ++i) {
+        count += fleet.rankOf(weakVm(i), 0, 0) < fleet.standbyCount(0, now) ? 1 : 0;
+    }
+    return count;
+}
+
+// On kayal-roster at 300 VMs all processes followed the claims of all 12 cells after a start of the
+// fleet, and each claim woke all of them.
+TEST(FleetDirectory, AtTheStartOfALargeFleetFewVmsFollowTheClaims)
+{
+    EXPECT_EQ(countCandidates(makeFleet(0, 300), 300, Start), FleetDirectory::LostCellStandbyCount);
+}
+
+TEST(FleetDirectory, AllVmsOfASmallFleetFollowTheClaimsOfALostCell)
+{
+    EXPECT_EQ(countCandidates(makeFleet(0, 30), 30, Start), 30);
+}
+
+TEST(FleetDirectory, ACellThatStaysWithoutAnOwnerIsFollowedByMoreAndMoreVms)
+{
+    const FleetDirectory fleet = makeFleet(0, 300);
+    int before = 0;
+    for (Duration since{}; since <= 20s; since += FleetDirectory::StandbyGrowthInterval) {
+        const int count = countCandidates(fleet, 300, Start + since);
+        EXPECT_GT(count, before);
+        before = count;
+    }
+    EXPECT_EQ(before, 300);
+}
+
+TEST(FleetDirectory, APublishedCellIsFollowedByItsStandbysOnly)
+{
+    FleetDirectory fleet = makeFleet(0, 300);
+    fleet.onCell(0, makeClaim(weakVm(0), 1, 1), Start);
+    fleet.onCell(0, makeClaim(weakVm(0), 1, 2), Start + 1s);
+    EXPECT_EQ(fleet.standbyCount(0, Start + 2s), FleetDirectory::StandbyCount);
+    EXPECT_EQ(fleet.standbyCount(0, Start + 5s), FleetDirectory::LostCellStandbyCount);
+}
+
+TEST(FleetDirectory, AVmThatJoinsALargeFleetWaitsUntilItsAnnouncementIsRead)
+{
+    const FleetDirectory fleet = makeFleet(0, 300);
+    EXPECT_GE(fleet.rankOf("new-vm", 0, 0), fleet.standbyCount(0, Start));
+    EXPECT_EQ(makeFleet(0, 30).rankOf("new-vm", 0, 0), 0);
+}
+
 TEST(FleetDirectory, RecordsAreUnchangedAfterEncodingAndDecoding)
 {
     EXPECT_EQ(decodeCapacity(encodeCapacity(Weak)), Weak);
--- a/test/NodeRequests.cpp
+++ b/test/NodeRequests.cpp
@@ -48,9 +48,10 @@
     Metrics metrics;
     CurlLoop curl{context};
     platform::StoreClient store{curl, settings.storeEndpoint};
+    StoreRetryPolicy retries{1};
     platform::WorkerClient workers{curl};
     RouteTable routes;
-    CellSet cells{context, settings, {}, store, workers, log, metrics};
+    CellSet cells{context, settings, {}, store, retries, workers, log, metrics};
     RequestForwarder forwarder{curl, cells, [](std::string_view) { return JobSpec(); }};
     RequestRouter router{context, routes, cells, forwarder, log, metrics};
     std::vector<HttpResponse> responses;
