Limit the directory reads that requests without an owner cause

Each retry of a request ended the pause before the next read of the directory, every 60 ms in each process. In 300 processes that is up to 5,000 reads a second while owners are missing. A process now reads at most its share of 800 reads a second: every 375 ms at 300 VMs, every 37 ms at 30. The share is arithmetic, not a measured figure.

--- a/src/Node/DirectoryClient.cpp
+++ b/src/Node/DirectoryClient.cpp
@@ -53,6 +53,7 @@
         callbacks.onRecord = [this](const KeyedRecord &it) { onRecord(it); };
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
         callbacks.onRead = [this](std::uint64_t) {
+            lastReadAt = Clock::now();
             updateFleetSize();
             updatePause();
         };
@@ -110,6 +111,14 @@
         follower->setPause(retries.pauseBetweenReads(isFast ? FastPause : usual));
     }
 
+    /// Ends the pause between two reads, unless this would exceed the share of this process.
+    void readNow()
+    {
+        if (Clock::now() - lastReadAt >= retries.pauseBetweenReads(Duration{})) {
+            follower->readNow();
+        }
+    }
+
     void announce()
     {
         put(vmRecordKey(settings.node), encodeCapacity(settings.capacity));
@@ -188,6 +197,7 @@
     int appendFailures = 0; ///< In a row.
     bool isOwner = false;
     TimePoint fastUntil{};
+    TimePoint lastReadAt{};
 };
 
 DirectoryClient::DirectoryClient(asio::io_context &context, const NodeSettings &settings,
@@ -224,14 +234,14 @@
 
 void DirectoryClient::readNow()
 {
-    m_private->follower->readNow();
+    m_private->readNow();
 }
 
 void DirectoryClient::readOften()
 {
     m_private->fastUntil = Clock::now() + FastReadTime;
     m_private->updatePause();
-    m_private->follower->readNow();
+    m_private->readNow();
 }
 
 } // namespace firefly
--- a/src/Node/DirectoryClient.h
+++ b/src/Node/DirectoryClient.h
@@ -33,7 +33,7 @@
     void publish(int cell, const OwnershipClaim &claim);
     /// Owners read more often, since they refer jobs by the load of other cells.
     void setOwner(bool isOwner);
-    /// Reads as soon as possible, since an entry has proved wrong.
+    /// Reads as soon as the size of the fleet allows, since an entry has proved wrong.
     void readNow();
     /// Reads nearly without pauses for a short time, since the loads of the cells change fast.
     void readOften();
