Take a fleet for small only once all of its VMs are known

In a start of all processes at once, the first read of the directory shows a few of them, and a process would have retried as in a small fleet.

--- a/src/CellLease/StoreRetryPolicy.cpp
+++ b/src/CellLease/StoreRetryPolicy.cpp
@@ -32,7 +32,7 @@
 Duration StoreRetryPolicy::longestDelay(StoreReadKind kind) const
 {
     const KindLimits limits = limitsOf(kind);
-    if (m_fleetSize == 0) {
+    if (!m_isFleetComplete) {
         return limits.longest;
     }
     return std::clamp<Duration>(limits.perVm * m_fleetSize, FirstDelay, limits.longest);
--- a/src/CellLease/StoreRetryPolicy.h
+++ b/src/CellLease/StoreRetryPolicy.h
@@ -35,14 +35,19 @@
         : m_random(seed)
     {}
 
-    /// Sets the number of VMs that are known to run processes of the fleet; 0 if unknown.
-    void setFleetSize(std::size_t vms) { m_fleetSize = vms; }
+    /// Sets the number of VMs that are known to run processes of the fleet; \a isComplete once all
+    /// of them have had the time to become known.
+    void setFleetSize(std::size_t vms, bool isComplete)
+    {
+        m_fleetSize = vms;
+        m_isFleetComplete = isComplete;
+    }
     std::size_t fleetSize() const { return m_fleetSize; }
 
     /// Time from the last of \a failures failed reads in a row to the next.  \pre failures > 0
     Duration delayAfter(StoreReadKind kind, int failures);
-    /// Longest mean delay of a read of \a kind in this fleet; that of the largest fleets while the
-    /// size is unknown.
+    /// Longest mean delay of a read of \a kind in this fleet; that of the largest fleets until
+    /// all of the fleet is known.
     Duration longestDelay(StoreReadKind kind) const;
     /// Pause between two reads of a topic that changes all the time: \a usual, longer in a large
     /// fleet.
@@ -53,6 +58,7 @@
 private:
     std::mt19937_64 m_random;
     std::size_t m_fleetSize = 0;
+    bool m_isFleetComplete = false;
     std::uint64_t m_failedReads = 0;
 };
 
--- a/src/Node/DirectoryClient.cpp
+++ b/src/Node/DirectoryClient.cpp
@@ -7,6 +7,7 @@
 #include <asio/basic_waitable_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -93,7 +94,9 @@
     void updateFleetSize()
     {
         const Duration before = retries.longestDelay(StoreReadKind::Layout);
-        retries.setFleetSize(directory.vmCount());
+        // A fleet that starts at once is known when each VM has announced itself.
+        const bool isComplete = Clock::now() - startedAt >= FleetDirectory::VmInterval;
+        retries.setFleetSize(directory.vmCount(), isComplete);
         const Duration after = retries.longestDelay(StoreReadKind::Layout);
         if (after != before) {
             log.write(LogLevel::Info, "node", "store retries changed",
@@ -197,6 +200,7 @@
     int appendFailures = 0; ///< In a row.
     bool isOwner = false;
     TimePoint fastUntil{};
+    TimePoint startedAt = Clock::now();
     TimePoint lastReadAt{};
 };
 
--- a/test/StoreRetryStorm.cpp
+++ b/test/StoreRetryStorm.cpp
@@ -92,7 +92,7 @@
     std::priority_queue<Attempt, std::vector<Attempt>, std::greater<>> attempts;
     for (std::size_t vm = 0; vm < static_cast<std::size_t>(vms); ++vm) {
         policies.emplace_back(random());
-        policies.back().setFleetSize(knownVms);
+        policies.back().setFleetSize(knownVms, knownVms > 0);
         for (const StoreReadKind it : Kinds) {
             for (int i = topicCount(it, static_cast<int>(vm), vms); i > 0; --i) {
                 attempts.push({Duration{}, random(), vm, it});
@@ -200,7 +200,7 @@
 TEST(StoreRetryStorm, ASmallFleetRetriesAsBefore)
 {
     StoreRetryPolicy policy(1);
-    policy.setFleetSize(25);
+    policy.setFleetSize(25, true);
     for (const StoreReadKind kind : Kinds) {
         EXPECT_EQ(policy.longestDelay(kind), StoreRetryPolicy::FirstDelay);
         for (const int failures : {1, 2, 30}) {
@@ -212,11 +212,20 @@
     EXPECT_EQ(policy.pauseBetweenReads(40ms), 40ms);
 }
 
+TEST(StoreRetryStorm, AFleetThatIsNotYetCompleteCountsAsLarge)
+{
+    StoreRetryPolicy policy(1);
+    policy.setFleetSize(10, false);
+    for (const StoreReadKind kind : Kinds) {
+        EXPECT_GT(policy.longestDelay(kind), StoreRetryPolicy::FirstDelay);
+    }
+}
+
 TEST(StoreRetryStorm, AFirstRetryIsSoonInEveryFleet)
 {
     StoreRetryPolicy policy(1);
     for (const std::size_t vms : {0, 30, 300, 3000}) {
-        policy.setFleetSize(vms);
+        policy.setFleetSize(vms, true);
         EXPECT_LE(policy.delayAfter(StoreReadKind::Layout, 1), 250ms);
     }
 }
@@ -225,7 +234,7 @@
 {
     StoreRetryPolicy policy(1);
     for (const int vms : {300, 1000}) {
-        policy.setFleetSize(static_cast<std::size_t>(vms));
+        policy.setFleetSize(static_cast<std::size_t>(vms), true);
         const Duration pause = policy.pauseBetweenReads(40ms);
         EXPECT_LE(vms * (Duration(1s) / 1us), GrantedPerSecond * (pause / 1us));
         EXPECT_LE(pause, StoreRetryPolicy::MaxPause);
