--- a/test/StoreRetryStorm.cpp
+++ b/test/StoreRetryStorm.cpp
@@ -171,7 +171,8 @@
 {
     constexpr Duration Outage = 10s;
     const Outcome outcome = readAll(300, 300, awayUntil(Outage));
-    EXPECT_LT(outcome.calls, 300 * 3 * (Outage / StoreRetryPolicy::FirstDelay) / 2);
+    constexpr auto FixedPauseCalls = 300L * 3 * (Outage / StoreRetryPolicy::FirstDelay);
+    EXPECT_LT(outcome.calls, FixedPauseCalls / 2);
 }
 
 TEST(StoreRetryStorm, AStoreThatWasAwayIsReadWithinTheBoundOfAConfiguration)
