--- a/src/CellLease/StoreRetryPolicy.h
+++ b/src/CellLease/StoreRetryPolicy.h
@@ -53,6 +53,7 @@
     /// fleet.
     Duration pauseBetweenReads(Duration usual) const;
 
+    /// Number of calls of delayAfter(): failed reads, and failed appends to the directory.
     std::uint64_t failedReads() const { return m_failedReads; }
 
 private:
