--- a/src/Node/NodeRuntime.cpp
+++ b/src/Node/NodeRuntime.cpp
@@ -1,5 +1,6 @@
 #include "Node/NodeRuntime.h"
 
+#include "CellLease/StoreRetryPolicy.h"
 #include "Fleet/EvacuationList.h"
 #include "Fleet/RouteTable.h"
 #include "Node/CellSet.h"
@@ -73,8 +74,9 @@
         , log(settings.node, LogLevel::Info, LogStream::Output, LogLinesPerInterval)
         , curl(context, curlOptions(settings))
         , store(curl, settings.storeEndpoint)
+        , storeRetries(std::random_device{}())
         , workers(curl)
-        , cells(context, settings, cellOptions(), store, workers, log, metrics)
+        , cells(context, settings, cellOptions(), store, storeRetries, workers, log, metrics)
         , forwarder(curl, cells, &platform::decodeJob)
         , router(context, routes, cells, forwarder, log, metrics)
         , internalServer(context, internalEndpoint(), HttpLimits{}, internalHandler())
@@ -142,10 +144,15 @@
 
     nlohmann::json dump() const
     {
-        return {{"node", settings.node},          {"incarnation", incarnation},
-                {"config", routes.version()},     {"draining", isDraining},
-                {"in_flight", router.inFlight()}, {"open_requests", clientServer.openRequests()},
-                {"evacuated", dumpEvacuations()}, {"cells", cells.dump()}};
+        return {{"node", settings.node},
+                {"incarnation", incarnation},
+                {"config", routes.version()},
+                {"draining", isDraining},
+                {"in_flight", router.inFlight()},
+                {"open_requests", clientServer.openRequests()},
+                {"failed_store_reads", storeRetries.failedReads()},
+                {"evacuated", dumpEvacuations()},
+                {"cells", cells.dump()}};
     }
 
     /// Start of each current evacuation, by zone.
@@ -166,9 +173,13 @@
             onOperatorSnapshot(keys);
         };
         callbacks.onRead = [](std::uint64_t) {};
-        operatorFollower =
-            std::make_unique<TopicFollower>(context, store, platform::operatorTopic(),
-                                            ConfigReadWait, Duration{}, std::move(callbacks));
+        callbacks.onFailed = [this](const std::string &) {
+            metrics.add("firefly_store_read_failures_total{topic=\"operators\"}");
+        };
+        const TopicFollower::Options options{
+            platform::operatorTopic(), StoreReadKind::Configuration, ConfigReadWait, Duration{}};
+        operatorFollower = std::make_unique<TopicFollower>(context, store, storeRetries, options,
+                                                           std::move(callbacks));
     }
 
     void onOperatorRecord(const KeyedRecord &record)
@@ -317,6 +328,7 @@
     Metrics metrics;
     CurlLoop curl;
     platform::StoreClient store;
+    StoreRetryPolicy storeRetries;
     platform::WorkerClient workers;
     RouteTable routes;
     EvacuationList evacuations;
