Admit batch jobs by the backlog of their cell; say when to return

No submission was refused for load, Retry-After was always one second, so that the four tries of a client ended before a store outage of 6 s did, and queries without an answer got 504, after which clients don't ask again.

BacklogAdmission predicts the end of a new job from the work ahead of it and the rate of finished work, and refuses what would be of no use, after a look for a cell with spare capacity. RetryAdvice grows with the length of an outage. RequestOutcome decides what a client may be told.

--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -63,6 +63,7 @@
     m_placement.reset();
     m_guests.reset();
     m_crashDetector.reset();
+    m_admission.clear();
     m_delegatingJobs.clear();
 }
 
@@ -436,6 +437,7 @@
         m_lastPlacement = now;
         m_placement.run(now, nowUnixMs);
     }
+    updateWaiting(now);
     sendDelegations(now);
     renewLeases(now);
 }
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Admission/BacklogAdmission.h"
 #include "Cell/CellState.h"
 #include "Cell/CrashDetector.h"
 #include "Cell/GuestSelection.h"
@@ -55,6 +56,9 @@
     /// Submits a job; a repeated submission of \a id shares the verdict of the first.
     void submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
                 const OnVerdict &onVerdict);
+    /// Decides whether a new job should be submitted here, by the work that would be served before
+    /// it.  O(jobs + tasks of started jobs) under load, O(workers) otherwise.
+    BacklogAdmission::Decision admit(const JobId &id, const JobSpec &spec, TimePoint now);
     /// Refers the job \a id to \a cell; the verdict is Accepted once the referral is durable.
     void refer(const JobId &id, int cell, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
     /// The cell that the job \a id was referred to, if the referral is durable.
@@ -156,6 +160,32 @@
     void dropOldJobs(std::int64_t nowUnixMs);
     void dropOldReferrals(std::int64_t nowUnixMs);
 
+    // Admission
+
+    /// Batch tasks of one service that reserve processor time, or that fill.
+    struct WorkQueue
+    {
+        std::string service;
+        bool isFiller = false;
+        auto operator<=>(const WorkQueue &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+    /// Estimated core-seconds of one task of \a step.
+    static double workOf(const StepSpec &step, const BacklogAdmission &admission);
+    /// Estimated core-seconds of the unfinished tasks of \a job in \a queue: on workers, and
+    /// others.
+    struct RemainingWork
+    {
+        double placed = 0.0;
+        double unplaced = 0.0;
+    };
+    RemainingWork remainingWork(const CellJob &job, const WorkQueue &queue,
+                                const BacklogAdmission &admission) const;
+    /// True if some worker has room for a first task of \a job, which isn't a filler.
+    bool hasRoomFor(CellJob &job, TimePoint now) const;
+    /// Tells the admission control of each queue whether its tasks wait, as far as due.
+    void updateWaiting(TimePoint now);
+    void recordFinishedWork(const TaskRef &ref);
+
     // Delegation
 
     /// A pending task that another cell may take.
@@ -227,11 +257,13 @@
     Placement m_placement{m_state, m_interference};
     GuestSelection m_guests;
     CrashDetector m_crashDetector{m_state};
+    std::map<WorkQueue, BacklogAdmission> m_admission;
     std::set<std::string> m_delegatingJobs; ///< Jobs with delegations, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{}; ///< Time of the latest input.
     TimePoint m_lastPlacement{};
     TimePoint m_lastCleanup{};
+    TimePoint m_lastWaitingUpdate{};
     TimePoint m_lastModelRecord{};
     TimePoint m_lastWorkerCheck{};
     TimePoint m_lastTick{};
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -160,6 +160,7 @@
 
 void CellScheduler::completeTask(const TaskRef &ref, std::int64_t nowUnixMs)
 {
+    recordFinishedWork(ref);
     TaskLedger::finish(ref);
     CellJob &job = *ref.job;
     if (isFinal(job.state)) {
--- a/src/Fleet/CallerRequest.h
+++ b/src/Fleet/CallerRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Clock.h"
 #include "Workload/JobSpec.h"
 
 #include <functional>
@@ -53,10 +54,11 @@
 struct CallerReply
 {
     CallerOutcome outcome = CallerOutcome::Unknown;
-    JobState state = JobState::Queued; ///< For Query, when Done.
-    int pending = 0;                   ///< For CountPending, when Done.
-    std::string detail;                ///< Explanation for the client and the log; may be empty.
-    int cell = -1;                     ///< The job's cell, for Elsewhere.
+    JobState state = JobState::Queued;  ///< For Query, when Done.
+    int pending = 0;                    ///< For CountPending, when Done.
+    std::string detail;                 ///< Explanation for the client and the log; may be empty.
+    int cell = -1;                      ///< The job's cell, for Elsewhere.
+    std::optional<Duration> retryAfter; ///< When to try again, for NotRun and Refused.
 };
 
 using OnCallerReply = std::function<void(CallerReply)>;
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -1,9 +1,11 @@
 #include "Node/CellHost.h"
 
+#include "Admission/RetryAdvice.h"
 #include "CellLease/ClaimRecord.h"
 #include "CellLease/FleetDirectory.h"
 #include "Core/UnixTime.h"
 #include "Fleet/ReferralPolicy.h"
+#include "Fleet/SpareCapacity.h"
 #include "Node/CellDump.h"
 #include "Node/DelegationSender.h"
 #include "Node/JobPartition.h"
@@ -154,6 +156,9 @@
         if (!isOwning && election.isOwner() && now < election.ordersUntil()) {
             beginOwnership(now);
         }
+        if (partition && !partition->isFailing()) {
+            storeRetries.onSuccess();
+        }
         if (isServing && orders && partition) {
             scheduler.setOrdersUntil(election.ordersUntil());
             scheduler.tick(now, unixMs());
@@ -407,33 +412,63 @@
 
     // Clients
 
+    /// True if \a spec may run in another cell without being far from its data.
+    static bool isReferable(const JobSpec &spec)
+    {
+        return std::ranges::all_of(spec.steps,
+                                   [](const StepSpec &it) { return it.dataRack.empty(); });
+    }
+
     /// Refers a new job to a less loaded cell; false if this cell keeps it.
     bool refer(const JobId &id, const JobSpec &spec, bool isHeld, const OnCallerReply &done)
     {
         if (scheduler.hasJob(id)) {
             return false;
         }
-        const bool hasDataRack = std::ranges::any_of(
-            spec.steps, [](const StepSpec &it) { return !it.dataRack.empty(); });
         const bool isLongRunning = std::ranges::any_of(spec.steps, &StepSpec::isLongRunning);
         const NewJob job{id, spec.policy.service, scheduler.loadOf(spec), isLongRunning, isHeld};
         const auto cell =
-            hasDataRack ? std::nullopt : options.lessLoadedCell(job, scheduler.load());
+            isReferable(spec) ? options.lessLoadedCell(job, scheduler.load()) : std::nullopt;
         if (!cell && !scheduler.isReferred(id)) {
             return false;
         }
+        storeReferral(id, cell.value_or(options.cell), done);
+        return true;
+    }
+
+    void storeReferral(const JobId &id, int cell, const OnCallerReply &done)
+    {
         scheduler.refer(
-            id, cell.value_or(options.cell), unixMs(),
-            guarded([id, done](Private &self, CellScheduler::Verdict verdict) {
+            id, cell, unixMs(), guarded([id, done](Private &self, CellScheduler::Verdict verdict) {
                 const auto target = self.scheduler.referralOf(id);
-                CallerReply reply = toReply(verdict);
+                CallerReply reply = self.toStoreReply(id, verdict);
                 if (reply.outcome == CallerOutcome::Done && target) {
                     reply = {CallerOutcome::Elsewhere, JobState::Queued, 0, "referred", *target};
                 }
                 done(reply);
             }));
         postStep();
-        return true;
+    }
+
+    /// The reply to a submission of \a id by its \a verdict.
+    CallerReply toStoreReply(const JobId &id, CellScheduler::Verdict verdict)
+    {
+        CallerReply reply = toReply(verdict);
+        if (reply.outcome == CallerOutcome::Refused && partition && partition->isFailing()) {
+            reply = refuseForStore(id, reply.detail);
+        }
+        return reply;
+    }
+
+    /// Refuses \a id because of the store, with advice on when to return.
+    CallerReply refuseForStore(const JobId &id, const std::string &detail)
+    {
+        const TimePoint now = Clock::now();
+        storeRetries.onFailure(now);
+        metrics.add("firefly_admission_refusals_total{reason=\"store\"}");
+        CallerReply reply{CallerOutcome::Refused, JobState::Queued, 0, detail};
+        reply.retryAfter = storeRetries.delayFor(id.value(), now);
+        return reply;
     }
 
     /// Submits a new job here or refers it to another cell.
@@ -445,12 +480,62 @@
         if (!isReferred && refer(id, spec, isHeld, done)) {
             return;
         }
+        const BacklogAdmission::Decision decision = scheduler.admit(id, spec, Clock::now());
+        if (decision.isRefused()) {
+            if (isReferred || !referToSpareCapacity(id, spec, done)) {
+                refuseForBacklog(id, spec, decision, done);
+            }
+            return;
+        }
         scheduler.submit(
             id, std::move(spec), Clock::now(), unixMs(),
-            [done = std::move(done)](CellScheduler::Verdict verdict) { done(toReply(verdict)); });
+            [id, done = std::move(done), weak = weak_from_this()](CellScheduler::Verdict verdict) {
+                const auto self = weak.lock();
+                done(self ? self->toStoreReply(id, verdict) : toReply(verdict));
+            });
         postStep();
     }
 
+    /// Refers a job that would be refused here to a cell with free capacity, if there is one.
+    bool referToSpareCapacity(const JobId &id, const JobSpec &spec, const OnCallerReply &done)
+    {
+        if (!isReferable(spec) || spec.steps.empty()) {
+            return false;
+        }
+        CellLoad load = scheduler.loadOf(spec);
+        load.milliCpu = scheduler.load().milliCpu;
+        const auto cell = findSpareCapacity(options.guestOffers(spec.policy.service), load,
+                                            spec.steps.front().reservation(), spreadOf(id.value()));
+        if (!cell) {
+            return false;
+        }
+        storeReferral(id, *cell, done);
+        return true;
+    }
+
+    void refuseForBacklog(const JobId &id, const JobSpec &spec,
+                          const BacklogAdmission::Decision &decision, const OnCallerReply &done)
+    {
+        const auto toMs = [](Duration it) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+        };
+        metrics.add("firefly_admission_refusals_total{reason=\"backlog\"}");
+        log.write(LogLevel::Info, "cell", "job refused", [&] {
+            return nlohmann::json{{"job", id.value()},
+                                  {"cell", options.cell},
+                                  {"queue", spec.policy.queue.value()},
+                                  {"reason", toString(decision.reason)},
+                                  {"ahead_core_s", decision.ahead},
+                                  {"rate_cores", decision.rate},
+                                  {"expected_ms", toMs(decision.expectedTime)},
+                                  {"retry_after_ms", toMs(decision.retryAfter)}};
+        });
+        CallerReply reply{CallerOutcome::Refused, JobState::Queued, 0,
+                          "the backlog is too long for the job to end in time"};
+        reply.retryAfter = decision.retryAfter;
+        done(reply);
+    }
+
     /// A long-running job that waits for the loads of the other cells.
     struct HeldJob
     {
@@ -550,6 +635,7 @@
     bool isStepPosted = false;
     bool isPublicationDue = false; ///< The load is to be published before it is due.
     bool hasStoreContact = true;
+    RetryAdvice storeRetries{RetryAdvice::RefusedAtOnce};
 };
 
 CellHost::CellHost(asio::io_context &context, const NodeSettings &settings, Options options,
@@ -594,7 +680,7 @@
     Private &self = *m_private;
     const bool isKnown = self.scheduler.isKnown(id);
     if (!isKnown && self.partition && self.partition->isFailing()) {
-        done({CallerOutcome::Refused, JobState::Queued, 0, "the store is unavailable"});
+        done(self.refuseForStore(id, "the store is unavailable"));
         return;
     }
     if (!isKnown && !self.hasReadWorkers) {
--- a/src/Node/RequestForwarder.cpp
+++ b/src/Node/RequestForwarder.cpp
@@ -20,6 +20,12 @@
 constexpr Duration DelegationTimeout = std::chrono::milliseconds(1200);
 constexpr const char *PolicyHeader = "Firefly-Policy";
 constexpr const char *ReferredHeader = "Firefly-Referred";
+/// Header of an answer: CallerReply::retryAfter.  Not part of the body, so that processes of an
+/// earlier version can read the body.
+constexpr const char *RetryAfterMsHeader = "firefly-retry-after-ms";
+/// Header by which HttpServer marks its own refusals.
+constexpr const char *OutcomeHeader = "firefly-outcome";
+constexpr std::string_view NotRunOutcome = "not-run";
 
 std::string encodePolicy(const QueuePolicy &policy)
 {
@@ -49,17 +55,6 @@
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-CallerReply toReply(const HttpResult &result)
-{
-    if (result.state == ExchangeState::NotSent) {
-        return {CallerOutcome::NotRun, JobState::Queued, 0, "the owner is unreachable"};
-    }
-    if (!result.isSuccess()) {
-        return {CallerOutcome::Unknown, JobState::Queued, 0, "no answer from the owner"};
-    }
-    return RequestForwarder::decodeReply(result.body);
-}
-
 const char *methodOf(CallerVerb verb)
 {
     switch (verb) {
@@ -80,8 +75,8 @@
     return baseUrl(owner) + "/" + path + "/" + std::to_string(cell) + "/" + job.value();
 }
 
-/// Number of a cell, if \a text is one.
-std::optional<int> parseCell(std::string_view text)
+/// The number in \a text, if it is one and not negative.
+std::optional<int> parseNumber(std::string_view text)
 {
     int number = -1;
     const char *end = text.data() + text.size();
@@ -91,6 +86,35 @@
 
 } // namespace
 
+CallerReply RequestForwarder::toReply(const HttpResult &result)
+{
+    if (result.state == ExchangeState::NotSent) {
+        return {CallerOutcome::NotRun, JobState::Queued, 0, "the owner is unreachable"};
+    }
+    if (result.isComplete() && result.header(OutcomeHeader) == NotRunOutcome) {
+        return {CallerOutcome::NotRun, JobState::Queued, 0, "the owner is overloaded"};
+    }
+    if (!result.isSuccess()) {
+        return {CallerOutcome::Unknown, JobState::Queued, 0, "no answer from the owner"};
+    }
+    CallerReply reply = decodeReply(result.body);
+    if (const auto ms = parseNumber(result.header(RetryAfterMsHeader))) {
+        reply.retryAfter = std::chrono::milliseconds(*ms);
+    }
+    return reply;
+}
+
+HttpResponse RequestForwarder::toResponse(const CallerReply &reply)
+{
+    HttpResponse response;
+    response.body = encodeReply(reply);
+    if (reply.retryAfter) {
+        const auto ms = std::chrono::ceil<std::chrono::milliseconds>(*reply.retryAfter).count();
+        response.headers.emplace_back(RetryAfterMsHeader, std::to_string(ms));
+    }
+    return response;
+}
+
 CallerReply RequestForwarder::decodeReply(std::string_view body)
 {
     const json row = json::parse(body, nullptr, false);
@@ -187,9 +211,7 @@
 void RequestForwarder::handle(const HttpRequest &request, HttpServer::Respond respond)
 {
     const auto reply = [respond = std::move(respond)](const CallerReply &it) {
-        HttpResponse response;
-        response.body = encodeReply(it);
-        respond(std::move(response));
+        respond(toResponse(it));
     };
     const auto segments = request.segments();
     if (!segments.empty() && segments[0] == DelegationsPath) {
@@ -202,7 +224,7 @@
 void RequestForwarder::handleDelegation(const HttpRequest &request, const OnCallerReply &reply)
 {
     const auto segments = request.segments();
-    const auto cell = segments.size() == 3 ? parseCell(segments[1]) : std::nullopt;
+    const auto cell = segments.size() == 3 ? parseNumber(segments[1]) : std::nullopt;
     if (!cell) {
         reply({CallerOutcome::Malformed, JobState::Queued, 0,
                "the path must be delegations/CELL/JOB"});
--- a/src/Node/RequestForwarder.h
+++ b/src/Node/RequestForwarder.h
@@ -41,7 +41,12 @@
     /// The cell responsible for the job of \a request.
     /// \throws what the parser throws for an invalid body of a Submit.
     int cellFor(const CellLayout &layout, const ForwardedRequest &request) const;
-    /// Decodes the answer of another node process; one that is malformed has an unknown outcome.
+    /// The reply that the answer of another node process carries.  The outcome is NotRun only if
+    /// the request wasn't sent or its receiver says so, and Unknown without a valid answer.
+    static CallerReply toReply(const HttpResult &result);
+    /// Response that carries \a reply to another node process.
+    static HttpResponse toResponse(const CallerReply &reply);
+    /// Decodes the body of such an answer; one that is malformed has an unknown outcome.
     static CallerReply decodeReply(std::string_view body);
     /// Sends \a request to \a owner, the owner of its guest cell.
     ///
--- a/src/Node/RequestRouter.cpp
+++ b/src/Node/RequestRouter.cpp
@@ -1,5 +1,7 @@
 #include "Node/RequestRouter.h"
 
+#include "Admission/RetryAdvice.h"
+#include "Node/RequestOutcome.h"
 #include "platform/CallerHttp.h"
 #include "platform/Wire.h"
 
@@ -7,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -20,8 +23,11 @@
 constexpr Duration ForwardTimeout = std::chrono::milliseconds(1200);
 /// Part of the client's timeout reserved for the answer to arrive.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(150);
-/// Retry-After told to clients; electing a new owner takes about this long.
-constexpr Duration RetryAfter = std::chrono::seconds(1);
+/// Least time left for a further attempt to start a request that has surely not run: one that is
+/// cut short by the client's timeout would leave its outcome unknown.
+constexpr Duration MinAttemptTime = std::chrono::milliseconds(150);
+/// Retry-After told to clients before the job's cell is known.
+constexpr Duration MinRetryAfter = std::chrono::seconds(1);
 
 } // namespace
 
@@ -41,10 +47,10 @@
         TimePoint arrivedAt{};
         TimePoint deadline{};      ///< Latest time to send the final answer.
         TimePoint ownerDeadline{}; ///< The same while no owner is found.
-        bool isUncertain = false;  ///< Some attempt may have been executed.
-        bool isAsking = false;     ///< An attempt awaits its reply.
-        std::optional<int> cell;   ///< Cell to ask; empty until the layout is known.
-        int cellsAsked = 0;        ///< Cells that don't know the job.
+        RequestOutcome outcome;
+        bool isAsking = false;   ///< An attempt awaits its reply.
+        std::optional<int> cell; ///< Cell to ask; empty until the layout is known.
+        int cellsAsked = 0;      ///< Cells that don't know the job.
         int tries = 0;
         asio::basic_waitable_timer<Clock> timer;
     };
@@ -87,6 +93,7 @@
         }
         exchange->queue = route->policy.queue.value();
         exchange->request.verb = target->verb;
+        exchange->outcome = RequestOutcome(target->verb);
         exchange->request.job = target->job;
         exchange->request.body = std::move(request.body);
         exchange->request.policy = route->policy;
@@ -130,6 +137,12 @@
             handleReply(exchange, {CallerOutcome::NotRun, JobState::Queued, 0, "no layout yet"});
             return;
         }
+        const Duration left = exchange->deadline - Clock::now();
+        if (exchange->tries > 1 && exchange->outcome.hasCertainlyNotRun()
+            && left < MinAttemptTime) {
+            finish(exchange, {CallerOutcome::NotRun, JobState::Queued, 0, "no owner in time"});
+            return;
+        }
         if (cell->isServing()) {
             startAnswerTimer(exchange);
             exchange->isAsking = true;
@@ -142,7 +155,6 @@
             return;
         }
         exchange->isAsking = true;
-        const Duration left = exchange->deadline - Clock::now();
         forwarder.forward(claim->endpoint, *exchange->cell, exchange->request,
                           std::clamp<Duration>(left, std::chrono::milliseconds(50), ForwardTimeout),
                           onReply);
@@ -205,18 +217,11 @@
         if (askNextCell(exchange, reply)) {
             return;
         }
-        const bool isFinal =
-            reply.outcome != CallerOutcome::NotRun && reply.outcome != CallerOutcome::Unknown;
-        exchange->isUncertain = exchange->isUncertain || reply.outcome == CallerOutcome::Unknown;
-        const TimePoint now = Clock::now();
+        exchange->outcome.record(reply.outcome);
         const TimePoint limit =
-            exchange->isUncertain ? exchange->deadline : exchange->ownerDeadline;
-        if (isFinal || now + RetryPause >= limit) {
-            const bool isRefusal = !isFinal || reply.outcome == CallerOutcome::Refused;
-            if (isRefusal && exchange->isUncertain) {
-                reply.outcome = CallerOutcome::Unknown;
-            }
-            finish(exchange, reply);
+            exchange->outcome.hasCertainlyNotRun() ? exchange->ownerDeadline : exchange->deadline;
+        if (exchange->outcome.isSettledBy(reply.outcome) || Clock::now() + RetryPause >= limit) {
+            finish(exchange, std::move(reply));
             return;
         }
         cells.refreshClaims();
@@ -229,29 +234,49 @@
         });
     }
 
-    void finish(const ExchangePtr &exchange, const CallerReply &reply)
+    void finish(const ExchangePtr &exchange, CallerReply reply)
     {
         if (!exchange->respond) {
             return;
         }
+        reply.outcome = exchange->outcome.told(reply.outcome);
         exchange->timer.cancel();
         open.erase(exchange);
         const Duration took = Clock::now() - exchange->arrivedAt;
         logResult(*exchange, reply, took);
-        HttpResponse response = platform::toResponse(exchange->request.verb, reply, RetryAfter);
+        HttpResponse response =
+            platform::toResponse(exchange->request.verb, reply, retryAfter(*exchange, reply));
         response.closesConnection = isDraining;
         const auto respond = std::exchange(exchange->respond, {});
         --inFlight;
         respond(std::move(response));
     }
 
+    /// When the client should try again: as the owner says, or by how long there has been none.
+    Duration retryAfter(const Exchange &exchange, const CallerReply &reply)
+    {
+        if (!exchange.cell) {
+            return MinRetryAfter;
+        }
+        const TimePoint now = Clock::now();
+        RetryAdvice &retries =
+            ownerRetries.try_emplace(*exchange.cell, RetryAdvice::RefusedAfterWait).first->second;
+        const bool isRefusal =
+            reply.outcome == CallerOutcome::NotRun || reply.outcome == CallerOutcome::Refused;
+        if (isRefusal && !reply.retryAfter) {
+            retries.onFailure(now);
+        } else if (reply.outcome != CallerOutcome::Unknown) {
+            retries.onSuccess();
+        }
+        return reply.retryAfter.value_or(retries.delayFor(exchange.request.job.value(), now));
+    }
+
     std::size_t finishAll()
     {
         isStopping = true;
         const std::set<ExchangePtr> unanswered = std::exchange(open, {});
         for (const ExchangePtr &it : unanswered) {
-            const bool mayHaveRun = it->isUncertain || it->isAsking;
-            finish(it, {mayHaveRun ? CallerOutcome::Unknown : CallerOutcome::NotRun,
+            finish(it, {it->isAsking ? CallerOutcome::Unknown : CallerOutcome::NotRun,
                         JobState::Queued, 0, "stopping"});
         }
         return unanswered.size();
@@ -288,6 +313,7 @@
     bool isStopping = false;
     std::set<ExchangePtr> open; ///< Requests not answered yet.
     std::size_t inFlight = 0;
+    std::map<int, RetryAdvice> ownerRetries; ///< By cell.
 };
 
 RequestRouter::RequestRouter(asio::io_context &context, const RouteTable &routes, CellSet &cells,
