Begin the observation of a queue's backlog at its first event

The time before it counted as observed, so that the in-time work accepted per second was underestimated for about half a minute and late jobs were accepted that could not be served.

--- a/src/Admission/BacklogAdmission.cpp
+++ b/src/Admission/BacklogAdmission.cpp
@@ -59,7 +59,8 @@
 
 void BacklogAdmission::age(TimePoint now)
 {
-    const double elapsed = std::max(0.0, toSeconds(now - m_agedAt));
+    const bool isFirst = m_agedAt == TimePoint{};
+    const double elapsed = isFirst ? 0.0 : std::max(0.0, toSeconds(now - m_agedAt));
     m_agedAt = std::max(m_agedAt, now);
     const double factor = std::exp2(-elapsed / toSeconds(halfLife()));
     m_finished *= factor;
