Order waiting jobs by a timetable (trial)

Cause: earliest objective first makes every job of a burst late. Change: JobOrder passes over jobs that can't be in time.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -37,25 +37,15 @@
 /// that has waited longer may fit no worker at all and holds nothing back.
 constexpr Duration MaxFirstStartDelay = std::chrono::milliseconds(6000);
 
+constexpr double MilliCpuPerCore = 1000.0;
+/// Smoothing of the rate at which fillers are served, against reports that come in bursts.
+constexpr std::chrono::duration<double> FillerCapacitySmoothingTime{1.0};
+
 std::int64_t toMs(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-/// Order of jobs of one priority: -1 for a long-running job, as its users notice a missing task at
-/// once; 0 for a job that can still meet its objective, 1 for one that will be late, 2 for one that
-/// has no more value for its client.
-int latenessRank(const CellJob &job, TimePoint now)
-{
-    if (job.isLongRunning()) {
-        return -1;
-    }
-    if (now > job.deprioritizedAt) {
-        return 2;
-    }
-    return now + job.remainingCriticalPath() > job.objective ? 1 : 0;
-}
-
 /// Calls \a visit(job, occurrence, step) for the due and ready steps of \a jobs with pending tasks.
 template <typename Visit>
 void forEachStartableStep(std::span<CellJob *const> jobs, std::int64_t nowUnixMs,
@@ -119,6 +109,7 @@
                                  startStep(job, occurrence, step, now);
                              }
                          });
+    m_hasWaitingFillers = std::ranges::any_of(m_unplaceable, &UnplaceableDemand::isFiller);
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
@@ -177,23 +168,56 @@
     return jobs;
 }
 
-void Placement::sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const
+void Placement::sortJobs(std::vector<CellJob *> &jobs, TimePoint now)
 {
-    struct Ranked
-    {
-        std::tuple<int, bool, int, TimePoint> key;
-        CellJob *job;
-    };
-    std::vector<Ranked> ranked;
-    ranked.reserve(jobs.size());
-    for (CellJob *it : jobs) {
+    std::vector<JobOrder::Job> waiting;
+    waiting.reserve(jobs.size());
+    for (const CellJob *it : jobs) {
         const bool hasDisplaced =
             std::ranges::find(m_displaced, it, &TaskRef::job) != m_displaced.end();
-        ranked.push_back(
-            {{it->spec.policy.priority, !hasDisplaced, latenessRank(*it, now), it->objective}, it});
+        JobOrder::Job job;
+        job.id = waiting.size();
+        job.priority = it->spec.policy.priority;
+        job.kind = it->isFiller() ? JobOrder::Kind::Filler : JobOrder::Kind::Reserving;
+        job.isDisplaced = hasDisplaced;
+        job.isLongRunning = it->isLongRunning();
+        job.hasBegun = it->isStarted;
+        job.objective = it->objective;
+        job.usefulUntil = it->deprioritizedAt;
+        job.remainingPath = it->remainingCriticalPath();
+        job.remainingCoreSeconds = it->remainingCoreSeconds();
+        waiting.push_back(job);
+    }
+    const std::vector<CellJob *> unsorted = jobs;
+    std::ranges::transform(JobOrder::sort(waiting, batchCapacity(now), now), jobs.begin(),
+                           [&unsorted](std::size_t id) { return unsorted[id]; });
+}
+
+JobOrder::Capacity Placement::batchCapacity(TimePoint now)
+{
+    double reserving = 0.0;
+    double fillers = 0.0;
+    double unused = 0.0;
+    for (const auto &[id, worker] : m_state.workers) {
+        if (!worker->isRegistered || worker->info.isDraining) {
+            continue;
+        }
+        reserving += static_cast<double>(worker->info.capacity.milliCpu - worker->longRunningCpu);
+        unused += std::max(0.0, PlacementRules::expectedUnusedCpu(*worker));
+        for (const TaskRef &it : worker->tasks) {
+            if (it.spec().isFiller) {
+                fillers += static_cast<double>(it.spec().demand.milliCpu) * it.task().pace / 100;
+            }
+        }
     }
-    std::ranges::sort(ranked, {}, &Ranked::key);
-    std::ranges::transform(ranked, jobs.begin(), &Ranked::job);
+    // Memory and latency targets keep part of the unused processor time from fillers that wait.
+    const double rate = (m_hasWaitingFillers ? fillers : fillers + unused) / MilliCpuPerCore;
+    const std::chrono::duration<double> elapsed = now - m_capacityAt;
+    const double weight =
+        m_capacityAt == TimePoint{} ? 1.0 : std::min(1.0, elapsed / FillerCapacitySmoothingTime);
+    m_fillerCores += weight * (rate - m_fillerCores);
+    m_capacityAt = now;
+    return {reserving / MilliCpuPerCore, m_fillerCores};
 }
 
 void Placement::findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs)
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -3,6 +3,7 @@
 #include "Cell/CapacityReservations.h"
 #include "Cell/Defragmenter.h"
 #include "Cell/InterferenceGuard.h"
+#include "Cell/JobOrder.h"
 
 #include <optional>
 #include <span>
@@ -33,14 +34,22 @@
     /// True if capacity is kept for \a ref.
     bool hasReservation(const TaskRef &ref) const { return m_reservations.contains(ref); }
     /// Forgets what earlier passes left, since the state is another owner's.
-    void reset() { m_reservations.clear(); }
+    void reset()
+    {
+        m_reservations.clear();
+        m_fillerCores = 0.0;
+        m_capacityAt = {};
+        m_hasWaitingFillers = false;
+    }
 
 private:
     /// Durable jobs with pending tasks.
     std::vector<CellJob *> pendingJobs() const;
-    /// Sorts \a jobs by priority, displaced tasks (jobs with some come first), lateness and
-    /// objective.
-    void sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const;
+    /// Sorts \a jobs by JobOrder.
+    void sortJobs(std::vector<CellJob *> &jobs, TimePoint now);
+    /// Work that the usable workers can do for batch jobs; an average over about a second for
+    /// fillers, and what they are given while some of them wait.  O(tasks).
+    JobOrder::Capacity batchCapacity(TimePoint now);
     /// Adds to m_displaced the displaced tasks of \a jobs: long-running ones that have run before
     /// and have neither a worker nor a reservation.  Their wait begins now, unless it has begun.
     void findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
@@ -77,6 +86,9 @@
     CapacityReservations m_reservations;
     Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
+    double m_fillerCores = 0.0;       ///< Smoothed cores that fillers are given.
+    TimePoint m_capacityAt{};         ///< Latest update of m_fillerCores; zero before the first.
+    bool m_hasWaitingFillers = false; ///< The latest pass left fillers without a worker.
     std::vector<TaskRef> m_displaced; ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
