--- a/src/Cell/JobOrder.cpp
+++ b/src/Cell/JobOrder.cpp
@@ -10,6 +10,8 @@
 
 /// A job takes the place of one that asks for at least this many times its work.
 constexpr double DisplacementRatio = 2.0;
+/// Core-seconds per second of a queue that gets nothing done; keeps times finite.
+constexpr double MinRate = 1e-3;
 
 /// Position of a job among those of its priority.
 enum class Rank { Displaced, LongRunning, InTime, Late, Useless };
@@ -24,8 +26,8 @@
 class Timetable
 {
 public:
-    Timetable(double cores, TimePoint now)
-        : m_cores(std::max(cores, 1e-3))
+    Timetable(double rate, TimePoint now)
+        : m_rate(std::max(rate, MinRate))
         , m_now(now)
     {}
 
@@ -69,11 +71,11 @@
     /// True if \a it ends in time when all work up to and including its own is \a coreSeconds.
     bool fits(double coreSeconds, const Candidate &it) const
     {
-        const std::chrono::duration<double> drain(coreSeconds / m_cores);
+        const std::chrono::duration<double> drain(coreSeconds / m_rate);
         return m_now + std::chrono::duration_cast<Duration>(drain) <= it.deadline;
     }
 
-    double m_cores;
+    double m_rate;
     TimePoint m_now;
     double m_work = 0; ///< Core-seconds that come first.
     std::vector<const JobOrder::Job *> m_accepted;
@@ -84,14 +86,14 @@
     return job.isDisplaced || job.isLongRunning;
 }
 
-/// Ranks the jobs of one kind, which share \a cores.
-void rankKind(std::vector<Candidate> candidates, double cores, TimePoint now,
-              std::map<std::size_t, Rank> &ranks)
+/// Ranks the jobs of one queue, which get \a rate core-seconds done per second.
+void rankQueue(std::vector<Candidate> candidates, double rate, TimePoint now,
+               std::map<std::size_t, Rank> &ranks)
 {
     std::ranges::sort(candidates, {}, [](const Candidate &it) {
         return std::tuple(it.job->priority, !ranksFirst(*it.job), !it.job->hasBegun, it.deadline);
     });
-    Timetable inTime(cores, now);
+    Timetable inTime(rate, now);
     std::vector<Candidate> late;
     for (const Candidate &it : candidates) {
         if (ranksFirst(*it.job)) {
@@ -104,7 +106,7 @@
             late.push_back({job, job->usefulUntil});
         }
     }
-    Timetable useful(cores, now);
+    Timetable useful(rate, now);
     useful.addWork(inTime.work());
     std::ranges::sort(late, {},
                       [](const Candidate &it) { return std::pair(it.job->priority, it.deadline); });
@@ -118,19 +120,16 @@
 
 } // namespace
 
-std::vector<std::size_t> JobOrder::sort(std::span<const Job> jobs, const Capacity &capacity,
+std::vector<std::size_t> JobOrder::sort(std::span<const Job> jobs, std::span<const double> rates,
                                         TimePoint now)
 {
+    std::vector<std::vector<Candidate>> queues(rates.size());
+    for (const Job &it : jobs) {
+        queues[it.queue].push_back({&it, it.objective});
+    }
     std::map<std::size_t, Rank> ranks;
-    for (const Kind kind : {Kind::Reserving, Kind::Filler}) {
-        std::vector<Candidate> candidates;
-        for (const Job &it : jobs) {
-            if (it.kind == kind) {
-                candidates.push_back({&it, it.objective});
-            }
-        }
-        const double cores = kind == Kind::Filler ? capacity.fillers : capacity.reserving;
-        rankKind(std::move(candidates), cores, now, ranks);
+    for (std::size_t i = 0; i < queues.size(); ++i) {
+        rankQueue(std::move(queues[i]), rates[i], now, ranks);
     }
     std::vector<const Job *> order;
     for (const Job &it : jobs) {
--- a/src/Cell/JobOrder.h
+++ b/src/Cell/JobOrder.h
@@ -21,15 +21,12 @@
 class JobOrder
 {
 public:
-    /// Kinds of work, which use separate capacity.
-    enum class Kind { Reserving, Filler };
-
     /// A waiting job as its owner sees it.
     struct Job
     {
-        std::size_t id = 0; ///< Returned by sort().
-        int priority = 0;   ///< 0 is the highest.
-        Kind kind = Kind::Reserving;
+        std::size_t id = 0;            ///< Returned by sort().
+        int priority = 0;              ///< 0 is the highest.
+        std::size_t queue = 0;         ///< Jobs of different queues use separate capacity.
         bool isDisplaced = false;      ///< Has tasks that lost their worker; ranks first.
         bool isLongRunning = false;    ///< Ranks next, as its users notice a missing task at once.
         bool hasBegun = false;         ///< Some of its tasks run or are done.
@@ -39,16 +36,11 @@
         double remainingCoreSeconds{}; ///< Work of the tasks that aren't done.
     };
 
-    /// Work that a cell can do, in processor cores.
-    struct Capacity
-    {
-        double reserving = 0;
-        double fillers = 0;
-    };
-
     /// Ids of \a jobs, those that should get capacity first at the front.  O(n^2) in the number of
-    /// jobs of a priority and kind that can't be in time, O(n log n) otherwise.
-    static std::vector<std::size_t> sort(std::span<const Job> jobs, const Capacity &capacity,
+    /// jobs of a queue that can't be in time, O(n log n) otherwise.
+    ///
+    /// \param rates core-seconds that each queue's jobs get done per second.
+    static std::vector<std::size_t> sort(std::span<const Job> jobs, std::span<const double> rates,
                                          TimePoint now);
 };
 
--- a/test/JobOrder.cpp
+++ b/test/JobOrder.cpp
@@ -15,6 +15,7 @@
 
 constexpr double Cores = 100;
 constexpr Duration PassInterval = 50ms;
+const std::vector<double> Rates{Cores};
 
 JobOrder::Job makeJob(std::size_t id, TimePoint submittedAt, double coreSeconds,
                       Duration objective = 5s)
@@ -22,7 +23,6 @@
     JobOrder::Job job;
     job.id = id;
     job.priority = 2;
-    job.kind = JobOrder::Kind::Filler;
     job.objective = submittedAt + objective;
     job.usefulUntil = submittedAt + 3 * objective;
     job.remainingPath = 2s;
@@ -41,11 +41,11 @@
     bool isInTime() const { return endedAt && *endedAt <= job.objective; }
 };
 
-using Order = std::vector<std::size_t> (*)(std::span<const JobOrder::Job>,
-                                           const JobOrder::Capacity &, TimePoint);
+using Order = std::vector<std::size_t> (*)(std::span<const JobOrder::Job>, std::span<const double>,
+                                           TimePoint);
 
 std::vector<std::size_t> sortByObjective(std::span<const JobOrder::Job> jobs,
-                                         const JobOrder::Capacity &, TimePoint)
+                                         std::span<const double>, TimePoint)
 {
     std::vector<JobOrder::Job> sorted(jobs.begin(), jobs.end());
     std::ranges::sort(sorted, {}, &JobOrder::Job::objective);
@@ -65,7 +65,7 @@
             }
         }
         double coreSeconds = Cores * std::chrono::duration<double>(PassInterval).count();
-        for (const std::size_t id : order(waiting, {0, Cores}, now)) {
+        for (const std::size_t id : order(waiting, Rates, now)) {
             Served &served = load[id];
             // A job can't use more cores than its critical path lets it.
             const double most = served.size * 0.05 / 2.0;
@@ -149,7 +149,7 @@
     for (std::size_t i = 0; i < 20; ++i) {
         jobs.push_back(makeJob(i, TimePoint{} + std::chrono::milliseconds(i * 37 % 20), 5));
     }
-    EXPECT_EQ(JobOrder::sort(jobs, {0, Cores}, TimePoint{} + 20ms),
+    EXPECT_EQ(JobOrder::sort(jobs, Rates, TimePoint{} + 20ms),
               sortByObjective(jobs, {}, TimePoint{}));
 }
 
@@ -161,7 +161,7 @@
     for (std::size_t i = 1; i < 10; ++i) {
         jobs.push_back(makeJob(i, TimePoint{} + 10ms, 20));
     }
-    const auto ids = JobOrder::sort(jobs, {0, Cores}, TimePoint{} + 10ms);
+    const auto ids = JobOrder::sort(jobs, Rates, TimePoint{} + 10ms);
     EXPECT_EQ(ids.front(), 0U);
 }
 
@@ -176,15 +176,14 @@
     displaced.id = 2;
     displaced.isDisplaced = true;
     const std::vector<JobOrder::Job> jobs{makeJob(3, TimePoint{}, 10), late, standing, displaced};
-    EXPECT_EQ(JobOrder::sort(jobs, {Cores, Cores}, TimePoint{}),
-              (std::vector<std::size_t>{2, 1, 0, 3}));
+    EXPECT_EQ(JobOrder::sort(jobs, Rates, TimePoint{}), (std::vector<std::size_t>{2, 1, 0, 3}));
 }
 
 // A cell whose workers are all lost has no capacity; nothing is in time, and nothing is forgotten.
 TEST(JobOrder, WithoutCapacityAllJobsAreKept)
 {
     std::vector<JobOrder::Job> jobs{makeJob(0, TimePoint{}, 10), makeJob(1, TimePoint{}, 10)};
-    EXPECT_EQ(JobOrder::sort(jobs, {}, TimePoint{}).size(), 2U);
+    EXPECT_EQ(JobOrder::sort(jobs, std::vector<double>{0.0}, TimePoint{}).size(), 2U);
 }
 
 } // namespace
