--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -38,8 +38,6 @@
 constexpr Duration MaxFirstStartDelay = std::chrono::milliseconds(6000);
 
 constexpr double MilliCpuPerCore = 1000.0;
-/// Smoothing of the rate at which fillers are served, against reports that come in bursts.
-constexpr std::chrono::duration<double> FillerCapacitySmoothingTime{1.0};
 
 std::int64_t toMs(Duration duration)
 {
@@ -109,7 +107,6 @@
                                  startStep(job, occurrence, step, now);
                              }
                          });
-    m_hasWaitingFillers = std::ranges::any_of(m_unplaceable, &UnplaceableDemand::isFiller);
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
@@ -172,13 +169,20 @@
 {
     std::vector<JobOrder::Job> waiting;
     waiting.reserve(jobs.size());
+    std::map<WorkQueue, std::size_t> queues;
+    std::vector<double> rates;
     for (const CellJob *it : jobs) {
         const bool hasDisplaced =
             std::ranges::find(m_displaced, it, &TaskRef::job) != m_displaced.end();
         JobOrder::Job job;
         job.id = waiting.size();
         job.priority = it->spec.policy.priority;
-        job.kind = it->isFiller() ? JobOrder::Kind::Filler : JobOrder::Kind::Reserving;
+        const WorkQueue queue{it->spec.policy.service, it->isFiller()};
+        const auto [position, isNew] = queues.try_emplace(queue, rates.size());
+        if (isNew) {
+            rates.push_back(finishRate(queue));
+        }
+        job.queue = position->second;
         job.isDisplaced = hasDisplaced;
         job.isLongRunning = it->isLongRunning();
         job.hasBegun = it->isStarted;
@@ -189,35 +193,28 @@
         waiting.push_back(job);
     }
     const std::vector<CellJob *> unsorted = jobs;
-    std::ranges::transform(JobOrder::sort(waiting, batchCapacity(now), now), jobs.begin(),
+    std::ranges::transform(JobOrder::sort(waiting, rates, now), jobs.begin(),
                            [&unsorted](std::size_t id) { return unsorted[id]; });
 }
 
-JobOrder::Capacity Placement::batchCapacity(TimePoint now)
+double Placement::finishRate(const WorkQueue &queue) const
 {
-    double reserving = 0.0;
-    double fillers = 0.0;
-    double unused = 0.0;
+    const auto known = m_state.finishRates.find(queue);
+    if (known != m_state.finishRates.end() && known->second > 0.0) {
+        return known->second;
+    }
+    double milliCpu = 0.0;
     for (const auto &[id, worker] : m_state.workers) {
-        if (!worker->isRegistered || worker->info.isDraining) {
+        if (!worker->isRegistered || worker->info.isDraining
+            || worker->info.service != queue.service) {
             continue;
         }
-        reserving += static_cast<double>(worker->info.capacity.milliCpu - worker->longRunningCpu);
-        unused += std::max(0.0, PlacementRules::expectedUnusedCpu(*worker));
-        for (const TaskRef &it : worker->tasks) {
-            if (it.spec().isFiller) {
-                fillers += static_cast<double>(it.spec().demand.milliCpu) * it.task().pace / 100;
-            }
-        }
+        milliCpu += queue.isFiller ? PlacementRules::expectedUnusedCpu(*worker)
+                                         + static_cast<double>(worker->fillerCpu)
+                                   : static_cast<double>(worker->info.capacity.milliCpu)
+                                         - static_cast<double>(worker->longRunningCpu);
     }
-    // Memory and latency targets keep part of the unused processor time from fillers that wait.
-    const double rate = (m_hasWaitingFillers ? fillers : fillers + unused) / MilliCpuPerCore;
-    const std::chrono::duration<double> elapsed = now - m_capacityAt;
-    const double weight =
-        m_capacityAt == TimePoint{} ? 1.0 : std::min(1.0, elapsed / FillerCapacitySmoothingTime);
-    m_fillerCores += weight * (rate - m_fillerCores);
-    m_capacityAt = now;
-    return {reserving / MilliCpuPerCore, m_fillerCores};
+    return milliCpu / MilliCpuPerCore;
 }
 
 void Placement::findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs)
