--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellMessages.h"
+#include "Locality/DelayScheduling.h"
 #include "Workload/JobRecords.h"
 
 #include <algorithm>
@@ -55,7 +56,8 @@
     std::int64_t progressMs = 0;
     TimePoint notBefore{};    ///< Earliest time of the next start.
     TimePoint waitingSince{}; ///< Long-running tasks: since when it waits for a worker; else zero.
-    TimePoint movedAt{};      ///< Latest stop that Defragmenter ordered; zero if none.
+    std::optional<PlaceWait> placeWait; ///< While it could run on another rack than it should.
+    TimePoint movedAt{};                ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
     int percent = 0;
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -32,6 +32,10 @@
     Duration gangTimeout = std::chrono::seconds(3);
     /// Longest tolerated time over a tail latency target.
     Duration maxViolation = std::chrono::seconds(4);
+    /// How many times as long a task takes on another rack than that of its data, and a gang with
+    /// rack affinity on several racks.
+    double farFactor = 1.0;
+    bool hasPlaceWaits = true; ///< Tasks may wait for a place near their data.
 };
 
 /// State of a cell at its owner, shared by the components of the scheduler.
@@ -54,6 +58,7 @@
     };
     /// By job id; includes entries that aren't durable yet.
     std::unordered_map<std::string, Referral> referrals;
+    DelayScheduling placeWaits;
     CellJournal journal;
     std::vector<CellAction> actions;
 
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -21,6 +21,8 @@
 /// Score of the rack that holds the data; other scores mostly lie between 0 and 1.
 constexpr double DataRackBonus = 10.0;
 /// Score lost at the address of the latest crash under the task.
+/// Score lost on a rack that other tasks wait for; exceeds all differences by free room.
+constexpr double ContestedRackPenalty = 2.0;
 constexpr double CrashAddressPenalty = 100.0;
 /// Score of a serving task on a worker with serving tasks of its own image, and of another image.
 constexpr double SameImageBonus = 1.0;
@@ -103,6 +105,7 @@
 void Placement::run(TimePoint now, std::int64_t nowUnixMs)
 {
     m_unplaceable.clear();
+    m_placeWaits.beginPass(nowUnixMs);
     m_reservations.removeObsolete(now);
     m_displaced.clear();
     m_waiting.clear();
@@ -269,6 +272,11 @@
             onUnplaceable(ref, now);
             return;
         }
+        const bool isNear = worker->info.rack == ref.spec().dataRack;
+        if (!isNear && m_placeWaits.isEligible(ref) && m_placeWaits.shouldWait(ref, now)) {
+            continue;
+        }
+        m_placeWaits.onStart(ref, isNear, now);
         start(ref, *worker, TaskLedger::nextRun(task, m_state.epoch), now);
     }
 }
@@ -285,28 +293,70 @@
         number = std::max(number, TaskLedger::nextRun(it, m_state.epoch));
         checkpoint = std::max(checkpoint, it.checkpoint);
     }
+    const TaskRef leader{&job, occurrence, step, 0};
+    const bool prefersRack = m_placeWaits.isEligible(leader);
+    auto chosen = prefersRack ? chooseRackForGang(leader, number, now)
+                              : std::vector<std::pair<TaskRef, CellWorker *>>();
+    const bool isOnOneRack = !chosen.empty();
+    if (!isOnOneRack) {
+        chosen = chooseForGang(leader, number, now);
+    }
+    if (chosen.empty()
+        || (prefersRack && !isOnOneRack && m_placeWaits.shouldGangWait(leader, now))) {
+        return;
+    }
+    m_placeWaits.onStart(leader, isOnOneRack, now);
+    for (const auto &[ref, worker] : chosen) {
+        ref.task().checkpoint = checkpoint;
+        start(ref, *worker, number, now);
+    }
+}
+
+std::vector<std::pair<TaskRef, CellWorker *>> Placement::chooseForGang(const TaskRef &leader,
+                                                                       std::uint32_t run,
+                                                                       TimePoint now,
+                                                                       const std::string *rack)
+{
     // Reserve capacity for all members before any start: a gang must start as a whole or not at
     // all.
+    const std::uint32_t count = leader.spec().taskCount;
     std::vector<std::pair<TaskRef, CellWorker *>> chosen;
-    for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
-        const TaskRef ref{&job, occurrence, step, i};
-        CellWorker *worker = chooseWorker(ref, now);
+    std::vector<std::uint32_t> earlierRuns;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const TaskRef ref{leader.job, leader.occurrence, leader.step, i};
+        CellWorker *worker = chooseWorker(ref, now, nullptr, rack);
         if (!worker) {
             break;
         }
-        TaskLedger::place(ref, *worker, TaskState::Starting, number);
+        earlierRuns.push_back(ref.task().run);
+        TaskLedger::place(ref, *worker, TaskState::Starting, run);
         chosen.emplace_back(ref, worker);
     }
-    for (const auto &[ref, worker] : chosen) {
-        TaskLedger::release(ref);
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        TaskLedger::release(chosen[i].first);
+        chosen[i].first.task().run = earlierRuns[i];
     }
-    if (chosen.size() != run.tasks.size()) {
-        return;
+    if (chosen.size() != count) {
+        chosen.clear();
     }
-    for (const auto &[ref, worker] : chosen) {
-        ref.task().checkpoint = checkpoint;
-        start(ref, *worker, number, now);
+    return chosen;
+}
+
+std::vector<std::pair<TaskRef, CellWorker *>>
+Placement::chooseRackForGang(const TaskRef &leader, std::uint32_t run, TimePoint now)
+{
+    std::vector<std::string> racks{leader.spec().dataRack};
+    for (const auto &[id, worker] : m_state.workers) {
+        if (std::ranges::find(racks, worker->info.rack) == racks.end()) {
+            racks.push_back(worker->info.rack);
+        }
     }
+    for (const std::string &rack : racks) {
+        if (auto chosen = chooseForGang(leader, run, now, &rack); !chosen.empty()) {
+            return chosen;
+        }
+    }
+    return {};
 }
 
 bool Placement::isKnownUnplaceable(const TaskRef &ref) const
@@ -327,12 +377,15 @@
     }
 }
 
-CellWorker *Placement::chooseWorker(const TaskRef &ref, TimePoint now,
-                                    const CellWorker *excluded) const
+CellWorker *Placement::chooseWorker(const TaskRef &ref, TimePoint now, const CellWorker *excluded,
+                                    const std::string *rack) const
 {
     CellWorker *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
     for (const auto &[id, worker] : m_state.workers) {
+        if (rack && worker->info.rack != *rack) {
+            continue;
+        }
         const ResourceVector available = m_reservations.availableTo(ref, *worker);
         if (worker.get() == excluded
             || PlacementRules::findObstacle(*worker, available,
@@ -433,6 +486,8 @@
     }
     if (!spec.dataRack.empty() && worker.info.rack == spec.dataRack) {
         value += DataRackBonus;
+    } else if (m_placeWaits.isContested(worker.info.rack)) {
+        value -= ContestedRackPenalty;
     }
     if (CrashDetector::isAtCrashAddress(ref.task(), worker)) {
         value -= CrashAddressPenalty;
@@ -443,6 +498,7 @@
 void Placement::start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now)
 {
     TaskLedger::place(ref, worker, TaskState::Starting, run);
+    m_placeWaits.onPlaced(ref, worker, now);
     CellTask &task = ref.task();
     task.startedAt = now;
     CrashDetector::onStart(ref, worker, now);
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -3,10 +3,12 @@
 #include "Cell/CapacityReservations.h"
 #include "Cell/Defragmenter.h"
 #include "Cell/InterferenceGuard.h"
+#include "Cell/PlaceWaits.h"
 
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace firefly {
@@ -19,6 +21,7 @@
         : m_state(state)
         , m_interference(interference)
         , m_reservations(state)
+        , m_placeWaits(state, m_reservations)
         , m_defragmenter(state, m_reservations,
                          [this](const TaskRef &ref, TimePoint now, const CellWorker *excluded) {
                              return chooseWorker(ref, now, excluded);
@@ -33,7 +36,11 @@
     /// True if capacity is kept for \a ref.
     bool hasReservation(const TaskRef &ref) const { return m_reservations.contains(ref); }
     /// Forgets what earlier passes left, since the state is another owner's.
-    void reset() { m_reservations.clear(); }
+    void reset()
+    {
+        m_reservations.clear();
+        m_state.placeWaits.clear();
+    }
 
 private:
     /// Durable jobs with pending tasks.
@@ -48,12 +55,22 @@
     bool isHeldBack(const TaskRef &ref, TimePoint now) const;
     void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    /// Workers for all tasks of the gang of \a leader, on \a rack if one is given; empty if there
+    /// is no room.  The tasks take the number \a run.
+    std::vector<std::pair<TaskRef, CellWorker *>> chooseForGang(const TaskRef &leader,
+                                                                std::uint32_t run, TimePoint now,
+                                                                const std::string *rack = nullptr);
+    /// As chooseForGang(), on the rack of its data or another one with room for all; empty if there
+    /// is none.
+    std::vector<std::pair<TaskRef, CellWorker *>>
+    chooseRackForGang(const TaskRef &leader, std::uint32_t run, TimePoint now);
     void startReserved(TimePoint now);
     /// Reserves workers for the long-running tasks that draining workers are about to end.
     void reserveForEvacuated(TimePoint now);
     void onUnplaceable(const TaskRef &ref, TimePoint now);
     CellWorker *chooseWorker(const TaskRef &ref, TimePoint now,
-                             const CellWorker *excluded = nullptr) const;
+                             const CellWorker *excluded = nullptr,
+                             const std::string *rack = nullptr) const;
     /// Logs at intervals why the long-running task \a ref still waits; O(workers) per log line.
     void reportWait(const TaskRef &ref, TimePoint now) const;
     std::string describeObstacles(const TaskRef &ref, TimePoint now) const;
@@ -75,6 +92,7 @@
     CellState &m_state;
     InterferenceGuard &m_interference;
     CapacityReservations m_reservations;
+    PlaceWaits m_placeWaits;
     Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
     std::vector<TaskRef> m_displaced; ///< Displaced tasks before the starts of this pass.
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -78,6 +78,11 @@
 
 namespace {
 
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 /// Number of pending tasks of a step that have run before.
 int countDisplaced(CellJob &job, std::uint32_t occurrence, std::uint32_t step)
 {
@@ -147,6 +152,7 @@
             }
         }
     }
+    const DelayScheduling::Counters &waits = state.placeWaits.counters();
     return {{"workers", usable},
             {"capacity", capacity},
             {"usable_capacity", usableCapacity},
@@ -163,6 +169,11 @@
             {"largest_free_cpu", largestFreeCpu},
             {"over_target", overTarget},
             {"paced", paced},
+            {"place_waits_begun", waits.begun},
+            {"place_waits_paid", waits.paid},
+            {"place_waits_lost", waits.lost},
+            {"place_waits_paid_s", toSeconds(waits.paidTime)},
+            {"place_waits_lost_s", toSeconds(waits.lostTime)},
             {"locating", state.isLocating}};
 }
 
