--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -56,7 +56,7 @@
     std::int64_t progressMs = 0;
     TimePoint notBefore{};    ///< Earliest time of the next start.
     TimePoint waitingSince{}; ///< Long-running tasks: since when it waits for a worker; else zero.
-    std::optional<PlaceWait> placeWait; ///< While it could run on another rack than it should.
+    std::optional<PlaceWait> placeWait; ///< Of a pending task, or of a gang at its first task.
     TimePoint movedAt{};                ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
