--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -34,6 +34,10 @@
     Duration gangTimeout = std::chrono::seconds(3);
     /// Longest tolerated time over a tail latency target.
     Duration maxViolation = std::chrono::seconds(4);
+    /// How many times as long a task takes on another rack than that of its data, and a gang with
+    /// rack affinity on several racks.
+    double farFactor = 1.0;
+    bool hasPlaceWaits = true; ///< Tasks may wait for a place near their data.
 };
 
 /// Batch tasks of one service that reserve processor time, or that fill.
@@ -68,6 +72,7 @@
     std::unordered_map<std::string, Referral> referrals;
     /// Core-seconds that each queue gets done per second, while known.
     std::map<WorkQueue, double> finishRates;
+    DelayScheduling placeWaits;
     CellJournal journal;
     std::vector<CellAction> actions;
 
