--- a/src/Cell/CellAdmission.cpp
+++ b/src/Cell/CellAdmission.cpp
@@ -162,7 +162,6 @@
     }
     for (auto &[queue, admission] : m_admission) {
         admission.setWaiting(waiting.contains(queue), now);
-        m_state.finishRates[queue] = admission.rate(now);
     }
 }
 
--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -48,28 +48,6 @@
            + " survived_ms=" + (survived ? std::to_string(*survived) : "unconfirmed");
 }
 
-double CellJob::remainingCoreSeconds() const
-{
-    constexpr double MilliCpuMsPerCoreSecond = 1e6;
-    double sum = 0.0;
-    for (const Occurrence &occurrence : occurrences) {
-        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-            const StepSpec &step = spec.steps[s];
-            if (step.isLongRunning) {
-                continue;
-            }
-            const auto whole =
-                static_cast<double>(step.demand.milliCpu) * static_cast<double>(step.estimateMs);
-            for (const CellTask &it : occurrence.steps[s].tasks) {
-                if (it.state != TaskState::Done && it.state != TaskState::Elsewhere) {
-                    sum += whole * (isPlaced(it.state) ? 100 - it.percent : 100) / 100;
-                }
-            }
-        }
-    }
-    return sum / MilliCpuMsPerCoreSecond;
-}
-
 CellLoad CellJob::outstandingDemand(double milliCpu) const
 {
     CellLoad demand;
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -145,10 +145,6 @@
     CellLoad outstandingDemand(double milliCpu) const;
     /// Estimated length of the critical path of one whole occurrence.
     static Duration criticalPathOf(const JobSpec &spec);
-    /// Processor time that the unfinished tasks of due occurrences still need by their estimates
-    /// and their progress, in core-seconds; 0 for long-running tasks.
-    double remainingCoreSeconds() const;
-    bool isFiller() const { return std::ranges::any_of(spec.steps, &StepSpec::isFiller); }
     bool isLongRunning() const { return std::ranges::any_of(spec.steps, &StepSpec::isLongRunning); }
 };
 
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -64,7 +64,6 @@
     m_guests.reset();
     m_crashDetector.reset();
     m_admission.clear();
-    m_state.finishRates.clear();
     m_delegatingJobs.clear();
 }
 
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -170,6 +170,13 @@
 
     // Admission
 
+    /// Batch tasks of one service that reserve processor time, or that fill.
+    struct WorkQueue
+    {
+        std::string service;
+        bool isFiller = false;
+        auto operator<=>(const WorkQueue &) const = default; // NOLINT(modernize-use-nullptr)
+    };
     /// Estimated core-seconds of one task of \a step.
     static double workOf(const StepSpec &step, const BacklogAdmission &admission);
     /// Estimated core-seconds of the unfinished tasks of \a job in \a queue: on workers, and
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -40,14 +40,6 @@
     bool hasPlaceWaits = true; ///< Tasks may wait for a place near their data.
 };
 
-/// Batch tasks of one service that reserve processor time, or that fill.
-struct WorkQueue
-{
-    std::string service;
-    bool isFiller = false;
-    auto operator<=>(const WorkQueue &) const = default; // NOLINT(modernize-use-nullptr)
-};
-
 /// State of a cell at its owner, shared by the components of the scheduler.
 struct CellState
 {
@@ -70,8 +62,6 @@
     };
     /// By job id; includes entries that aren't durable yet.
     std::unordered_map<std::string, Referral> referrals;
-    /// Core-seconds that each queue gets done per second, while known.
-    std::map<WorkQueue, double> finishRates;
     DelayScheduling placeWaits;
     CellJournal journal;
     std::vector<CellAction> actions;
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -39,13 +39,25 @@
 /// that has waited longer may fit no worker at all and holds nothing back.
 constexpr Duration MaxFirstStartDelay = std::chrono::milliseconds(6000);
 
-constexpr double MilliCpuPerCore = 1000.0;
-
 std::int64_t toMs(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Order of jobs of one priority: -1 for a long-running job, as its users notice a missing task at
+/// once; 0 for a job that can still meet its objective, 1 for one that will be late, 2 for one that
+/// has no more value for its client.
+int latenessRank(const CellJob &job, TimePoint now)
+{
+    if (job.isLongRunning()) {
+        return -1;
+    }
+    if (now > job.deprioritizedAt) {
+        return 2;
+    }
+    return now + job.remainingCriticalPath() > job.objective ? 1 : 0;
+}
+
 /// Calls \a visit(job, occurrence, step) for the due and ready steps of \a jobs with pending tasks.
 template <typename Visit>
 void forEachStartableStep(std::span<CellJob *const> jobs, std::int64_t nowUnixMs,
@@ -168,56 +180,23 @@
     return jobs;
 }
 
-void Placement::sortJobs(std::vector<CellJob *> &jobs, TimePoint now)
+void Placement::sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const
 {
-    std::vector<JobOrder::Job> waiting;
-    waiting.reserve(jobs.size());
-    std::map<WorkQueue, std::size_t> queues;
-    std::vector<double> rates;
-    for (const CellJob *it : jobs) {
+    struct Ranked
+    {
+        std::tuple<int, bool, int, TimePoint> key;
+        CellJob *job;
+    };
+    std::vector<Ranked> ranked;
+    ranked.reserve(jobs.size());
+    for (CellJob *it : jobs) {
         const bool hasDisplaced =
             std::ranges::find(m_displaced, it, &TaskRef::job) != m_displaced.end();
-        JobOrder::Job job;
-        job.id = waiting.size();
-        job.priority = it->spec.policy.priority;
-        const WorkQueue queue{it->spec.policy.service, it->isFiller()};
-        const auto [position, isNew] = queues.try_emplace(queue, rates.size());
-        if (isNew) {
-            rates.push_back(finishRate(queue));
-        }
-        job.queue = position->second;
-        job.isDisplaced = hasDisplaced;
-        job.isLongRunning = it->isLongRunning();
-        job.hasBegun = it->isStarted;
-        job.objective = it->objective;
-        job.usefulUntil = it->deprioritizedAt;
-        job.remainingPath = it->remainingCriticalPath();
-        job.remainingCoreSeconds = it->remainingCoreSeconds();
-        waiting.push_back(job);
-    }
-    const std::vector<CellJob *> unsorted = jobs;
-    std::ranges::transform(JobOrder::sort(waiting, rates, now), jobs.begin(),
-                           [&unsorted](std::size_t id) { return unsorted[id]; });
-}
-
-double Placement::finishRate(const WorkQueue &queue) const
-{
-    const auto known = m_state.finishRates.find(queue);
-    if (known != m_state.finishRates.end() && known->second > 0.0) {
-        return known->second;
-    }
-    double milliCpu = 0.0;
-    for (const auto &[id, worker] : m_state.workers) {
-        if (!worker->isRegistered || !worker->acceptsTasks()
-            || worker->info.service != queue.service) {
-            continue;
-        }
-        milliCpu += queue.isFiller ? PlacementRules::expectedUnusedCpu(*worker)
-                                         + static_cast<double>(worker->fillerCpu)
-                                   : static_cast<double>(worker->info.capacity.milliCpu)
-                                         - static_cast<double>(worker->longRunningCpu);
+        ranked.push_back(
+            {{it->spec.policy.priority, !hasDisplaced, latenessRank(*it, now), it->objective}, it});
     }
-    return milliCpu / MilliCpuPerCore;
+    std::ranges::sort(ranked, {}, &Ranked::key);
+    std::ranges::transform(ranked, jobs.begin(), &Ranked::job);
 }
 
 void Placement::findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs)
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -3,7 +3,6 @@
 #include "Cell/CapacityReservations.h"
 #include "Cell/Defragmenter.h"
 #include "Cell/InterferenceGuard.h"
-#include "Cell/JobOrder.h"
 #include "Cell/PlaceWaits.h"
 
 #include <optional>
@@ -46,11 +45,9 @@
 private:
     /// Durable jobs with pending tasks.
     std::vector<CellJob *> pendingJobs() const;
-    /// Sorts \a jobs by JobOrder.
-    void sortJobs(std::vector<CellJob *> &jobs, TimePoint now);
-    /// Core-seconds per second that the batch jobs of \a queue get done: as measured under load,
-    /// else what the usable workers have left.  O(workers).
-    double finishRate(const WorkQueue &queue) const;
+    /// Sorts \a jobs by priority, displaced tasks (jobs with some come first), lateness and
+    /// objective.
+    void sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const;
     /// Adds to m_displaced the displaced tasks of \a jobs: long-running ones that have run before
     /// and have neither a worker nor a reservation.  Their wait begins now, unless it has begun.
     void findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
