--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -21,9 +21,9 @@
 /// Score of the rack that holds the data; other scores mostly lie between 0 and 1.
 constexpr double DataRackBonus = 10.0;
 /// Score lost at the address of the latest crash under the task.
+constexpr double CrashAddressPenalty = 100.0;
 /// Score lost on a rack that other tasks wait for; exceeds all differences by free room.
 constexpr double ContestedRackPenalty = 2.0;
-constexpr double CrashAddressPenalty = 100.0;
 /// Score of a serving task on a worker with serving tasks of its own image, and of another image.
 constexpr double SameImageBonus = 1.0;
 constexpr double OtherImagePenalty = -2.0;
