Start nothing on a worker before its record is stored

Cause: a new owner learns from the records of the cell which workers may run tasks unseen, and starts the missing tasks once these have answered or are over. A worker that had just joined got tasks as soon as it had answered, while its record waited for a slow store. If the owner was lost meanwhile, the next one didn't ask that worker. docs/design/platform.md says that the record is written before the first order; no code asked for it.

Change: a worker without a stored record is an obstacle (Unrecorded) for every start, so for single tasks, gangs, reservations and moves alike; a guest cell counts no room on it. Thereby a worker that no record names runs nothing, which is what resolveUnlocatedTasks relies on.

TaskDelegation: one case took the guest's store away before the guest's workers were recorded, so that the guest now offers no room; the outage begins 0.5 s later, its checks are unchanged.

--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -129,8 +129,7 @@
 {
     std::map<std::string, ServiceRoom> rooms;
     for (const auto &[id, worker] : m_state.workers) {
-        if (!worker->isRegistered || !worker->isContacted || !worker->acceptsTasks()
-            || worker->renewFailures > 0) {
+        if (!worker->isUsable() || worker->renewFailures > 0) {
             continue;
         }
         ServiceRoom &room = rooms[worker->info.service];
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -239,6 +239,8 @@
     std::string describeLoss(const CellTask &task, TimePoint now) const;
     /// False while it should only finish what runs.
     bool acceptsTasks() const { return !info.isDraining && !isEvacuated; }
+    /// True if new tasks may start here, as far as it has room for them.
+    bool isUsable() const { return isRegistered && isContacted && isRecorded && acceptsTasks(); }
     ResourceVector freeRoom() const
     {
         ResourceVector room = info.capacity;
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -426,15 +426,11 @@
 std::string Placement::describeObstacles(const TaskRef &ref, TimePoint now) const
 {
     static constexpr std::pair<Obstacle, const char *> Names[] = {
-        {Obstacle::Unavailable, "unavailable"},
-        {Obstacle::Evacuated, "evacuated"},
-        {Obstacle::Unresponsive, "unresponsive"},
-        {Obstacle::Avoided, "avoided"},
-        {Obstacle::Capacity, "full"},
-        {Obstacle::Fillers, "fillers"},
-        {Obstacle::Label, "label"},
-        {Obstacle::Observed, "observed"},
-        {Obstacle::TaskLimit, "task_limit"}};
+        {Obstacle::Unavailable, "unavailable"}, {Obstacle::Unrecorded, "unrecorded"},
+        {Obstacle::Evacuated, "evacuated"},     {Obstacle::Unresponsive, "unresponsive"},
+        {Obstacle::Avoided, "avoided"},         {Obstacle::Capacity, "full"},
+        {Obstacle::Fillers, "fillers"},         {Obstacle::Label, "label"},
+        {Obstacle::Observed, "observed"},       {Obstacle::TaskLimit, "task_limit"}};
     std::map<Obstacle, int> counts;
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -36,6 +36,9 @@
         || worker.info.service != ref.job->spec.policy.service) {
         return Obstacle::Unavailable;
     }
+    if (!worker.isRecorded) {
+        return Obstacle::Unrecorded;
+    }
     if (worker.isEvacuated) {
         return Obstacle::Evacuated;
     }
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -112,7 +112,7 @@
     int overTarget = 0;
     int paced = 0;
     for (const auto &[id, it] : state.workers) {
-        if (it->isRegistered && it->isContacted && it->acceptsTasks()) {
+        if (it->isUsable()) {
             ++usable;
             usableCapacity += it->info.capacity.milliCpu;
             freeCpu += it->freeRoom().milliCpu;
--- a/test/TaskDelegation.cpp
+++ b/test/TaskDelegation.cpp
@@ -382,6 +382,8 @@
 {
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         FleetWorld world(seed, 2, WorkerCount);
+        // A guest whose workers aren't recorded yet offers no room.
+        world.run(500ms);
         world.cell(Guest).isStoreDown = true;
         const TaskName task = displaceTask(world);
         ASSERT_TRUE(world.runUntil([&] { return world.sentDelegations > 0; }, MaxDowntime));
