--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -56,7 +56,8 @@
     std::int64_t unixMs() const
     {
         return 1'000'000
-               + std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch())
+               + std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()
+                                                                       + wallClockError)
                      .count();
     }
 
@@ -179,6 +180,7 @@
     double lateOrderFraction =
         0.0; ///< Fraction of orders that time out and are carried out seconds later.
     bool isStoreDown = false;
+    Duration wallClockError{};        ///< Of the machine of the current owner.
     std::set<TaskName> crashingTasks; ///< Tasks that crash each worker that starts them.
     Duration crashDelay = std::chrono::milliseconds(10); ///< From such a start to the crash.
     Duration crashDowntime = std::chrono::milliseconds(3300);
