Judge silent workers only while no other owner may have renewed their leases

Callers could see two runs of one task (TWICE) without any joining worker. An owner that is cut off from the store and from a part of its workers goes on until its last renewal + 2.2 s + the longest lease. After 2.2 s another owner may claim the cell and renew the leases of the other part; the first one took them for over by the deadlines that it had granted itself, and started their tasks on the workers of its own side.

expireLeases() and resolveUnlocatedTasks() now judge silence only until the claim could have passed to another owner (CellState::exclusiveUntil). After a renewal they go on; answers of another incarnation still free the tasks.

While the store is away for more than 2.2 s, tasks of silent workers wait for its return.

--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -226,6 +226,9 @@
     void renewLease(CellWorker &worker, TimePoint now);
     /// Postpones judgements on silent workers if the last tick was long ago.
     void detectPause(TimePoint now);
+    /// False while this process may have reports yet to read, and once another owner may have
+    /// renewed the leases of workers that are silent here.
+    bool canJudgeSilence(TimePoint now) const;
     /// True if at least half of the registered workers reported lately; otherwise their silence
     /// tells of this process or its link, not of them.
     bool hearsWorkers(TimePoint now) const;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -330,6 +330,11 @@
     }
 }
 
+bool CellScheduler::canJudgeSilence(TimePoint now) const
+{
+    return now >= m_judgeSilenceFrom && now <= m_state.exclusiveUntil();
+}
+
 bool CellScheduler::hearsWorkers(TimePoint now) const
 {
     std::size_t registered = 0;
@@ -348,13 +353,13 @@
         return;
     }
     m_lastWorkerCheck = now;
-    const bool wasListening = now >= m_judgeSilenceFrom;
-    const bool hearsMost = wasListening && hearsWorkers(now);
+    const bool canJudge = canJudgeSilence(now);
+    const bool hearsMost = canJudge && hearsWorkers(now);
     for (auto it = m_state.workers.begin(); it != m_state.workers.end();) {
         CellWorker &worker = *it->second;
         const bool hasRenewalResult = worker.isContacted || worker.renewFailures > 0;
         // The platform's list tells of a worker that has left, whether or not others are heard.
-        const bool isSilenceCertain = hearsMost || (wasListening && !worker.isRegistered);
+        const bool isSilenceCertain = hearsMost || (canJudge && !worker.isRegistered);
         const bool isExpired = hasRenewalResult && isSilenceCertain && now >= leaseEnd(worker);
         if (isExpired && !worker.tasks.empty()) {
             releaseTasks(worker, nowUnixMs);
@@ -378,7 +383,7 @@
     // Even after its lease a worker may still list ended runs that no owner has recorded, so each
     // one is asked at least once.
     const bool hasLocateTimeExpired =
-        now >= m_state.locateUntil && now >= m_judgeSilenceFrom && hearsWorkers(now);
+        now >= m_state.locateUntil && canJudgeSilence(now) && hearsWorkers(now);
     const bool isComplete =
         std::ranges::all_of(m_state.workers, [hasLocateTimeExpired](const auto &it) {
             return it.second->isContacted || !it.second->isRecorded || it.second->isReplaced
