Stop no run of a job before its final state is stored

Callers saw the tasks of a job stop, and start again on another worker, after a cancel that got no answer because the owner of the cell was lost.

Cause: finalize() stops the tasks once the record is durable, but a report that lists a run, or the answer to its start, stopped it by the state in memory. So did the first report to an owner that had a cancel before it knew of the run.

Change: both decide by the durable state. What runs until then is stopped by finalize() as before; placement still goes by the state in memory, so nothing of the job starts meanwhile. Jobs that fail go through the same code.

--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -85,7 +85,9 @@
     }
     CellTask &task = ref->task();
     const bool isUnplaced = task.state == TaskState::Pending || task.state == TaskState::Unlocated;
-    if (isUnplaced && !isFinal(ref->job->state)) {
+    // Until its final state is durable the next owner may restart the job, so that its runs go on.
+    const bool isEnded = isFinal(ref->job->durableState);
+    if (isUnplaced && !isEnded) {
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
         task.progressMs = worker.clockMs;
@@ -96,8 +98,7 @@
         sendStop(worker, row.task, row.run);
         return;
     }
-    if (task.state == TaskState::Starting
-        || (task.state == TaskState::Unsettled && !isFinal(ref->job->state))) {
+    if (task.state == TaskState::Starting || (task.state == TaskState::Unsettled && !isEnded)) {
         task.state = TaskState::Running;
         task.startedAt = now;
         task.progressMs = worker.clockMs;
@@ -115,7 +116,7 @@
     if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
     }
-    if (isFinal(ref->job->state) && task.state == TaskState::Running) {
+    if (isEnded && task.state == TaskState::Running) {
         sendStop(*ref);
     }
 }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -176,7 +176,7 @@
         task.startedAt = now;
         task.progressMs = reply.clockMs.value_or(worker->clockAtLeast(now));
         task.acceptedMs = task.progressMs;
-        if (isFinal(ref->job->state)) {
+        if (isFinal(ref->job->durableState)) {
             sendStop(*ref);
         }
         return;
