Count runs of ended jobs on their workers after a change of owner

Callers saw a start that brought a worker over its capacity (LIMIT): the run of a job that an earlier owner had cancelled was still being stopped there.

Cause: the first report that lists a run assigns it to its worker only if the job hasn't ended; else a stop was sent without a reservation. After the restore the due occurrences of a scheduled job that had ended were unknown, and those of any other for up to a second, so that their runs had no task at all.

Change: a listed run is assigned to its worker whether or not its job has ended, and then stopped. It occupies the worker until its end is listed, and the stop is repeated like any other. finishRestore() restores the occurrences of ended jobs up to their end.

--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -147,14 +147,8 @@
             job->isStarted = it->second.isStarted;
         }
         job->durableState = job->state;
-        const bool hasDelegations =
-            it != m_restoredProgress.end()
-            && std::ranges::any_of(it->second.tasks,
-                                   [](const TaskProgress &row) { return row.guest.has_value(); });
-        if (isFinal(job->state) && !hasDelegations) {
-            continue;
-        }
-        addDueOccurrences(*job, nowUnixMs);
+        // An ended job may have runs that are yet to be stopped.
+        addDueOccurrences(*job, isFinal(job->state) ? job->finalAtUnixMs : nowUnixMs);
         if (job->isGuestPart) {
             restoreGuestPart(*job);
         }
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -85,9 +85,8 @@
     }
     CellTask &task = ref->task();
     const bool isUnplaced = task.state == TaskState::Pending || task.state == TaskState::Unlocated;
-    // Until its final state is durable the next owner may restart the job, so that its runs go on.
-    const bool isEnded = isFinal(ref->job->durableState);
-    if (isUnplaced && !isEnded) {
+    if (isUnplaced) {
+        // Of an ended job too: the run occupies the worker until it is stopped.
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
         task.progressMs = worker.clockMs;
@@ -98,6 +97,8 @@
         sendStop(worker, row.task, row.run);
         return;
     }
+    // Until its final state is durable the next owner may restart the job, so that its runs go on.
+    const bool isEnded = isFinal(ref->job->durableState);
     if (task.state == TaskState::Starting || (task.state == TaskState::Unsettled && !isEnded)) {
         task.state = TaskState::Running;
         task.startedAt = now;
