Keep runs and ends of occurrences that aren't due by a new owner's clock

Cause: a new owner knows only the occurrences that are due by its own clock. It stopped a run of a later one, dropped a listed end and acknowledged it, and left out what the progress record says of it, so that its next record of the job lacked that too. Once the occurrence was due, its tasks started.

Change: the occurrence of a task that a report or a record names is added, as it was due for an earlier owner. What of it has not begun still waits for its due time.

Found by reading, in the search for actions that come before their record.

--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -163,7 +163,7 @@
 void CellScheduler::restoreTasks(CellJob &job, const JobProgress &progress)
 {
     for (const TaskProgress &it : progress.tasks) {
-        const auto ref = m_state.findTask({job.id, it.occurrence, it.step, it.index});
+        const auto ref = findBegunTask({job.id, it.occurrence, it.step, it.index});
         if (!ref) {
             continue;
         }
@@ -398,20 +398,35 @@
 }
 
 void CellScheduler::addDueOccurrences(CellJob &job, std::int64_t nowUnixMs)
+{
+    auto count = static_cast<std::uint32_t>(job.occurrences.size());
+    while (count < job.occurrenceCount()
+           && (!job.isScheduled() || job.startAtUnixMs(count) <= nowUnixMs)) {
+        ++count;
+    }
+    addOccurrences(job, count);
+}
+
+void CellScheduler::addOccurrences(CellJob &job, std::uint32_t count)
 {
     const TaskState state =
         job.isFromEarlierOwner && m_state.isLocating ? TaskState::Unlocated : TaskState::Pending;
-    while (job.occurrences.size() < job.occurrenceCount()) {
+    while (job.occurrences.size() < count) {
         const auto k = static_cast<std::int64_t>(job.occurrences.size());
-        const std::int64_t due = job.isScheduled() ? job.startAtUnixMs(k) : 0;
-        if (due > nowUnixMs) {
-            return;
-        }
-        TaskLedger::addOccurrence(job, due, state);
+        TaskLedger::addOccurrence(job, job.isScheduled() ? job.startAtUnixMs(k) : 0, state);
         m_state.wantsPlacement = true;
     }
 }
 
+std::optional<TaskRef> CellScheduler::findBegunTask(const TaskName &name)
+{
+    CellJob *job = m_state.findJob(name.job);
+    if (job && name.occurrence < job->occurrenceCount()) {
+        addOccurrences(*job, name.occurrence + 1);
+    }
+    return m_state.findTask(name);
+}
+
 void CellScheduler::tick(TimePoint now, std::int64_t nowUnixMs)
 {
     m_now = now;
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -165,6 +165,11 @@
     void sendStop(const TaskRef &ref);
     void sendStop(CellWorker &worker, const TaskName &name, std::uint32_t run);
     void addDueOccurrences(CellJob &job, std::int64_t nowUnixMs);
+    /// Adds the first \a count occurrences of \a job, as far as they are missing.
+    void addOccurrences(CellJob &job, std::uint32_t count);
+    /// The task \a name, which has begun: its occurrence was due by the clock of an earlier owner,
+    /// though it may not be by the clock of this one.
+    std::optional<TaskRef> findBegunTask(const TaskName &name);
     void dropOldJobs(std::int64_t nowUnixMs);
     void dropOldReferrals(std::int64_t nowUnixMs);
 
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -78,7 +78,7 @@
 
 void CellScheduler::applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now)
 {
-    const auto ref = m_state.findTask(row.task);
+    const auto ref = findBegunTask(row.task);
     if (!ref) {
         sendStop(worker, row.task, row.run);
         return;
@@ -125,7 +125,7 @@
 void CellScheduler::applyEndedRun(CellWorker &worker, const EndedRun &row, TimePoint now,
                                   std::int64_t nowUnixMs)
 {
-    const auto ref = m_state.findTask(row.task);
+    const auto ref = findBegunTask(row.task);
     if (!ref) {
         return;
     }
