--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -78,14 +78,15 @@
 
 void CellScheduler::applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now)
 {
-    const auto ref = m_state.findTask(row.task);
+    const auto ref = findBegunTask(row.task);
     if (!ref) {
         sendStop(worker, row.task, row.run);
         return;
     }
     CellTask &task = ref->task();
     const bool isUnplaced = task.state == TaskState::Pending || task.state == TaskState::Unlocated;
-    if (isUnplaced && !isFinal(ref->job->state)) {
+    if (isUnplaced) {
+        // Of an ended job too: the run occupies the worker until it is stopped.
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
         task.progressMs = worker.clockMs;
@@ -96,8 +97,9 @@
         sendStop(worker, row.task, row.run);
         return;
     }
-    if (task.state == TaskState::Starting
-        || (task.state == TaskState::Unsettled && !isFinal(ref->job->state))) {
+    // Until its final state is durable the next owner may restart the job, so that its runs go on.
+    const bool isEnded = isFinal(ref->job->durableState);
+    if (task.state == TaskState::Starting || (task.state == TaskState::Unsettled && !isEnded)) {
         task.state = TaskState::Running;
         task.startedAt = now;
         task.progressMs = worker.clockMs;
@@ -115,7 +117,7 @@
     if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
     }
-    if (isFinal(ref->job->state) && task.state == TaskState::Running) {
+    if (isEnded && task.state == TaskState::Running) {
         sendStop(*ref);
     }
 }
@@ -123,7 +125,7 @@
 void CellScheduler::applyEndedRun(CellWorker &worker, const EndedRun &row, TimePoint now,
                                   std::int64_t nowUnixMs)
 {
-    const auto ref = m_state.findTask(row.task);
+    const auto ref = findBegunTask(row.task);
     if (!ref) {
         return;
     }
