Take only a worker's own record as its record

If a deletion took the place of a waiting record, the record's callback was called once the deletion was stored. It found the worker by id alone, so that a worker listed again meanwhile counted as recorded and got tasks while its own record still waited. The next owner read no record of it and started the tasks again.

Change: each record put for a worker has a number, and its callback counts only while that is the latest one put for the worker.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -177,12 +177,13 @@
 struct CellWorker
 {
     WorkerDescription info;
-    bool isRegistered = false; ///< Currently listed by the platform.
-    bool isRecorded = false;   ///< The cell's topic holds its record.
-    bool isRestored = false;   ///< Its record was read from the cell's topic by this owner.
-    TimePoint joinedAt{};      ///< First listed to this owner; zero if it was restored.
-    bool isContacted = false;  ///< Has answered a renewal of this owner.
-    bool isEvacuated = false;  ///< Its zone is evacuated: what runs goes on, nothing new starts.
+    bool isRegistered = false;      ///< Currently listed by the platform.
+    bool isRecorded = false;        ///< The cell's topic holds its record.
+    bool isRestored = false;        ///< Its record was read from the cell's topic by this owner.
+    std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
+    TimePoint joinedAt{};           ///< First listed to this owner; zero if it was restored.
+    bool isContacted = false;       ///< Has answered a renewal of this owner.
+    bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
     TimePoint clockAt{};
--- a/src/Cell/CellJournal.h
+++ b/src/Cell/CellJournal.h
@@ -50,7 +50,7 @@
     /// Size of a batch in bytes from which on it takes no further record.
     static constexpr std::size_t MaxBatchBytes = 512U << 10U;
 
-    /// Queues \a record and calls \a onDurable once it is stored.
+    /// Queues \a record and calls \a onDurable once it, or a newer record under its key, is stored.
     void put(KeyedRecord record, OnDurable onDurable = {});
     /// As put(), for a record that refusePending() may give up while the store is unavailable.
     void putRefusable(KeyedRecord record, OnDurable onDurable, OnLost onLost);
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -283,6 +283,7 @@
     TimePoint m_lastTick{};
     TimePoint m_judgeSilenceFrom{};
     TimePoint m_ownerSince{};
+    std::uint64_t m_workerRecords = 0; ///< Number of records put by recordWorker().
 };
 
 } // namespace firefly
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -93,11 +93,9 @@
     worker->info = info;
     worker->isEvacuated = m_state.evacuatedZones.contains(info.zone);
     worker->isRegistered = true;
-    if (!worker->isRecorded) {
-        if (worker->joinedAt == TimePoint{}) {
-            worker->joinedAt = now;
-            m_state.logDecision("worker joined", *worker, "address=" + addressOf(info.endpoint));
-        }
+    if (!worker->isRecorded && worker->recordNumber == 0) {
+        worker->joinedAt = now;
+        m_state.logDecision("worker joined", *worker, "address=" + addressOf(info.endpoint));
         recordWorker(*worker);
     }
     if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted) {
@@ -112,11 +110,14 @@
 
 void CellScheduler::recordWorker(CellWorker &worker)
 {
+    worker.recordNumber = ++m_workerRecords;
     m_state.journal.put(
         {JobRecords::workerKey(worker.info.id.value()), addressOf(worker.info.endpoint)},
-        [this, id = worker.info.id] {
+        [this, id = worker.info.id, number = worker.recordNumber] {
+            // A worker that has left and come back has another record, and what is stored now may
+            // be the deletion of this one.
             CellWorker *stored = m_state.findWorker(id);
-            if (!stored || stored->isRecorded) {
+            if (!stored || stored->recordNumber != number) {
                 return;
             }
             stored->isRecorded = true;
