Let the fake store lose answers and the fake owner be lost while it does

CellWorld now has a store that is slow, loses answers, or carries appends out late or never; repeats under the same sequence number are answered like the first, and lower epochs are refused, also late ones. An owner can be lost at any time: the next one begins once the store lets it fence the lost one, and reads the platform's list after a delay.

Workers join under new ids, leave for good and drain. The members of a gang may begin and end together, as those of the platform do: with ends of their own, one member ended as done while the others still held their capacity, and starts exceeded it. All of this is off by default.

--- a/test/fakes/CellAudit.h
+++ b/test/fakes/CellAudit.h
@@ -27,12 +27,15 @@
     std::map<std::string, JobSpec> specs;                ///< Submitted jobs, by id.
     std::map<TaskName, std::set<std::string>> runningOn; ///< Ids of workers.
     std::map<TaskName, std::vector<std::uint32_t>> runs; ///< Numbers of the started runs, in order.
+    std::map<TaskName, std::vector<std::string>> startedOn; ///< Ids of workers, of the same runs.
     std::map<TaskName, std::vector<End>> done;
     std::map<TaskName, std::vector<End>> failed;
     std::map<TaskName, std::set<std::string>> checkpoints;
     std::map<std::string, ResourceVector> used; ///< By worker.
     std::set<TaskName> everDone;
-    std::map<TaskName, int> crashes; ///< Workers that the task has crashed.
+    std::set<TaskName> everFailed;
+    std::map<TaskName, int> lostRuns; ///< Number of runs that ended with their worker.
+    std::map<TaskName, int> crashes;  ///< Workers that the task has crashed.
     /// Starts of the task since it crashed its MaxCrashes-th worker.
     std::map<TaskName, int> startsAfterCrashes;
     static constexpr int MaxCrashes = 3;
@@ -66,6 +69,7 @@
         }
         runningOn[task].insert(worker);
         runs[task].push_back(order.run);
+        startedOn[task].push_back(worker);
         everStarted.insert(task.job.value());
         const StepSpec *step = stepOf(task);
         if (!step) {
@@ -99,6 +103,7 @@
         }
         if (reason == RunEndReason::Failed) {
             failed[task].push_back({worker, number});
+            everFailed.insert(task);
         }
     }
 
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -4,18 +4,34 @@
 #include "fakes/CellAudit.h"
 #include "fakes/FakeCellWorker.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace firefly {
 
+/// How the record store treats appends while it is up.  Without an answer the owner can't tell
+/// whether an append was carried out.
+struct StoreFaults
+{
+    /// Bounds of the time until an append is carried out and answered.
+    Duration minDelay = std::chrono::milliseconds(1);
+    Duration maxDelay = std::chrono::milliseconds(15);
+    double lostAnswerFraction = 0.0; ///< Of the appends: carried out as usual, but not answered.
+    double lateFraction = 0.0;       ///< Carried out seconds later, and not answered.
+    double droppedFraction = 0.0;    ///< Neither carried out nor answered.
+};
+
 /// Simulation of one cell: its owner, workers and record store, in simulated time.
 ///
 /// Every message has a random delay; public fields inject faults.
@@ -34,23 +50,48 @@
         replaceOwner(now);
     }
 
-    /// Replaces the owner by one with the next epoch, without notice to the earlier one.
+    /// Replaces the owner by one with the next epoch, without notice to the earlier one.  The store
+    /// refuses what the earlier one still appends.
     void replaceOwner(TimePoint locateUntil)
     {
+        isOwnerLost = false;
         owner = std::make_unique<CellScheduler>(bounds);
         ++m_generation;
         owner->setEvacuatedZones(evacuatedZones);
         owner->beginOwnership(++epoch, now, locateUntil);
+        m_fencedEpoch = epoch;
+        m_lastSequence = 0;
         for (const auto &[key, value] : store) {
             owner->restore(key, value);
         }
         owner->finishRestore(now, unixMs());
-        for (const auto &[id, worker] : workers) {
-            if (worker->isRegistered) {
-                owner->onWorkerListed(worker->describe(), now);
-            }
+        m_listReadAt = now + listDelay;
+        if (listDelay == Duration{}) {
+            listWorkers();
+        } else {
+            after(listDelay, [this, reader = m_generation] {
+                if (reader == m_generation) {
+                    listWorkers();
+                }
+            });
         }
         m_isAppending = false;
+        m_nextAppendAt = {};
+        m_appendTimeout = MinAppendTimeout;
+        m_failingSince.reset();
+    }
+
+    /// Ends the owner's process.  The next owner begins after \a gap, or once the store lets it
+    /// fence the lost one.
+    void loseOwner(Duration gap)
+    {
+        if (isOwnerLost) {
+            return;
+        }
+        isOwnerLost = true;
+        ++m_generation; // Nobody hears the answers to its orders and appends.
+        const TimePoint lastLeaseEnd = now + bounds.grantedLease();
+        after(gap, [this, lastLeaseEnd] { takeOver(lastLeaseEnd + ClaimTolerance); });
     }
 
     std::int64_t unixMs() const
@@ -90,7 +131,16 @@
             action();
         }
         for (auto &[id, worker] : workers) {
-            worker->tick(now);
+            worker->holdsGangMembers = areGangsSynchronized;
+            if (worker->state == FakeCellWorker::State::Up) {
+                worker->tick(now);
+            }
+        }
+        if (areGangsSynchronized) {
+            synchronizeGangs();
+        }
+        if (isOwnerLost) {
+            return;
         }
         owner->setOrdersUntil(now + bounds.maxLease);
         timeOwner([this] { owner->tick(now, unixMs()); });
@@ -138,12 +188,53 @@
             created->zone = old.zone;
             created->endpoint = old.endpoint;
             created->incarnation = unixMs();
-            owner->onWorkerListed(created->describe(), now);
+            announce(*created);
         });
-        after(downtime + ListingDelay, [this, id] {
-            workers.at(id)->isRegistered = false;
-            owner->onWorkerGone(WorkerId(id), now);
+        after(downtime + ListingDelay, [this, id] { unlist(id); });
+    }
+
+    /// Starts a worker under a new id, which it returns, at a new address; the platform lists it
+    /// after \a listing.
+    std::string joinWorker(Duration listing)
+    {
+        const std::string number = std::to_string(workers.size());
+        const std::string id = "n" + number;
+        auto &created = workers[id];
+        created = std::make_unique<FakeCellWorker>(id, audit);
+        created->endpoint.address = "10.0.1." + number;
+        created->incarnation = unixMs();
+        created->isRegistered = false;
+        after(listing, [this, id] {
+            FakeCellWorker &worker = *workers.at(id);
+            worker.isRegistered = worker.state == FakeCellWorker::State::Up;
+            if (worker.isRegistered) {
+                announce(worker);
+            }
         });
+        return id;
+    }
+
+    /// Ends the worker \a id for good.
+    void removeWorker(const std::string &id)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        if (worker.state != FakeCellWorker::State::Up) {
+            return;
+        }
+        breakGangs(id);
+        worker.crash(now);
+        after(ListingDelay, [this, id] { unlist(id); });
+    }
+
+    /// Lets the worker \a id drain; it ends after \a span.
+    void drainWorker(const std::string &id, Duration span)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        worker.isDraining = true;
+        if (worker.isRegistered) {
+            announce(worker);
+        }
+        after(span, [this, id] { removeWorker(id); });
     }
 
     /// Lets time pass while the owner's process is paused; messages to it wait.  Then it ticks
@@ -178,7 +269,14 @@
     Epoch epoch = 0;
     double lateOrderFraction =
         0.0; ///< Fraction of orders that time out and are carried out seconds later.
-    bool isStoreDown = false;
+    bool isStoreDown = false; ///< The store rejects all appends.
+    StoreFaults storeFaults;
+    /// The owner pauses between attempts of an append and refuses jobs during an outage, as
+    /// JobPartition does.
+    bool hasAppendPauses = false;
+    bool areGangsSynchronized = false; ///< The members of a gang begin to work, and end, together.
+    Duration listDelay{};     ///< From the restore until a new owner reads the platform's list.
+    bool isOwnerLost = false; ///< There is no owner; \a owner is the lost one.
     std::set<TaskName> crashingTasks; ///< Tasks that crash each worker that starts them.
     Duration crashDelay = std::chrono::milliseconds(10); ///< From such a start to the crash.
     Duration crashDowntime = std::chrono::milliseconds(3300);
@@ -196,6 +294,13 @@
 private:
     /// From the return of a crashed worker until the platform no longer lists its earlier id.
     static constexpr Duration ListingDelay = std::chrono::milliseconds(700);
+    /// Least time by which a new owner overestimates the end of its predecessor's leases.
+    static constexpr Duration ClaimTolerance = std::chrono::milliseconds(1500);
+    // Retries of appends, as by JobPartition.
+    static constexpr Duration MinAppendTimeout = std::chrono::milliseconds(400);
+    static constexpr Duration MaxAppendTimeout = std::chrono::milliseconds(1600);
+    static constexpr Duration AppendRetryPause = std::chrono::milliseconds(60);
+    static constexpr Duration MaxToleratedOutage = std::chrono::milliseconds(400);
 
     struct Event
     {
@@ -223,6 +328,14 @@
         m_events.push({now + delay, ++m_eventNumber, std::move(action)});
     }
 
+    Duration randomDelay(Duration from, Duration to)
+    {
+        const auto toMs = [](Duration it) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+        };
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<std::int64_t>(toMs(from), toMs(to))(random));
+    }
     Duration randomDelay()
     {
         return std::chrono::milliseconds(std::uniform_int_distribution<int>(1, 15)(random));
@@ -315,6 +428,38 @@
         }
     }
 
+    /// Lets gangs work once all members run, and ends those that are no longer complete.
+    void synchronizeGangs()
+    {
+        struct Member
+        {
+            FakeCellWorker *worker;
+            FakeCellWorker::GangMember run;
+        };
+        std::map<std::pair<TaskName, std::uint32_t>, std::vector<Member>> gangs; ///< By run.
+        for (auto &[id, worker] : workers) {
+            for (const FakeCellWorker::GangMember &it : worker->gangMembers()) {
+                TaskName gang = it.task;
+                gang.index = 0;
+                gangs[{gang, it.run}].push_back({worker.get(), it});
+            }
+        }
+        for (const auto &[gang, members] : gangs) {
+            const Member &first = members.front();
+            const bool isComplete = members.size() == audit.stepOf(gang.first)->taskCount;
+            for (const Member &it : members) {
+                if (isComplete && it.run.isWaiting) {
+                    it.worker->beginWork(it.run.task, now + first.worker->workTime,
+                                         first.worker->hasFailingRuns);
+                } else if (!isComplete && !it.run.isWaiting) {
+                    it.worker->end(it.run.task, RunEndReason::Broken, now);
+                } else if (it.run.isWaiting && now - it.run.startedAt >= bounds.gangTimeout) {
+                    it.worker->end(it.run.task, RunEndReason::Alone, now);
+                }
+            }
+        }
+    }
+
     /// Crashes the worker that has started the task of \a order, unless the run ends before.
     void crashAfterStart(const StartTask &order, std::int64_t incarnation)
     {
@@ -396,10 +541,51 @@
               });
     }
 
+    // Platform's list
+
+    void listWorkers()
+    {
+        for (const auto &[id, worker] : workers) {
+            if (worker->isRegistered) {
+                owner->onWorkerListed(worker->describe(), now);
+            }
+        }
+    }
+
+    /// Tells the owner of a listed worker, unless it has yet to read the list.
+    void announce(const FakeCellWorker &worker)
+    {
+        if (now >= m_listReadAt) {
+            owner->onWorkerListed(worker.describe(), now);
+        }
+    }
+
+    void unlist(const std::string &id)
+    {
+        workers.at(id)->isRegistered = false;
+        owner->onWorkerGone(WorkerId(id), now);
+    }
+
+    // Owner and store
+
+    void takeOver(TimePoint locateUntil)
+    {
+        if (!isOwnerLost) {
+            return;
+        }
+        const double unanswered =
+            storeFaults.lostAnswerFraction + storeFaults.lateFraction + storeFaults.droppedFraction;
+        if (isStoreDown || chance(unanswered)) {
+            after(MinAppendTimeout, [this, locateUntil] { takeOver(locateUntil); });
+            return;
+        }
+        replaceOwner(locateUntil);
+    }
+
     /// Appends the owner's next batch to the store.
     void append()
     {
-        if (m_isAppending) {
+        if (m_isAppending || now < m_nextAppendAt) {
             return;
         }
         const auto batch = owner->journal().next();
@@ -407,29 +593,114 @@
             return;
         }
         m_isAppending = true;
-        after(randomDelay(), [this, batch = *batch, sender = m_generation] {
-            if (sender != m_generation) {
-                return;
+        const auto reply = [this, isAnswered = std::make_shared<bool>(false), sender = m_generation,
+                            sentAt = now](AppendOutcome outcome) {
+            if (!std::exchange(*isAnswered, true) && sender == m_generation) {
+                onAppendOutcome(outcome, sentAt);
             }
-            if (!isStoreDown) {
-                for (const KeyedRecord &it : batch.records) {
-                    if (it.value) {
-                        store[it.key] = *it.value;
-                    } else {
-                        store.erase(it.key);
-                    }
+        };
+        const AppendFate fate = drawAppendFate();
+        if (fate.delay) {
+            after(*fate.delay, [this, batch = *batch, by = epoch, fate, reply] {
+                const AppendOutcome outcome = write(batch, by);
+                if (fate.isAnswered) {
+                    reply(outcome);
                 }
+            });
+        }
+        if (!fate.isAnswered || *fate.delay > m_appendTimeout) {
+            after(m_appendTimeout, [reply] { reply(AppendOutcome::Unknown); });
+        }
+    }
+
+    /// What becomes of one attempt of an append.
+    struct AppendFate
+    {
+        std::optional<Duration> delay; ///< Until it is carried out; unset if it never is.
+        bool isAnswered = true;
+    };
+
+    AppendFate drawAppendFate()
+    {
+        const StoreFaults &faults = storeFaults;
+        const Duration delay = randomDelay(faults.minDelay, faults.maxDelay);
+        const double unanswered =
+            faults.lostAnswerFraction + faults.lateFraction + faults.droppedFraction;
+        if (unanswered == 0.0) {
+            return {delay, true};
+        }
+        const double drawn = std::uniform_real_distribution<double>(0, 1)(random);
+        if (drawn < faults.droppedFraction) {
+            return {std::nullopt, false};
+        }
+        if (drawn < faults.droppedFraction + faults.lateFraction) {
+            return {randomDelay(std::chrono::seconds(1), std::chrono::seconds(6)), false};
+        }
+        return {delay, drawn >= unanswered};
+    }
+
+    /// Carries out an append of the owner with the epoch \a by.
+    AppendOutcome write(const JournalBatch &batch, Epoch by)
+    {
+        if (isStoreDown) {
+            return AppendOutcome::Rejected;
+        }
+        if (by < m_fencedEpoch) {
+            return AppendOutcome::Fenced;
+        }
+        if (batch.sequence <= m_lastSequence) {
+            return AppendOutcome::Stored;
+        }
+        if (batch.sequence != m_lastSequence + 1) {
+            audit.violations.emplace_back("append out of sequence");
+            return AppendOutcome::Rejected;
+        }
+        m_lastSequence = batch.sequence;
+        for (const KeyedRecord &it : batch.records) {
+            if (it.value) {
+                store[it.key] = *it.value;
+            } else {
+                store.erase(it.key);
             }
-            m_isAppending = false;
-            owner->journal().onOutcome(isStoreDown ? AppendOutcome::Rejected
-                                                   : AppendOutcome::Stored);
-        });
+        }
+        return AppendOutcome::Stored;
+    }
+
+    void onAppendOutcome(AppendOutcome outcome, TimePoint sentAt)
+    {
+        m_isAppending = false;
+        owner->journal().onOutcome(outcome);
+        if (outcome == AppendOutcome::Stored) {
+            m_appendTimeout =
+                std::clamp<Duration>(4 * (now - sentAt), MinAppendTimeout, MaxAppendTimeout);
+            m_failingSince.reset();
+            return;
+        }
+        if (outcome == AppendOutcome::Unknown) {
+            m_appendTimeout = std::min(MaxAppendTimeout, 2 * m_appendTimeout);
+        }
+        if (!hasAppendPauses) {
+            return;
+        }
+        m_nextAppendAt = now + AppendRetryPause;
+        m_failingSince = m_failingSince.value_or(now);
+        if (now - *m_failingSince >= MaxToleratedOutage) {
+            owner->journal().refusePending();
+        }
     }
 
     std::priority_queue<Event> m_events;
     std::uint64_t m_eventNumber = 0;
     std::uint64_t m_generation = 0;
+    TimePoint m_listReadAt{}; ///< When the owner reads the platform's list.
+    // Store
+    Epoch m_fencedEpoch = 0;          ///< Appends of lower epochs are refused.
+    std::uint64_t m_lastSequence = 0; ///< Of the appends of that epoch.
+    // Appends of the owner
     bool m_isAppending = false;
+    TimePoint m_nextAppendAt{};
+    Duration m_appendTimeout = MinAppendTimeout;
+    std::optional<TimePoint> m_failingSince; ///< First failure since the last stored append.
 };
 
 /// A job of \a steps sequential steps with \a width tasks each.
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -56,7 +56,10 @@
             return OrderOutcome::OldRun;
         }
         m_audit.recordStart(m_id, countedCapacity(now), order);
-        m_running[order.task] = {order.run, now, now + workTime, hasFailingRuns, order.checkpoint};
+        const StepSpec *step = m_audit.stepOf(order.task);
+        const bool isWaiting = holdsGangMembers && step && step->isGang;
+        m_running[order.task] = {order.run, now, isWaiting ? TimePoint::max() : now + workTime,
+                                 hasFailingRuns, order.checkpoint};
         return OrderOutcome::Accepted;
     }
 
@@ -135,6 +138,7 @@
     {
         for (const auto &[task, run] : m_running) {
             m_audit.removeRun(m_id, task);
+            ++m_audit.lostRuns[task];
         }
         m_audit.discardUnacknowledgedEnds(m_id);
         m_running.clear();
@@ -202,6 +206,35 @@
         return tasks;
     }
 
+    /// A run that is a member of a gang.
+    struct GangMember
+    {
+        TaskName task;
+        std::uint32_t run = 0;
+        TimePoint startedAt{};
+        bool isWaiting = false; ///< Until beginWork().
+    };
+    std::vector<GangMember> gangMembers() const
+    {
+        std::vector<GangMember> members;
+        for (const auto &[task, run] : m_running) {
+            const StepSpec *step = m_audit.stepOf(task);
+            if (step && step->isGang) {
+                members.push_back({task, run.run, run.startedAt, run.endsAt == TimePoint::max()});
+            }
+        }
+        return members;
+    }
+
+    /// Lets the run of \a task, which waits for the other members of its gang, work until
+    /// \a endsAt.
+    void beginWork(const TaskName &task, TimePoint endsAt, bool fails)
+    {
+        Run &run = m_running.at(task);
+        run.endsAt = endsAt;
+        run.fails = fails;
+    }
+
     bool isIdle() const { return m_running.empty(); }
     /// True while the worker lists ended runs that no owner has acknowledged.
     bool hasEndedRuns() const { return !m_ended.empty(); }
@@ -214,8 +247,9 @@
     bool isDraining = false;
     bool isProgressing = true; ///< The progress of tasks changes from report to report.
     Duration workTime = std::chrono::milliseconds(500); ///< Of runs started from now on.
-    bool hasFailingRuns = false; ///< Runs started from now on end with a failure.
-    double clockRate = 1.0;      ///< Relative to simulated time.
+    bool holdsGangMembers = false; ///< Members of gangs started from now on wait for beginWork().
+    bool hasFailingRuns = false;   ///< Runs started from now on end with a failure.
+    double clockRate = 1.0;        ///< Relative to simulated time.
     Duration maxLease = std::chrono::seconds(6);
     ResourceVector capacity{8000, 64000, 0};
     Endpoint endpoint{"10.0.0.1", 80};
