Show a job as running until its end is stored

Callers saw a job go from `running` back to `queued` between its last end or its cancel and the moment when the store had recorded that, so for as long as the store was away.

Cause: meanwhile stateOf() gave the latest recorded state. A start isn't recorded, so that this was often the state before the first one.

Change: until the final state is durable a job is shown as running if a task of it has been placed, else as queued.

--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -297,7 +297,11 @@
         return std::nullopt;
     }
     const CellJob &job = *it->second;
-    return isFinal(job.state) ? job.durableState : job.state;
+    if (isFinal(job.state) && !isFinal(job.durableState)) {
+        // The latest record may be older than the first start.
+        return job.isStarted ? JobState::Running : JobState::Queued;
+    }
+    return job.state;
 }
 
 std::map<std::string, int> CellScheduler::pendingByQueue() const
--- a/test/FinalStateBeforeDurable.cpp
+++ b/test/FinalStateBeforeDurable.cpp
@@ -91,5 +91,29 @@
     }
 }
 
+TEST(FinalStateBeforeDurable, AJobWithARunIsShownAsRunningUntilItsEndIsStored)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 4);
+        world.run(500ms);
+        const JobId canceled("canceled");
+        const JobId completed("completed");
+        world.submit(canceled, makeLongRunning(1, 3000));
+        world.submit(completed, makeChain(1, 1));
+        world.run(200ms);
+        EXPECT_EQ(world.owner->stateOf(canceled), JobState::Running) << "seed " << seed;
+        EXPECT_EQ(world.owner->stateOf(completed), JobState::Running) << "seed " << seed;
+        world.isStoreDown = true;
+        cancel(world, canceled);
+        world.run(2s);
+        EXPECT_EQ(world.owner->stateOf(canceled), JobState::Running) << "seed " << seed;
+        EXPECT_EQ(world.owner->stateOf(completed), JobState::Running) << "seed " << seed;
+        world.isStoreDown = false;
+        world.run(1s);
+        EXPECT_EQ(world.owner->stateOf(canceled), JobState::Canceled) << "seed " << seed;
+        EXPECT_EQ(world.owner->stateOf(completed), JobState::Completed) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace firefly
