Record a worker's new address before the next start there

Cause: the owner took over the address from the platform's list, but a worker that was recorded once was never recorded again. The next owner asked the earlier address; if another worker answered there, it took the first one for gone, and started its tasks again before it had read the list.

Change: a worker that is listed at another address is recorded again and gets no tasks until that is stored. A new owner waits for the answers of all workers of which it has read a record, whether or not that is being renewed, and not for others: these run nothing, as no record names them.

CellWorld delivers orders by the address that the owner knows.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -178,10 +178,10 @@
 {
     WorkerDescription info;
     bool isRegistered = false;      ///< Currently listed by the platform.
-    bool isRecorded = false;        ///< The cell's topic holds its record.
-    bool isRestored = false;        ///< Its record was read from the cell's topic by this owner.
+    bool isRecorded = false;        ///< The cell's topic holds its record, with its address.
+    bool isRestored = false;        ///< This owner has read a record of it from the cell's topic.
     std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
-    TimePoint joinedAt{};           ///< First listed to this owner; zero if it was restored.
+    TimePoint listedAt{};           ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;       ///< Has answered a renewal of this owner.
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -90,12 +90,15 @@
     }
     const bool wasReady = worker->isRegistered && worker->acceptsTasks();
     const bool hasGrown = !worker->info.capacity.fits(info.capacity);
+    const bool isNew = !worker->isRestored && worker->recordNumber == 0;
+    const bool hasMoved = !isNew && worker->info.endpoint != info.endpoint;
     worker->info = info;
     worker->isEvacuated = m_state.evacuatedZones.contains(info.zone);
     worker->isRegistered = true;
-    if (!worker->isRecorded && worker->recordNumber == 0) {
-        worker->joinedAt = now;
-        m_state.logDecision("worker joined", *worker, "address=" + addressOf(info.endpoint));
+    if (isNew || hasMoved) {
+        worker->listedAt = now;
+        m_state.logDecision(isNew ? "worker joined" : "worker moved", *worker,
+                            "address=" + addressOf(info.endpoint));
         recordWorker(*worker);
     }
     if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted) {
@@ -110,12 +113,13 @@
 
 void CellScheduler::recordWorker(CellWorker &worker)
 {
+    worker.isRecorded = false;
     worker.recordNumber = ++m_workerRecords;
     m_state.journal.put(
         {JobRecords::workerKey(worker.info.id.value()), addressOf(worker.info.endpoint)},
         [this, id = worker.info.id, number = worker.recordNumber] {
-            // A worker that has left and come back has another record, and what is stored now may
-            // be the deletion of this one.
+            // A worker that has moved, or left and come back, has another record, and what is
+            // stored now may be the deletion of this one.
             CellWorker *stored = m_state.findWorker(id);
             if (!stored || stored->recordNumber != number) {
                 return;
@@ -123,7 +127,7 @@
             stored->isRecorded = true;
             m_state.wantsPlacement = true;
             m_state.logDecision("worker recorded", *stored,
-                                "waited_ms=" + std::to_string(toMs(m_now - stored->joinedAt)));
+                                "waited_ms=" + std::to_string(toMs(m_now - stored->listedAt)));
         });
 }
 
@@ -382,7 +386,7 @@
         now >= m_state.locateUntil && now >= m_judgeSilenceFrom && hearsWorkers(now);
     const bool isComplete =
         std::ranges::all_of(m_state.workers, [hasLocateTimeExpired](const auto &it) {
-            return it.second->isContacted || !it.second->isRecorded || it.second->isReplaced
+            return it.second->isContacted || !it.second->isRestored || it.second->isReplaced
                    || (hasLocateTimeExpired && it.second->renewFailures > 0);
         });
     if (!isComplete) {
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -231,6 +231,22 @@
     /// True with probability \a p.
     bool chance(double p) { return std::uniform_real_distribution<double>(0, 1)(random) < p; }
 
+    /// What answers for the worker \a id at the address that the owner knows of it.
+    FakeCellWorker::State stateAtKnownAddress(const WorkerId &id) const
+    {
+        const FakeCellWorker &worker = *workers.at(id.value());
+        const auto known = owner->state().workers.find(id.value());
+        if (known == owner->state().workers.end()
+            || known->second->info.endpoint == worker.endpoint) {
+            return worker.state;
+        }
+        const bool isTaken = std::ranges::any_of(workers, [&known](const auto &it) {
+            return it.second->state == FakeCellWorker::State::Up
+                   && it.second->endpoint == known->second->info.endpoint;
+        });
+        return isTaken ? FakeCellWorker::State::Replaced : FakeCellWorker::State::Down;
+    }
+
     /// Delivers an order to its worker and the outcome to the owner that sent it.
     template <typename Execute, typename Done>
     void exchange(const WorkerId &id, Execute execute, Done done)
@@ -250,8 +266,9 @@
             after(Timeout, [reply] { reply(OrderOutcome::Unknown); });
             return;
         }
-        if (worker.state != FakeCellWorker::State::Up) {
-            const bool isReplaced = worker.state == FakeCellWorker::State::Replaced;
+        const FakeCellWorker::State state = stateAtKnownAddress(id);
+        if (state != FakeCellWorker::State::Up) {
+            const bool isReplaced = state == FakeCellWorker::State::Replaced;
             after(randomDelay(), [reply, isReplaced] {
                 reply(isReplaced ? OrderOutcome::OtherIncarnation : OrderOutcome::NotSent);
             });
