--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -49,8 +49,8 @@
     TimePoint locateUntil{}; ///< All orders of earlier owners have expired by then.
     /// No other owner has renewed a lease until then.
     TimePoint exclusiveUntil() const { return ordersUntil - bounds.grantedLease(); }
-    bool isLocating = false; ///< Some worker may run tasks of an earlier owner unseen.
-    bool isFenced = false;   ///< A worker has seen a higher epoch.
+    bool isLocating = false;         ///< Some worker may run tasks of an earlier owner unseen.
+    bool isFenced = false;           ///< A worker has seen a higher epoch.
     bool areStartsSuspended = false; ///< The evacuated zones aren't known yet.
     std::set<std::string> evacuatedZones;
     bool wantsPlacement = false;                                    ///< A placement pass is due.
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -279,6 +279,9 @@
     bool areGangsSynchronized = false; ///< The members of a gang begin to work, and end, together.
     Duration listDelay{};     ///< From the restore until a new owner reads the platform's list.
     bool isOwnerLost = false; ///< There is no owner; \a owner is the lost one.
+    /// Orders in flight to a worker that restarts under its id reach it then; else they are
+    /// dropped.
+    bool keepsOrdersOverRestarts = false;
     std::set<TaskName> crashingTasks; ///< Tasks that crash each worker that starts them.
     Duration crashDelay = std::chrono::milliseconds(10); ///< From such a start to the crash.
     Duration crashDowntime = std::chrono::milliseconds(3300);
@@ -346,15 +349,33 @@
     /// True with probability \a p.
     bool chance(double p) { return std::uniform_real_distribution<double>(0, 1)(random) < p; }
 
+    /// What answers for the worker \a id at the address that the owner knows of it.
+    FakeCellWorker::State stateAtKnownAddress(const WorkerId &id) const
+    {
+        const FakeCellWorker &worker = *workers.at(id.value());
+        const auto known = owner->state().workers.find(id.value());
+        if (known == owner->state().workers.end()
+            || known->second->info.endpoint == worker.endpoint) {
+            return worker.state;
+        }
+        const bool isTaken = std::ranges::any_of(workers, [&known](const auto &it) {
+            return it.second->state == FakeCellWorker::State::Up
+                   && it.second->endpoint == known->second->info.endpoint;
+        });
+        return isTaken ? FakeCellWorker::State::Replaced : FakeCellWorker::State::Down;
+    }
+
     /// Delivers an order to its worker and the outcome to the owner that sent it.
     template <typename Execute, typename Done>
     void exchange(const WorkerId &id, Execute execute, Done done)
     {
         constexpr Duration Timeout = std::chrono::milliseconds(1000);
         FakeCellWorker &worker = *workers.at(id.value());
-        // A restart of the worker drops the orders in flight to it.
-        const auto executeIfSame = [execute, &worker, incarnation = worker.incarnation] {
-            return worker.incarnation == incarnation ? execute() : OrderOutcome::Unknown;
+        const auto executeIfSame = [this, execute, &worker, incarnation = worker.incarnation] {
+            const bool isSame =
+                worker.incarnation == incarnation
+                || (keepsOrdersOverRestarts && worker.state == FakeCellWorker::State::Up);
+            return isSame ? execute() : OrderOutcome::Unknown;
         };
         const auto reply = [this, done, sender = m_generation](OrderOutcome outcome) {
             if (sender == m_generation) {
@@ -365,8 +386,9 @@
             after(Timeout, [reply] { reply(OrderOutcome::Unknown); });
             return;
         }
-        if (worker.state != FakeCellWorker::State::Up) {
-            const bool isReplaced = worker.state == FakeCellWorker::State::Replaced;
+        const FakeCellWorker::State state = stateAtKnownAddress(id);
+        if (state != FakeCellWorker::State::Up) {
+            const bool isReplaced = state == FakeCellWorker::State::Replaced;
             after(randomDelay(), [reply, isReplaced] {
                 reply(isReplaced ? OrderOutcome::OtherIncarnation : OrderOutcome::NotSent);
             });
