--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -199,7 +199,7 @@
     std::string joinWorker(Duration listing)
     {
         const std::string number = std::to_string(workers.size());
-        const std::string id = "n" + number;
+        std::string id = "n" + number;
         auto &created = workers[id];
         created = std::make_unique<FakeCellWorker>(id, audit);
         created->endpoint.address = "10.0.1." + number;
