--- a/test/fakes/ClusterWorld.h
+++ b/test/fakes/ClusterWorld.h
@@ -32,7 +32,9 @@
     static constexpr std::size_t Entries = 3;
     static constexpr std::size_t Workers = 4;
 
-    ClusterWorld()
+    /// \a lease is what an entry grants to a worker with each sync.
+    explicit ClusterWorld(Duration lease = std::chrono::milliseconds(1600))
+        : m_lease(lease)
     {
         m_profile.services["swap"].durationUs = 40'000;
         for (std::size_t i = 0; i < Workers; ++i) {
@@ -80,6 +82,8 @@
         m_cutLinks.clear();
         m_silentWorkers.clear();
         m_isLogDown = false;
+        m_unansweredAppendPercent = 0;
+        m_hiddenWorkers.clear();
         m_lossPercent = 0;
         for (std::size_t i = 0; i < Entries; ++i) {
             m_entries[i].pausedUntil = TimePoint{};
@@ -115,7 +119,7 @@
         return counts;
     }
 
-private:
+protected:
     using StepHandler = void (ClusterWorld::*)(std::uint32_t);
     struct StepKind
     {
@@ -181,9 +185,12 @@
         settings.services[ServiceId("check")].hedge = true;
         settings.services[ServiceId("check")].perCall = {0, 0, 0, 1};
         settings.services[ServiceId("swap")].perCall = {0, 0, 0, 1};
-        settings.ownership = {std::chrono::milliseconds(1500), std::chrono::milliseconds(2000),
-                              std::chrono::milliseconds(1600), std::chrono::milliseconds(100),
-                              std::chrono::milliseconds(250),  std::chrono::milliseconds(1000)};
+        settings.ownership = {std::chrono::milliseconds(1500),
+                              std::chrono::milliseconds(2000),
+                              m_lease,
+                              std::chrono::milliseconds(100),
+                              std::chrono::milliseconds(250),
+                              std::chrono::milliseconds(1000)};
         settings.snapshot.everyRecords = 60;
         return settings;
     }
@@ -301,13 +308,28 @@
                 if (m_isLogDown) {
                     return nullptr;
                 }
-                m_log.append(batch);
-                m_log.trim(m_log.tail() < RetainedRecords ? 1 : m_log.tail() - RetainedRecords);
+                if (isAppendUnanswered()) {
+                    m_timeline.after(Duration(m_random() % m_longestAppendDelay.count()),
+                                     [this, batch] { appendToLog(batch); });
+                    return nullptr;
+                }
+                appendToLog(batch);
                 return reply(AppendResult::Done);
             },
             reply(AppendResult::Uncertain));
     }
 
+    bool isAppendUnanswered()
+    {
+        return m_unansweredAppendPercent > 0 && m_random() % 100 < m_unansweredAppendPercent;
+    }
+
+    void appendToLog(const std::vector<Envelope> &batch)
+    {
+        m_log.append(batch);
+        m_log.trim(m_log.tail() < RetainedRecords ? 1 : m_log.tail() - RetainedRecords);
+    }
+
     void send(std::size_t i, const SendLogRead &action)
     {
         const auto fail = [this](EntryCore &core) { core.onLogReadFailed(m_timeline.now()); };
@@ -333,11 +355,15 @@
     {
         sendRequest(
             i, "vms", std::chrono::milliseconds(500),
-            [this]() -> EntryCallback {
+            [this, i]() -> EntryCallback {
                 while (m_vmLists.size() > 1 && m_vmLists[1].first + VmListLag <= m_timeline.now()) {
                     m_vmLists.pop_front();
                 }
-                return [this, list = m_vmLists.front().second](EntryCore &core) {
+                VmList list = m_vmLists.front().second;
+                std::erase_if(list.workers, [&](const WorkerInfo &it) {
+                    return m_hiddenWorkers.contains({entryNode(i), it.id});
+                });
+                return [this, list = std::move(list)](EntryCore &core) {
                     core.onVmList(m_timeline.now(), list);
                 };
             },
@@ -608,6 +634,7 @@
         runOn(i, [&](EntryCore &core) {
             core.proposeLimits(limits, [this](const EditResult<LimitsList> &result) {
                 if (const auto *accepted = std::get_if<EditAccepted>(&result)) {
+                    checkStored(accepted->version);
                     m_audit.recordAcceptedVersion(accepted->version);
                 }
             });
@@ -617,6 +644,19 @@
         });
     }
 
+    /// Checks that the log holds an edit of the limits at \a version, unless it was trimmed.
+    void checkStored(Offset version) const
+    {
+        if (version < m_log.head()) {
+            return;
+        }
+        const LogRead read = m_log.read(version, 1);
+        FIREFLY_ASSERT(
+            !read.envelopes.empty()
+                && std::holds_alternative<LimitsEdited>(read.envelopes.front().envelope.record),
+            "an edit must be stored before it is reported as accepted");
+    }
+
     void editListsOnTwoEntries(std::uint32_t value)
     {
         for (const std::size_t i : {value % Entries, value / 4 % Entries}) {
@@ -762,6 +802,7 @@
         }
     }
 
+    Duration m_lease;
     EventTimeline m_timeline;
     FakeLog m_log;
     standins::WorkerProfile m_profile;
@@ -771,7 +812,12 @@
     std::deque<std::pair<TimePoint, VmList>> m_vmLists;
     std::set<std::pair<std::string, std::string>> m_cutLinks;
     std::set<std::string> m_silentWorkers;
+    /// Workers missing from one entry's VM list, as entry and worker.
+    std::set<std::pair<std::string, WorkerId>> m_hiddenWorkers;
     bool m_isLogDown = false;
+    /// Percentage of appends that are carried out later and never answered.
+    std::uint64_t m_unansweredAppendPercent = 0;
+    Duration m_longestAppendDelay = std::chrono::seconds(1);
     /// Percentage of messages lost; if positive, some are also delayed by up to LongestDelay.
     std::uint64_t m_lossPercent = 0;
     std::mt19937_64 m_random{20261203};
