--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -47,10 +47,8 @@
     Epoch epoch = 0;
     TimePoint ordersUntil{}; ///< End of all leases and starts; another owner may act afterwards.
     TimePoint locateUntil{}; ///< All orders of earlier owners have expired by then.
-    /// No other owner has renewed a lease until then.
-    TimePoint exclusiveUntil() const { return ordersUntil - bounds.grantedLease(); }
-    bool isLocating = false;         ///< Some worker may run tasks of an earlier owner unseen.
-    bool isFenced = false;           ///< A worker has seen a higher epoch.
+    bool isLocating = false; ///< Some worker may run tasks of an earlier owner unseen.
+    bool isFenced = false;   ///< A worker has seen a higher epoch.
     bool areStartsSuspended = false; ///< The evacuated zones aren't known yet.
     std::set<std::string> evacuatedZones;
     bool wantsPlacement = false;                                    ///< A placement pass is due.
@@ -68,6 +66,9 @@
     CellJournal journal;
     std::vector<CellAction> actions;
 
+    /// No other owner has granted a lease until then.
+    TimePoint exclusiveUntil() const { return ordersUntil - bounds.grantedLease(); }
+
     /// Queues a log line about the task \a ref.
     void logDecision(const char *message, const TaskRef &ref, std::string detail)
     {
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -12,7 +12,7 @@
 /// Why a worker can't take a task.
 enum class Obstacle {
     Unavailable,  ///< Not registered, not contacted yet, draining, or of another service.
-    Unrecorded,   ///< The next owner might not know of it, and thereby of its runs.
+    Unrecorded,   ///< Its record isn't stored yet: a next owner wouldn't ask it for its runs.
     Evacuated,    ///< Its zone is evacuated.
     Unresponsive, ///< Its last renewal failed.
     Avoided,      ///< It refused a start or failed runs a short time ago.
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -385,8 +385,9 @@
     if (!m_state.isLocating) {
         return;
     }
-    // Even after its lease a worker may still list ended runs that no owner has recorded, so each
-    // one is asked at least once.
+    // A worker of which no earlier owner has stored a record runs nothing for one.  The others may
+    // list ended runs that no owner has recorded even after their leases, so each is asked at least
+    // once.
     const bool hasLocateTimeExpired =
         now >= m_state.locateUntil && canJudgeSilence(now) && hearsWorkers(now);
     const bool isComplete =
