Record the workers that the fixtures of three tests set up by hand

Defragmenter, DefragmenterRegressions and LongRunningTaskOvertaking make workers that count as listed and heard, and expect tasks to be placed on them. The checks are unchanged.

--- a/test/Defragmenter.cpp
+++ b/test/Defragmenter.cpp
@@ -64,6 +64,7 @@
             worker->info.capacity = {8000, 64000, 0};
             worker->isRegistered = true;
             worker->isContacted = true;
+            worker->isRecorded = true;
         }
         state.workers.at("w1")->reserved = {2000, 100, 0};
         state.workers.at("w2")->info.capacity = {2000, 64000, 0};
--- a/test/DefragmenterRegressions.cpp
+++ b/test/DefragmenterRegressions.cpp
@@ -107,6 +107,7 @@
             worker->info.capacity = {8000, 64000, 0};
             worker->isRegistered = true;
             worker->isContacted = true;
+            worker->isRecorded = true;
         }
         state.workers.at("w1")->reserved = {5000, 100, 0};
     }
--- a/test/LongRunningTaskOvertaking.cpp
+++ b/test/LongRunningTaskOvertaking.cpp
@@ -111,6 +111,7 @@
         worker->info.capacity = {8000, 64000, 0};
         worker->isRegistered = true;
         worker->isContacted = true;
+        worker->isRecorded = true;
     }
 
     CellJob &addJob(const std::string &id, const JobSpec &spec)
