--- a/review/rig/Fleet.cpp
+++ b/review/rig/Fleet.cpp
@@ -1,7 +1,7 @@
 #include "Fleet.h"
 
-#include "platform/StoreClient.h"
-#include "platform/Wire.h"
+#include "../../platform/StoreClient.h"
+#include "../../platform/Wire.h"
 
 #include <asio/basic_waitable_timer.hpp>
 #include <asio/ip/tcp.hpp>
@@ -102,14 +102,14 @@
 
 void Fleet::addWorker(int number)
 {
-    static const char *const zones[] = {"kochi", "trivandrum", "calicut"};
+    static const char *const Zones[] = {"kochi", "trivandrum", "calicut"};
     const std::string address = m_network + std::to_string(FirstWorkerHost + number);
     const Endpoint own{address, freePort(address)};
     const Endpoint listed{address, freePort(address)};
     char id[16];
     std::snprintf(id, sizeof id, "i-%08x", 0x5a3c0000 + number);
     auto worker = std::make_unique<Worker>(m_context, id, listed, *this);
-    worker->zone = zones[number / WorkersPerRack % 3];
+    worker->zone = Zones[number / WorkersPerRack % 3];
     worker->rack = "r1-" + std::to_string(1 + number / WorkersPerRack);
     WorkerLink link;
     link.server = std::make_unique<HttpServer>(
--- a/review/rig/Fleet.h
+++ b/review/rig/Fleet.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "../../platform/standins/StoreStandin.h"
+#include "../../soak/LinkProxy.h"
 #include "Adapters/CurlLoop.h"
-#include "platform/standins/StoreStandin.h"
 #include "Process.h"
-#include "soak/LinkProxy.h"
 #include "Worker.h"
 
 #include <filesystem>
--- a/review/rig/Worker.cpp
+++ b/review/rig/Worker.cpp
@@ -1,7 +1,7 @@
 #include "Worker.h"
 
+#include "../../platform/Wire.h"
 #include "Core/UnixTime.h"
-#include "platform/Wire.h"
 
 #include <asio/basic_waitable_timer.hpp>
 #include <nlohmann/json.hpp>
--- a/review/rig/Worker.h
+++ b/review/rig/Worker.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "../../platform/standins/PartnerWire.h"
 #include "Cell/CellMessages.h"
 #include "Core/Clock.h"
 #include "Http/HttpServer.h"
-#include "platform/standins/PartnerWire.h"
 
 #include <asio/io_context.hpp>
 
--- a/review/rig/main.cpp
+++ b/review/rig/main.cpp
@@ -1,7 +1,7 @@
 /// \file Plays one case of the review against real processes, and judges it.
 
+#include "../../platform/Wire.h"
 #include "Fleet.h"
-#include "platform/Wire.h"
 
 #include <nlohmann/json.hpp>
 
@@ -96,6 +96,7 @@
 {
     constexpr int Jobs = 18;
     constexpr std::uint32_t Width = 36;
+    constexpr std::size_t Tasks = std::size_t(Jobs) * Width;
     constexpr std::int64_t WorkMs = 4000;
     const TaskBehaviour task{45, 100, WorkMs, WorkMs + 400};
     const Step step{Width, task, WorkMs};
@@ -141,8 +142,8 @@
         }
     }
     fleet.note("tasks that ended done: " + std::to_string(done.size()) + " of "
-               + std::to_string(Jobs * Width) + ", runs: " + std::to_string(fleet.runs.size()));
-    if (done.size() != Jobs * Width) {
+               + std::to_string(Tasks) + ", runs: " + std::to_string(fleet.runs.size()));
+    if (done.size() != Tasks) {
         return ExitNotRun;
     }
     return judge(fleet, countTwice(fleet));
