--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,7 +7,7 @@
 cd ../.. || exit 2
 directory=$(mktemp -d) || exit 2
 trap 'rm -rf "$directory"' EXIT
-timeout 118 target/review-rig late-start target/apps/fireflynode "$directory" "$case_dir/record.txt"
+timeout 118 target/review-rig slow-answers target/apps/fireflynode "$directory" "$case_dir/record.txt"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/rig/Fleet.cpp
+++ b/review/rig/Fleet.cpp
@@ -397,6 +397,9 @@
         if (it.isLongRunning) {
             row["long_running"] = true;
         }
+        if (it.isGang) {
+            row["gang"] = true;
+        }
         if (!it.after.empty()) {
             row["after"] = it.after;
         }
--- a/review/rig/Fleet.h
+++ b/review/rig/Fleet.h
@@ -26,6 +26,7 @@
     bool isLongRunning = false;
     std::uint32_t maxPerWorker = 0;
     std::string requirements;
+    bool isGang = false;
     std::string image;
     std::vector<std::uint32_t> after; ///< Numbers of earlier steps.
 };
--- a/review/rig/main.cpp
+++ b/review/rig/main.cpp
@@ -401,6 +401,61 @@
     return judge(fleet, broken);
 }
 
+/// The worker of a task crashes soon after the task's start, twice, as workers do at times.
+int playTwoCrashes(Fleet &fleet, bool hasTrouble)
+{
+    constexpr int Crashes = 2;
+    const TaskBehaviour task{2300, 4600, 3000, 3000};
+    int crashes = 0;
+    if (!fleet.submit(Urgent, jobId(5), {Step{1, task, 3000}})) {
+        return ExitNotRun;
+    }
+    std::size_t seen = 0;
+    std::string state;
+    const auto onRun = [&] {
+        while (hasTrouble && crashes < Crashes && seen < fleet.runs.size()) {
+            Worker &worker = fleet.worker(fleet.runs[seen++].worker);
+            fleet.runFor(200ms);
+            fleet.crash(worker);
+            fleet.runFor(1s);
+            fleet.restart(worker);
+            fleet.checkIn(worker);
+            ++crashes;
+        }
+        return false;
+    };
+    fleet.runUntil(20s, onRun);
+    state = fleet.stateOf(Urgent, jobId(5));
+    if (fleet.runs.empty() || state.empty()) {
+        return ExitNotRun;
+    }
+    return judge(fleet, state == "failed" ? 1 : 0);
+}
+
+/// A gang waits for room.
+int playWaitingGang(Fleet &fleet, bool hasTrouble)
+{
+    const TaskBehaviour whole{32000, 64000, 0, 0};
+    const auto others = static_cast<std::uint32_t>(fleet.workers.size() - 1);
+    if (hasTrouble
+        && (!fleet.submit(Standing, jobId(4), {Step{others, whole, 320, true, 1}})
+            || !fleet.runUntil(20s, [&] { return fleet.runs.size() == others; }))) {
+        return ExitNotRun;
+    }
+    const std::size_t before = fleet.runs.size();
+    Step gang{4, TaskBehaviour{32000, 64000, 1000, 1000}, 1000};
+    gang.isGang = true;
+    if (!fleet.submit(Batch, jobId(6), {gang})) {
+        return ExitNotRun;
+    }
+    fleet.runFor(6s);
+    const int pending = fleet.pendingOf(0, Batch);
+    const bool isWaiting = fleet.runs.size() == before;
+    fleet.note("gang has " + std::string(isWaiting ? "not " : "") + "begun, pending "
+               + std::to_string(pending));
+    return judge(fleet, isWaiting && pending == 0 ? 1 : 0);
+}
+
 /// Each step of the jobs names an image of its own.
 int playManyImages(Fleet &fleet, bool hasTrouble)
 {
@@ -447,6 +502,8 @@
                                             {"slow-answers", &playSlowAnswers},
                                             {"other-kind", &playOtherKind},
                                             {"pending", &playPending},
+                                            {"two-crashes", &playTwoCrashes},
+                                            {"waiting-gang", &playWaitingGang},
                                             {"many-images", &playManyImages},
                                             {"foreign-entries", &playForeignEntries}};
     const auto play = argc == 5 ? plays.find(argv[1]) : plays.end();
