--- a/review/rig/main.cpp
+++ b/review/rig/main.cpp
@@ -401,6 +401,61 @@
     return judge(fleet, broken);
 }
 
+/// Another writer leaves entries that can't be read, or that lack fields or have other types.
+int playBadEntries(Fleet &fleet, bool hasTrouble)
+{
+    if (hasTrouble) {
+        const Endpoint dead = fleet.deadEndpoint();
+        const nlohmann::json sound{{"service", "roster-svc"},
+                                   {"address", dead.address + ":" + std::to_string(dead.port)},
+                                   {"zone", "kochi"},
+                                   {"version", "v1"},
+                                   {"slots", 8},
+                                   {"state", "ready"},
+                                   {"cold_remaining_ms", 0},
+                                   {"capacity", {{"cpu", 16000}, {"mem_mb", 32000}, {"gpu", 0}}},
+                                   {"labels", {"a", "r9-1"}},
+                                   {"born", 1772000000000},
+                                   {"sequence", 1}};
+        const std::vector<nlohmann::json> values{
+            nullptr, 5, "text", true, -1.5, 1e300, nlohmann::json::array(), {{"a", 1}}, ""};
+        int number = 0;
+        const auto add = [&](const std::string &bytes) {
+            fleet.foreignEntries["bad-" + std::to_string(number++)] = bytes;
+        };
+        for (const auto &[field, value] : sound.items()) {
+            nlohmann::json entry = sound;
+            entry.erase(field);
+            add(entry.dump());
+            for (const nlohmann::json &it : values) {
+                entry[field] = it;
+                add(entry.dump());
+            }
+        }
+        constexpr std::size_t Depth = 50'000;
+        add(std::string("\xff\xfe\x01 not text"));
+        add(std::string(Depth, '['));
+        add("{\"service\":\"roster-svc\",\"address\":\"\xc3\x28\"}");
+        add("{\"service\":\"\\ud800\"}");
+        add(" ");
+        fleet.note("another writer writes " + std::to_string(number) + " entries");
+        fleet.runFor(4s);
+    }
+    const TaskBehaviour task{2300, 4600, 2000, 2000};
+    int completed = 0;
+    constexpr int Jobs = 6;
+    for (int i = 0; i < Jobs; ++i) {
+        if (!fleet.submit(Batch, jobId(60 + i), {Step{2, task, 2000}})) {
+            return ExitNotRun;
+        }
+    }
+    fleet.runFor(15s);
+    for (int i = 0; i < Jobs; ++i) {
+        completed += fleet.stateOf(Batch, jobId(60 + i)) == "completed" ? 1 : 0;
+    }
+    return judge(fleet, (Jobs - completed) + (fleet.hasCrashed() ? 1 : 0));
+}
+
 /// The worker of a task crashes soon after the task's start, twice, as workers do at times.
 int playTwoCrashes(Fleet &fleet, bool hasTrouble)
 {
@@ -497,15 +552,12 @@
 
 int run(int argc, char *argv[])
 {
-    const std::map<std::string, Play> plays{{"many-ends", &playManyEnds},
-                                            {"late-start", &playLateStart},
-                                            {"slow-answers", &playSlowAnswers},
-                                            {"other-kind", &playOtherKind},
-                                            {"pending", &playPending},
-                                            {"two-crashes", &playTwoCrashes},
-                                            {"waiting-gang", &playWaitingGang},
-                                            {"many-images", &playManyImages},
-                                            {"foreign-entries", &playForeignEntries}};
+    const std::map<std::string, Play> plays{
+        {"many-ends", &playManyEnds},       {"late-start", &playLateStart},
+        {"slow-answers", &playSlowAnswers}, {"other-kind", &playOtherKind},
+        {"pending", &playPending},          {"bad-entries", &playBadEntries},
+        {"two-crashes", &playTwoCrashes},   {"waiting-gang", &playWaitingGang},
+        {"many-images", &playManyImages},   {"foreign-entries", &playForeignEntries}};
     const auto play = argc == 5 ? plays.find(argv[1]) : plays.end();
     if (play == plays.end()) {
         std::cerr << "usage: review-rig CASE PROGRAM DIRECTORY RECORD\n";
