Log why a run is released that its worker's report doesn't list

Hypotheses: 1. the owner releases runs that a report lists nowhere, though the list of ends is cut; 2. leases end during the store's outage, and the tasks are released with their worker; 3. the cell changes its owner during the outage, and the next one doesn't find the runs; 4. the runs are taken for stuck. Hypotheses 2 to 4 have log lines (`lease over`, `owner serves`, `task stuck`); 1 had none. The new line `run missing` names the run and the lengths of both lists of the report.

--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -269,7 +269,7 @@
     void completeTask(const TaskRef &ref, std::int64_t nowUnixMs);
     void recordTaskFailure(const TaskRef &ref, const CellWorker &worker, std::uint32_t run,
                            std::int64_t nowUnixMs);
-    void releaseMissingTasks(CellWorker &worker, TimePoint sentAt);
+    void releaseMissingTasks(CellWorker &worker, const LeaseReport &report, TimePoint sentAt);
     void adjustFillers(CellWorker &worker, TimePoint now);
     void acknowledgeEndedRuns(CellWorker &worker, TimePoint now);
     void detectRestart(CellWorker &worker, const OrderReply &reply, TimePoint now);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -56,7 +56,7 @@
             applyEndedRun(worker, row, now, nowUnixMs);
         }
     }
-    releaseMissingTasks(worker, sentAt);
+    releaseMissingTasks(worker, report, sentAt);
     adjustFillers(worker, now);
     acknowledgeEndedRuns(worker, now);
     if (worker.info.isDraining) {
@@ -205,7 +205,8 @@
     }
 }
 
-void CellScheduler::releaseMissingTasks(CellWorker &worker, TimePoint sentAt)
+void CellScheduler::releaseMissingTasks(CellWorker &worker, const LeaseReport &report,
+                                        TimePoint sentAt)
 {
     const std::vector<TaskRef> tasks = worker.tasks;
     for (const TaskRef &it : tasks) {
@@ -219,6 +220,11 @@
         const bool hasExpired =
             task.state == TaskState::Unsettled && worker.clockMs > task.startDeadlineMs;
         if (isMissing || hasExpired) {
+            m_state.logDecision("run missing", it,
+                                "running=" + std::to_string(report.running.size())
+                                    + " ended=" + std::to_string(report.ended.size())
+                                    + " stopping="
+                                    + std::to_string(task.state == TaskState::Stopping ? 1 : 0));
             TaskLedger::release(it);
             m_state.wantsPlacement = true;
         }
