Don't take a run for gone that a truncated report can't list

Cause: a worker lists at most 500 ended runs at a time, the oldest ones, until they are acknowledged. Ends are acknowledged once they are durable, so that they pile up during an outage. The owner read a report as a whole list: a run that it listed neither as running nor as ended was released and started again. Class: an answer with a limited length is taken for a complete one, and what it leaves out for an event.

Change: platform/ says in LeaseReport::mayOmitEnds whether the list is as long as it can be. From such a report nothing is concluded about runs that it doesn't list. The same cause on related paths, each with a test that failed before: - a new owner counted a worker as heard after any report, and restarted the tasks whose ends the first report had no room for; now it awaits a report that omits nothing (hasListedAllEnds); - such a worker that falls silent between two reports was given up before the lease that this owner had granted was over; - runs whose ends wait to be listed made no progress and were stopped as stuck, which also closed their worker for a while. Read and found sound: pages of newest records (both readers follow has_more and read on from the offset of the first page), raw reads (continue at the next offset), compaction (410 starts over), the lists of fireflyswitchd's own workers (not limited). Guest cells use the same code. The stand-ins of tests and soak now list at most 500 ends, as the platform's workers do.

Why it works: an end that isn't listed stays on the worker until it is acknowledged, so that a later report lists it; a report with room left over lists all of them.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -183,6 +183,7 @@
     std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
     TimePoint listedAt{};           ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;       ///< Has answered a renewal of this owner.
+    bool hasListedAllEnds = false;  ///< Has sent this owner a report that omits no ended run.
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -96,7 +96,8 @@
     std::int64_t clockMs = 0;                ///< Reading of the worker's steady clock.
     std::int64_t incarnationStartUnixMs = 0; ///< Identifies the incarnation; 0 when unknown.
     std::vector<RunningTask> running;
-    std::vector<EndedRun> ended;
+    std::vector<EndedRun> ended; ///< The oldest ones, by number.
+    bool mayOmitEnds = false;    ///< The worker may have ended runs that \a ended has no room for.
 };
 
 /// Result of an order sent to a worker.
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -56,7 +56,15 @@
             applyEndedRun(worker, row, now, nowUnixMs);
         }
     }
-    releaseMissingTasks(worker, report, sentAt);
+    if (report.mayOmitEnds) {
+        m_state.logDecision("report may omit ended runs", worker,
+                            "listed_to=" + std::to_string(worker.processedEndNumber)
+                                + " durable_to=" + std::to_string(worker.durableEndNumber)
+                                + " running=" + std::to_string(report.running.size()));
+    } else {
+        worker.hasListedAllEnds = true;
+        releaseMissingTasks(worker, report, sentAt);
+    }
     adjustFillers(worker, now);
     acknowledgeEndedRuns(worker, now);
     if (worker.info.isDraining) {
@@ -222,8 +230,7 @@
         if (isMissing || hasExpired) {
             m_state.logDecision("run missing", it,
                                 "running=" + std::to_string(report.running.size())
-                                    + " ended=" + std::to_string(report.ended.size())
-                                    + " stopping="
+                                    + " ended=" + std::to_string(report.ended.size()) + " stopping="
                                     + std::to_string(task.state == TaskState::Stopping ? 1 : 0));
             TaskLedger::release(it);
             m_state.wantsPlacement = true;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -292,7 +292,7 @@
     }
     for (auto &[id, worker] : m_state.workers) {
         const bool isNeeded = worker->isRegistered || !worker->tasks.empty()
-                              || (m_state.isLocating && !worker->isContacted)
+                              || (m_state.isLocating && !worker->hasListedAllEnds)
                               || worker->durableEndNumber < worker->processedEndNumber;
         if (isNeeded && !worker->isRenewing && now >= worker->nextRenewal) {
             renewLease(*worker, now);
@@ -386,15 +386,14 @@
         return;
     }
     // A worker of which no earlier owner has stored a record runs nothing for one.  The others may
-    // list ended runs that no owner has recorded even after their leases, so each is asked at least
-    // once.
-    const bool hasLocateTimeExpired =
-        now >= m_state.locateUntil && canJudgeSilence(now) && hearsWorkers(now);
-    const bool isComplete =
-        std::ranges::all_of(m_state.workers, [hasLocateTimeExpired](const auto &it) {
-            return it.second->isContacted || !it.second->isRestored || it.second->isReplaced
-                   || (hasLocateTimeExpired && it.second->renewFailures > 0);
-        });
+    // list ended runs that no owner has recorded even after their leases, so each is asked until it
+    // has listed them all.
+    const bool canJudge = now >= m_state.locateUntil && canJudgeSilence(now) && hearsWorkers(now);
+    const bool isComplete = std::ranges::all_of(m_state.workers, [&](const auto &it) {
+        const CellWorker &worker = *it.second;
+        return worker.hasListedAllEnds || !worker.isRestored || worker.isReplaced
+               || (canJudge && worker.renewFailures > 0 && now >= leaseEnd(worker));
+    });
     if (!isComplete) {
         return;
     }
@@ -525,7 +524,9 @@
     }
     for (const TaskRef &it : worker.tasks) {
         const CellTask &task = it.task();
+        // The end of a run that the latest report doesn't list may not have been reported yet.
         if (task.state != TaskState::Running || task.pace == 0
+            || task.lastListedReport != worker.reportCount
             || (it.spec().isLongRunning && task.percent >= 100)) {
             continue;
         }
--- a/test/PlatformWire.cpp
+++ b/test/PlatformWire.cpp
@@ -133,6 +133,21 @@
         WireError);
 }
 
+// Guards against reports without room for all ends that are taken for whole ones.
+TEST(PlatformWire, ALeaseReportWithTheLongestListOfEndedRunsMayOmitEnds)
+{
+    for (const std::size_t count : {MaxListedEnds - 1, MaxListedEnds}) {
+        std::string rows;
+        for (std::size_t i = 1; i <= count; ++i) {
+            rows += (rows.empty() ? "[" : ",[") + std::to_string(i) + R"(,"aa.0.0.1",1,"done",""])";
+        }
+        const LeaseReport report =
+            decodeLeaseReport(R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}");
+        ASSERT_EQ(report.ended.size(), count);
+        EXPECT_EQ(report.mayOmitEnds, count == MaxListedEnds) << count;
+    }
+}
+
 TEST(PlatformWire, EachStatusAndReasonOfAnOrderReplyHasItsOutcome)
 {
     const auto outcomeOf = [](int status, const char *body) {
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -108,7 +108,9 @@
                                                   : static_cast<int>(m_percent % StartedPercent);
             report.running.push_back(row);
         }
-        report.ended = m_ended;
+        const auto listed = std::min(m_ended.size(), MaxListedEnds);
+        report.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+        report.mayOmitEnds = listed == MaxListedEnds;
         return OrderOutcome::Accepted;
     }
 
@@ -239,6 +241,9 @@
     /// True while the worker lists ended runs that no owner has acknowledged.
     bool hasEndedRuns() const { return !m_ended.empty(); }
 
+    /// Longest list of ended runs in one report.
+    static constexpr std::size_t MaxListedEnds = 500;
+
     std::string zone;
     std::int64_t incarnation = 1; ///< Increases with each reboot().
     State state = State::Up;
