Don't take the silence of a worker for a crash

Cause: a run that was lost with a worker silent since soon after the start counted as a crash under its task, also if nothing had shown a crash. The counts add up over runs that went well in between, and the number of losses alone gives a task up (four or five). Class: an absence is taken for evidence (a worker that crashed, one that is cut off and one that is late are all silent). Earlier counts stayed although the worker itself, alive, listed the end of the run.

Change: - Losses have three grades: another incarnation has answered; no process listens at the address (new outcome Refused: a refused connection, which used to be lumped with connect timeouts as NotSent); silence. The first two count as before. - Silence marks nothing. CrashDetector remembers the loss until an answer decides on it: the same incarnation clears it, a later one there (under the same id or at the same address) proves the crash, which then counts. So tasks that take machines down without a refused connection for longer than a lease are still given up. - Only what is proved is recorded for the next owner, passed on with delegated tasks, and separates suspects. On related paths: findCoincidence judges by silence too, but only in favour of the tasks; `task stuck`, failed runs and backoffs fail no job; fireflyswitchd counts nothing for lost workers.

Why it works: a job is failed only if its workers have crashed; each proof is an answer or a refusal that a worker that is up can't give. A late worker answers or lists the run's end sooner or later, which clears it.

--- a/src/Adapters/CurlLoop.cpp
+++ b/src/Adapters/CurlLoop.cpp
@@ -193,6 +193,11 @@
         return;
     }
     result.state = transfer.wasSent ? ExchangeState::Uncertain : ExchangeState::NotSent;
+    if (code == CURLE_COULDNT_CONNECT) {
+        long connectError = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &connectError);
+        result.isRefused = connectError == ECONNREFUSED;
+    }
     if (code == CURLE_ABORTED_BY_CALLBACK) {
         // onBeforeSend() suppressed libcurl's retry on another connection.
         result.error = "connection closed before the response";
--- a/src/Adapters/HttpExchange.h
+++ b/src/Adapters/HttpExchange.h
@@ -41,7 +41,8 @@
 struct HttpResult
 {
     ExchangeState state = ExchangeState::Uncertain;
-    int statusCode = 0; ///< 0 if no status line arrived.
+    int statusCode = 0;     ///< 0 if no status line arrived.
+    bool isRefused = false; ///< NotSent, because no process listens at the address.
     std::vector<HttpHeader> headers;
     std::string body;
     std::string error; ///< Description for logs; empty if Complete.
--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -44,6 +44,7 @@
     const auto silentMs = std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
     return "failed_renewals=" + std::to_string(renewFailures) + " silent_ms="
            + std::to_string(silentMs) + " replaced=" + std::to_string(static_cast<int>(isReplaced))
+           + " refusing=" + std::to_string(static_cast<int>(isRefusing))
            + " draining=" + std::to_string(static_cast<int>(info.isDraining))
            + " survived_ms=" + (survived ? std::to_string(*survived) : "unconfirmed");
 }
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -199,6 +199,7 @@
     std::int64_t lastSignMs = 0;     ///< Latest reading of its clock in any answer.
     TimePoint silentSince{};         ///< First failed renewal since its last answer; else zero.
     bool isReplaced = false;         ///< Another incarnation has answered at its address.
+    bool isRefusing = false;         ///< No process has listened there since its last answer.
     std::uint64_t reportCount = 0;   ///< Reports applied by this owner.
     ResourceVector reserved;         ///< Capacity reserved by placed tasks.
     ResourceVector held;             ///< Capacity kept for other tasks, by CapacityReservations.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -112,6 +112,7 @@
     Unhealthy,        ///< The worker is unhealthy and refused the order without effect.
     Invalid,          ///< The worker rejected the order as malformed.
     NotSent,          ///< The order never left this process.
+    Refused,          ///< The same, since no process listens at the worker's address.
     Unknown,          ///< No answer; the order may still take effect until its deadline.
 };
 
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -245,10 +245,9 @@
     /// of \a sentAt.  Runs ordered since may belong to that one.
     void releaseEarlierRuns(CellWorker &worker, TimePoint sentAt, std::int64_t nowUnixMs);
     void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
-    /// Marks those of \a lost, runs on \a worker that are about to be released, that may have
-    /// crashed it, and gives up the jobs of the convicted ones.
-    void judgeCrash(CellWorker &worker, std::span<const TaskRef> lost, CrashDetector::Loss loss,
-                    std::int64_t nowUnixMs);
+    /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
+    /// convicted ones.
+    void applySuspicions(std::span<const TaskRef> suspects, std::int64_t nowUnixMs);
     void recordFailure(CellWorker &worker, TimePoint now);
     void resendStops(CellWorker &worker, TimePoint now);
     void restartStuckTasks(CellWorker &worker, TimePoint now);
--- a/src/Cell/CrashDetector.cpp
+++ b/src/Cell/CrashDetector.cpp
@@ -19,6 +19,8 @@
 /// Other workers, whatever they run, whose silence within this time makes that reason possible.
 constexpr Duration CrowdWindow = std::chrono::milliseconds(300);
 constexpr std::size_t CrowdCount = 3;
+/// Time within which an answer decides on a silent loss.
+constexpr Duration UndecidedMemory = std::chrono::seconds(60);
 /// Time for which losses are compared; longer than a lease, the longest time to a judgement.
 constexpr Duration LossMemory = std::chrono::seconds(15);
 
@@ -44,10 +46,10 @@
     return survivedMs && *survivedMs >= ms;
 }
 
-void noteCrash(CellTask &task, const CellWorker &worker, TimePoint now)
+void noteCrash(CellTask &task, const Endpoint &endpoint, TimePoint now)
 {
     task.suspectSince = now;
-    task.crashAddress = worker.info.endpoint.address;
+    task.crashAddress = endpoint.address;
 }
 
 } // namespace
@@ -106,31 +108,29 @@
     }
     const TimePoint silentSince = worker.silentSince == TimePoint{} ? now : worker.silentSince;
     const Coincidence coincidence = findCoincidence(worker, silentSince, now);
-    const bool isCommon = coincidence == Coincidence::CommonCause;
     std::vector<TaskRef> fresh;
     std::ranges::copy_if(lost, std::back_inserter(fresh),
                          [&worker](const TaskRef &it) { return isFresh(it.task(), worker); });
     m_losses.push_back({silentSince, !fresh.empty()});
+    if (loss == Loss::Silent) {
+        std::vector<TaskName> names;
+        std::ranges::transform(fresh, std::back_inserter(names), &TaskRef::name);
+        m_undecided.push_back({worker.info.id, worker.incarnationStartUnixMs, worker.info.endpoint,
+                               now, coincidence, std::move(names)});
+        return {};
+    }
     std::vector<TaskRef> marked;
     const bool isOneJob = std::ranges::all_of(
         fresh, [&fresh](const TaskRef &it) { return it.job == fresh.front().job; });
     for (const TaskRef &it : fresh) {
-        CellTask &task = it.task();
-        if (isCommon && task.crashes.early == 0) {
-            continue;
-        }
-        const bool isPrompt = silentSince - task.startedAt <= PromptTime;
+        const bool isPrompt = silentSince - it.task().startedAt <= PromptTime;
         const bool isClear = isOneJob && isPrompt && loss == Loss::Crashed;
-        const bool isSameMachine = isAtCrashAddress(task, worker);
-        noteCrash(task, worker, now);
-        ++task.crashes.early;
-        task.crashes.certain += loss == Loss::Crashed ? 1 : 0;
-        if (coincidence == Coincidence::None && !isSameMachine) {
-            task.crashes.evidence += isClear ? ClearEvidence : SharedEvidence;
+        if (mark(it, worker.info.endpoint, coincidence, isClear ? ClearEvidence : SharedEvidence,
+                 loss == Loss::Crashed, now)) {
+            marked.push_back(it);
         }
-        marked.push_back(it);
     }
-    if (!fresh.empty() || isCommon || loss != Loss::Crashed) {
+    if (!fresh.empty() || coincidence == Coincidence::CommonCause || loss != Loss::Crashed) {
         return marked;
     }
     for (const TaskRef &it : lost) {
@@ -138,13 +138,72 @@
         if (hasSurvived(task, worker, SettledMs) || isAtCrashAddress(task, worker)) {
             continue;
         }
-        noteCrash(task, worker, now);
+        noteCrash(task, worker.info.endpoint, now);
         ++task.crashes.late;
         marked.push_back(it);
     }
     return marked;
 }
 
+bool CrashDetector::mark(const TaskRef &ref, const Endpoint &endpoint, Coincidence coincidence,
+                         std::uint32_t evidence, bool isCertain, TimePoint now)
+{
+    CellTask &task = ref.task();
+    if (coincidence == Coincidence::CommonCause && task.crashes.early == 0) {
+        return false;
+    }
+    const bool isSameMachine = task.crashAddress == endpoint.address;
+    noteCrash(task, endpoint, now);
+    ++task.crashes.early;
+    task.crashes.certain += isCertain ? 1 : 0;
+    if (coincidence == Coincidence::None && !isSameMachine) {
+        task.crashes.evidence += evidence;
+    }
+    return true;
+}
+
+template <typename Predicate>
+std::vector<TaskRef> CrashDetector::decide(Predicate isCrash, TimePoint now)
+{
+    std::vector<TaskRef> marked;
+    std::erase_if(m_undecided, [&](const UndecidedLoss &loss) {
+        if (!isCrash(loss)) {
+            return now - loss.lostAt > UndecidedMemory;
+        }
+        for (const TaskName &name : loss.fresh) {
+            const auto ref = m_state.findTask(name);
+            const bool isUnfinished =
+                ref && !isFinal(ref->job->state) && ref->task().state != TaskState::Done;
+            if (isUnfinished
+                && mark(*ref, loss.endpoint, loss.coincidence, SharedEvidence, true, now)) {
+                marked.push_back(*ref);
+            }
+        }
+        return true;
+    });
+    return marked;
+}
+
+std::vector<TaskRef> CrashDetector::onAnswer(const CellWorker &worker, TimePoint now)
+{
+    std::erase_if(m_undecided, [&worker](const UndecidedLoss &it) {
+        return it.worker == worker.info.id
+               && it.incarnationStartUnixMs == worker.incarnationStartUnixMs;
+    });
+    return decide(
+        [&worker](const UndecidedLoss &it) {
+            const bool isSameWorker = it.worker == worker.info.id;
+            const bool isLater = worker.incarnationStartUnixMs > it.incarnationStartUnixMs;
+            return isLater && (isSameWorker || it.endpoint == worker.info.endpoint);
+        },
+        now);
+}
+
+std::vector<TaskRef> CrashDetector::onReplaced(const CellWorker &worker, TimePoint now)
+{
+    return decide([&worker](const UndecidedLoss &it) { return it.worker == worker.info.id; }, now);
+}
+
 bool CrashDetector::onAlive(const TaskRef &ref, CellWorker &worker)
 {
     CrashHistory &crashes = ref.task().crashes;
--- a/src/Cell/CrashDetector.h
+++ b/src/Cell/CrashDetector.h
@@ -14,6 +14,9 @@
 /// task is among those that had just started.  Each crash marks all of these, whichever is at
 /// fault.  A marked task starts again only apart from fresh tasks of other jobs, so that a second
 /// crash either clears or convicts it.
+///
+/// Silence alone marks nothing, since a worker that is cut off or answers late is silent too: the
+/// loss waits until an answer shows whether the worker has crashed.
 class CrashDetector
 {
 public:
@@ -27,7 +30,8 @@
     /// Why the runs on a worker are lost.
     enum class Loss {
         Crashed, ///< Another incarnation of the worker has answered.
-        Silent,  ///< The lease ended without an answer; the worker may have been cut off.
+        Down,    ///< The lease ended, and no process listens at the worker's address.
+        Silent,  ///< The lease ended without an answer; the worker may be up.
     };
 
     /// Marks the tasks in \a lost, the lost runs on \a worker, that may have crashed it; call
@@ -35,6 +39,12 @@
     /// silent workers).
     std::vector<TaskRef> onRunsLost(const CellWorker &worker, std::span<const TaskRef> lost,
                                     Loss loss, TimePoint now);
+    /// Decides on earlier silent losses by an answer of \a worker: it clears its own, if it is the
+    /// incarnation that lost the runs, and proves the crash of earlier incarnations and of earlier
+    /// workers at its address.  Returns the tasks whose history changed.  O(undecided losses).
+    std::vector<TaskRef> onAnswer(const CellWorker &worker, TimePoint now);
+    /// The same by an answer of another incarnation at the address of \a worker.
+    std::vector<TaskRef> onReplaced(const CellWorker &worker, TimePoint now);
     /// Clears the suspicion against \a ref, which runs on \a worker, as far as the latest answer of
     /// the worker proves that it survives.  True if its history changed.
     static bool onAlive(const TaskRef &ref, CellWorker &worker);
@@ -52,7 +62,11 @@
     /// True if \a task has crashed workers beyond doubt, or too many to be started again.
     static bool isConvicted(const CellTask &task);
 
-    void reset() { m_losses.clear(); }
+    void reset()
+    {
+        m_losses.clear();
+        m_undecided.clear();
+    }
 
 private:
     struct RecentLoss
@@ -70,8 +84,28 @@
     };
     Coincidence findCoincidence(const CellWorker &worker, TimePoint silentSince, TimePoint now);
 
+    /// A silent loss of which no answer has told yet whether the worker has crashed.
+    struct UndecidedLoss
+    {
+        WorkerId worker;
+        std::int64_t incarnationStartUnixMs = 0;
+        Endpoint endpoint;
+        TimePoint lostAt{};
+        Coincidence coincidence = Coincidence::None;
+        std::vector<TaskName> fresh; ///< Tasks that the worker had just started.
+    };
+    /// Counts a crash at \a endpoint against \a ref, unless a common cause explains it.  True if it
+    /// counts.
+    static bool mark(const TaskRef &ref, const Endpoint &endpoint, Coincidence coincidence,
+                     std::uint32_t evidence, bool isCertain, TimePoint now);
+    /// Marks the tasks of the undecided losses for which \a isCrash holds, and forgets these
+    /// losses.
+    template <typename Predicate>
+    std::vector<TaskRef> decide(Predicate isCrash, TimePoint now);
+
     CellState &m_state;
     std::deque<RecentLoss> m_losses; ///< In the order of their judgement.
+    std::vector<UndecidedLoss> m_undecided;
 };
 
 } // namespace firefly
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -23,9 +23,11 @@
     if (report.incarnationStartUnixMs != worker.incarnationStartUnixMs) {
         beginIncarnation(worker, report.incarnationStartUnixMs, sentAt, nowUnixMs);
     }
+    applySuspicions(m_crashDetector.onAnswer(worker, now), nowUnixMs);
     worker.renewFailures = 0;
     worker.silentSince = {};
     worker.isReplaced = false;
+    worker.isRefusing = false;
     worker.isRestartSuspected = false;
     worker.clockMs = report.clockMs;
     worker.clockAt = now;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -200,6 +200,7 @@
         worker->nextRenewal = now; // Tells what became of the worker's other tasks.
         [[fallthrough]];
     case OrderOutcome::NotSent:
+    case OrderOutcome::Refused:
     case OrderOutcome::Invalid:
         worker->avoidUntil = std::max(worker->avoidUntil, now + UnreachableBackoff);
         break;
@@ -266,8 +267,10 @@
         worker->silentSince = worker->renewFailures == 0 ? now : worker->silentSince;
         ++worker->renewFailures;
         worker->isReplaced = worker->isReplaced || outcome == OrderOutcome::OtherIncarnation;
+        worker->isRefusing = worker->isRefusing || outcome == OrderOutcome::Refused;
         worker->nextRenewal = now + renewalBackoff(worker->renewFailures);
         if (outcome == OrderOutcome::OtherIncarnation) {
+            applySuspicions(m_crashDetector.onReplaced(*worker, now), nowUnixMs);
             releaseEarlierRuns(*worker, sentAt, nowUnixMs);
         }
         return;
@@ -440,11 +443,10 @@
             + " silent=" + std::to_string(silent) + " joined=" + std::to_string(joined)});
 }
 
-void CellScheduler::judgeCrash(CellWorker &worker, std::span<const TaskRef> lost,
-                               CrashDetector::Loss loss, std::int64_t nowUnixMs)
+void CellScheduler::applySuspicions(std::span<const TaskRef> suspects, std::int64_t nowUnixMs)
 {
     std::set<CellJob *> changed;
-    for (const TaskRef &it : m_crashDetector.onRunsLost(worker, lost, loss, m_now)) {
+    for (const TaskRef &it : suspects) {
         const CrashHistory &crashes = it.task().crashes;
         const bool isConvicted = CrashDetector::isConvicted(it.task());
         m_state.logDecision(isConvicted ? "task given up" : "task suspected of a crash", it,
@@ -470,7 +472,8 @@
     std::ranges::copy_if(worker.tasks, std::back_inserter(lost), [sentAt](const TaskRef &it) {
         return it.task().state != TaskState::Starting && it.task().startedAt < sentAt;
     });
-    judgeCrash(worker, lost, CrashDetector::Loss::Crashed, nowUnixMs);
+    applySuspicions(m_crashDetector.onRunsLost(worker, lost, CrashDetector::Loss::Crashed, m_now),
+                    nowUnixMs);
     for (const TaskRef &it : lost) {
         m_state.logDecision("worker restarted", it, worker.describeLoss(it.task(), m_now));
         TaskLedger::release(it);
@@ -481,9 +484,10 @@
 void CellScheduler::releaseTasks(CellWorker &worker, std::int64_t nowUnixMs)
 {
     const std::vector<TaskRef> lost = worker.tasks;
-    judgeCrash(worker, lost,
-               worker.isReplaced ? CrashDetector::Loss::Crashed : CrashDetector::Loss::Silent,
-               nowUnixMs);
+    const CrashDetector::Loss loss = worker.isReplaced   ? CrashDetector::Loss::Crashed
+                                     : worker.isRefusing ? CrashDetector::Loss::Down
+                                                         : CrashDetector::Loss::Silent;
+    applySuspicions(m_crashDetector.onRunsLost(worker, lost, loss, m_now), nowUnixMs);
     while (!worker.tasks.empty()) {
         m_state.logDecision("lease over", worker.tasks.back(),
                             worker.describeLoss(worker.tasks.back().task(), m_now));
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -30,6 +30,8 @@
         return "invalid";
     case OrderOutcome::NotSent:
         return "not sent";
+    case OrderOutcome::Refused:
+        return "refused";
     case OrderOutcome::Unknown:
         break;
     }
--- a/test/AdaptersHttp.cpp
+++ b/test/AdaptersHttp.cpp
@@ -97,7 +97,9 @@
     request.url = baseUrl({"127.0.0.1", closed.local_endpoint().port()});
     closed.close();
 
-    EXPECT_EQ(exchange(LongTimeout, request).state, ExchangeState::NotSent);
+    const HttpResult result = exchange(LongTimeout, request);
+    EXPECT_EQ(result.state, ExchangeState::NotSent);
+    EXPECT_TRUE(result.isRefused);
 }
 
 TEST_F(AdaptersHttp, truncatedResponseIsUncertain)
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -175,15 +175,18 @@
         }
         breakGangs(id);
         worker.crash(now);
+        worker.isReachable = !areCrashesDark;
         ++crashCount;
         after(downtime, [this, id] {
             FakeCellWorker &old = *workers.at(id);
+            old.isReachable = true;
             old.state = FakeCellWorker::State::Replaced;
             const std::string next = id.substr(0, id.find('.')) + "." + std::to_string(crashCount)
                                      + "-" + std::to_string(workers.size());
             auto &created = workers[next];
             created = std::make_unique<FakeCellWorker>(next, audit);
             created->workTime = old.workTime;
+            created->lateAfterStart = old.lateAfterStart;
             created->capacity = old.capacity;
             created->rack = old.rack;
             created->zone = old.zone;
@@ -285,7 +288,8 @@
     std::set<TaskName> crashingTasks; ///< Tasks that crash each worker that starts them.
     Duration crashDelay = std::chrono::milliseconds(10); ///< From such a start to the crash.
     Duration crashDowntime = std::chrono::milliseconds(3300);
-    int crashCount = 0; ///< Crashes of workers.
+    bool areCrashesDark = false; ///< The machine of a crashed worker refuses no connections.
+    int crashCount = 0;          ///< Crashes of workers.
 
     std::function<void(const DelegateTasks &)> onDelegate; ///< Empty to drop the requests.
     std::function<void(const RevokeDelegation &)> onRevoke;
@@ -390,13 +394,15 @@
         if (state != FakeCellWorker::State::Up) {
             const bool isReplaced = state == FakeCellWorker::State::Replaced;
             after(randomDelay(), [reply, isReplaced] {
-                reply(isReplaced ? OrderOutcome::OtherIncarnation : OrderOutcome::NotSent);
+                reply(isReplaced ? OrderOutcome::OtherIncarnation : OrderOutcome::Refused);
             });
             return;
         }
-        if (chance(lateOrderFraction)) {
-            const auto late =
-                std::chrono::milliseconds(std::uniform_int_distribution<int>(2000, 9000)(random));
+        const bool isLate = now < worker.isLateUntil;
+        if (isLate || chance(lateOrderFraction)) {
+            const auto late = isLate ? std::chrono::milliseconds(2000)
+                                     : std::chrono::milliseconds(
+                                         std::uniform_int_distribution<int>(2000, 9000)(random));
             after(late, [executeIfSame] { executeIfSame(); });
             after(Timeout, [reply] { reply(OrderOutcome::Unknown); });
             return;
@@ -545,8 +551,8 @@
     {
         constexpr Duration EndCheckInterval = std::chrono::milliseconds(20);
         const FakeCellWorker &worker = *workers.at(order.worker.value());
-        if (outcome == OrderOutcome::Accepted
-            && worker.incarnation != report->incarnationStartUnixMs) {
+        const bool isSame = worker.incarnation == report->incarnationStartUnixMs;
+        if (outcome == OrderOutcome::Accepted && (!isSame || now < worker.isLateUntil)) {
             outcome = OrderOutcome::Unknown;
         }
         if (outcome != OrderOutcome::Accepted || worker.hasEndedRuns() || now >= until) {
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -58,6 +58,7 @@
         m_audit.recordStart(m_id, countedCapacity(now), order);
         const StepSpec *step = m_audit.stepOf(order.task);
         const bool isWaiting = holdsGangMembers && step && step->isGang;
+        isLateUntil = std::max(isLateUntil, now + lateAfterStart);
         m_running[order.task] = {order.run, now, isWaiting ? TimePoint::max() : now + workTime,
                                  hasFailingRuns, order.checkpoint};
         return OrderOutcome::Accepted;
@@ -249,6 +250,8 @@
     State state = State::Up;
     bool isRegistered = true; ///< The platform lists it.
     bool isReachable = true;
+    TimePoint isLateUntil{}; ///< It leaves orders unanswered and carries them out late until then.
+    Duration lateAfterStart{}; ///< It does so for this long after each start.
     bool isDraining = false;
     bool isProgressing = true; ///< The progress of tasks changes from report to report.
     Duration workTime = std::chrono::milliseconds(500); ///< Of runs started from now on.
