Acknowledge nothing to a worker that is listed as restarted

What callers saw: in tests only, a batch task that has ended as done starts again (TWICE).

Cause: a restarted worker numbers its ended runs from 1 again. A renewal after a failed one acknowledges nothing for that reason, and so does one after an answer whose clock went back. If the platform's list tells of the restart first, between a report and the next renewal, that renewal still carried the number of the earlier incarnation: a worker that applies it when its long poll ends forgets ends that no report has listed.

Change: a listed restart counts as a suspected one until the next report, as a clock that went back does.

--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -102,6 +102,7 @@
         recordWorker(*worker);
     }
     if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted) {
+        worker->isRestartSuspected = true;
         worker->nextRenewal = now;
     }
     if (info.isDraining) {
