Let overdue batch jobs share the room

Cause: batch jobs without further value for their clients rank last, by objective, and the job whose turn it is starts all of its tasks. After a minute of overload hundreds of jobs are overdue. Once they are served, the first few take all idle processor time, and the others wait for them to finish, evicted ones too: 30 s and more in the test. Class: strict order without a share for those at its end (starvation).

Evidence: logs said nothing on why a filler waits. Backoffs alone, usage that lags or a limit of placement don't explain it.

Change: among overdue jobs of one priority those with nothing placed come first and start one task; the rest follows in the next pass, by objective. Jobs that can still be of value come first as before. `fillers` in the log became `missed_target` and `idle_cpu`.

Why it works: the platform asks that no unfinished job has nothing at work for 3 s beside room.

--- a/src/Cell/CellAdmission.cpp
+++ b/src/Cell/CellAdmission.cpp
@@ -80,7 +80,7 @@
             const auto obstacle = PlacementRules::findObstacle(*it.second, available, 0, ref, now);
             // Latency targets keep fillers away for moments only.
             return !obstacle
-                   || (*obstacle == PlacementRules::Obstacle::Fillers
+                   || (*obstacle == PlacementRules::Obstacle::MissedTarget
                        && PlacementRules::hasUnusedCpuFor(*it.second, ref.spec()));
         });
         if (fits) {
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -44,6 +44,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// True for a batch job that has no more value for its client, yet has to finish.
+bool isOverdue(const CellJob &job, TimePoint now)
+{
+    return !job.isLongRunning() && now > job.deprioritizedAt;
+}
+
 /// Order of jobs of one priority: -1 for a long-running job, as its users notice a missing task at
 /// once; 0 for a job that can still meet its objective, 1 for one that will be late, 2 for one that
 /// has no more value for its client.
@@ -52,7 +58,7 @@
     if (job.isLongRunning()) {
         return -1;
     }
-    if (now > job.deprioritizedAt) {
+    if (isOverdue(job, now)) {
         return 2;
     }
     return now + job.remainingCriticalPath() > job.objective ? 1 : 0;
@@ -114,14 +120,24 @@
     std::vector<CellJob *> jobs = pendingJobs();
     findDisplaced(jobs, now, nowUnixMs);
     sortJobs(jobs, now);
-    forEachStartableStep(jobs, nowUnixMs,
-                         [&](CellJob &job, std::uint32_t occurrence, std::uint32_t step) {
-                             if (job.spec.steps[step].isGang) {
-                                 startGang(job, occurrence, step, now);
-                             } else {
-                                 startStep(job, occurrence, step, now);
-                             }
-                         });
+    const CellJob *resumed = nullptr;
+    forEachStartableStep(
+        jobs, nowUnixMs, [&](CellJob &job, std::uint32_t occurrence, std::uint32_t step) {
+            if (&job == resumed) {
+                return;
+            }
+            const bool isIdle = isOverdue(job, now) && job.placedCount == 0;
+            if (job.spec.steps[step].isGang) {
+                startGang(job, occurrence, step, now);
+            } else {
+                startStep(job, occurrence, step, isIdle ? 1 : job.spec.steps[step].taskCount, now);
+            }
+            if (isIdle && job.placedCount > 0) {
+                // The next pass starts its other tasks in their turn.
+                resumed = &job;
+                m_state.wantsPlacement = true;
+            }
+        });
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
@@ -184,7 +200,7 @@
 {
     struct Ranked
     {
-        std::tuple<int, bool, int, TimePoint> key;
+        std::tuple<int, bool, int, bool, TimePoint> key;
         CellJob *job;
     };
     std::vector<Ranked> ranked;
@@ -192,8 +208,11 @@
     for (CellJob *it : jobs) {
         const bool hasDisplaced =
             std::ranges::find(m_displaced, it, &TaskRef::job) != m_displaced.end();
-        ranked.push_back(
-            {{it->spec.policy.priority, !hasDisplaced, latenessRank(*it, now), it->objective}, it});
+        // Overdue jobs share the room, so that none of them waits for the others to finish.
+        const bool isSharing = isOverdue(*it, now) && it->placedCount > 0;
+        ranked.push_back({{it->spec.policy.priority, !hasDisplaced, latenessRank(*it, now),
+                           isSharing, it->objective},
+                          it});
     }
     std::ranges::sort(ranked, {}, &Ranked::key);
     std::ranges::transform(ranked, jobs.begin(), &Ranked::job);
@@ -238,11 +257,13 @@
     });
 }
 
-void Placement::startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
+void Placement::startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step,
+                          std::uint32_t maxStarts, TimePoint now)
 {
     StepRun &run = job.occurrences[occurrence].steps[step];
     bool isWaitReported = false;
-    for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
+    std::uint32_t starts = 0;
+    for (std::uint32_t i = 0; i < run.tasks.size() && starts < maxStarts; ++i) {
         CellTask &task = run.tasks[i];
         if (task.state != TaskState::Pending || task.notBefore > now) {
             continue;
@@ -278,6 +299,7 @@
         }
         m_placeWaits.onStart(ref, isNear, now);
         start(ref, *worker, TaskLedger::nextRun(task, m_state.epoch), now);
+        ++starts;
     }
 }
 
@@ -406,6 +428,9 @@
     if (ref.spec().isLongRunning) {
         reportWait(ref, now);
         m_waiting.push_back(ref);
+    } else if (now >= m_nextBatchWaitReport) {
+        m_nextBatchWaitReport = now + WaitReportInterval;
+        m_state.logDecision("batch task waits", ref, describeObstacles(ref, now));
     }
 }
 
@@ -420,25 +445,35 @@
         return;
     }
     task.nextWaitReport = now + WaitReportInterval;
-    m_state.logDecision("long-running task waits", ref, describeObstacles(ref, now));
+    m_state.logDecision("long-running task waits", ref,
+                        "waited_ms=" + std::to_string(toMs(now - task.waitingSince)) + " "
+                            + describeObstacles(ref, now));
 }
 
 std::string Placement::describeObstacles(const TaskRef &ref, TimePoint now) const
 {
     static constexpr std::pair<Obstacle, const char *> Names[] = {
-        {Obstacle::Unavailable, "unavailable"}, {Obstacle::Unrecorded, "unrecorded"},
-        {Obstacle::Evacuated, "evacuated"},     {Obstacle::Unresponsive, "unresponsive"},
-        {Obstacle::Avoided, "avoided"},         {Obstacle::Capacity, "full"},
-        {Obstacle::Fillers, "fillers"},         {Obstacle::Label, "label"},
-        {Obstacle::Observed, "observed"},       {Obstacle::TaskLimit, "task_limit"}};
+        {Obstacle::Unavailable, "unavailable"},
+        {Obstacle::Unrecorded, "unrecorded"},
+        {Obstacle::Evacuated, "evacuated"},
+        {Obstacle::Unresponsive, "unresponsive"},
+        {Obstacle::Avoided, "avoided"},
+        {Obstacle::Capacity, "full"},
+        {Obstacle::MissedTarget, "missed_target"},
+        {Obstacle::IdleCpu, "idle_cpu"},
+        {Obstacle::Label, "label"},
+        {Obstacle::Observed, "observed"},
+        {Obstacle::TaskLimit, "task_limit"}};
     std::map<Obstacle, int> counts;
     std::int64_t freeCpu = 0;
     std::int64_t largestFreeCpu = 0;
+    int expectedViolations = 0; // Workers where the filler would push serving tasks over targets.
     for (const auto &[id, worker] : m_state.workers) {
         const ResourceVector available = m_reservations.availableTo(ref, *worker);
         const auto obstacle = PlacementRules::findObstacle(
             *worker, available, m_reservations.countOfStep(ref, *worker), ref, now);
         if (!obstacle) {
+            expectedViolations += score(*worker, ref, now) ? 0 : 1;
             continue;
         }
         ++counts[*obstacle];
@@ -448,8 +483,7 @@
         }
     }
     const ResourceVector &demand = ref.spec().demand;
-    std::string text = "waited_ms=" + std::to_string(toMs(now - ref.task().waitingSince))
-                       + " cpu=" + std::to_string(demand.milliCpu) + " memory_mb="
+    std::string text = "cpu=" + std::to_string(demand.milliCpu) + " memory_mb="
                        + std::to_string(demand.memoryMb) + " free_cpu=" + std::to_string(freeCpu)
                        + " largest_free_cpu=" + std::to_string(largestFreeCpu);
     for (const auto &[obstacle, name] : Names) {
@@ -457,6 +491,9 @@
             text += std::string(" ") + name + "=" + std::to_string(it->second);
         }
     }
+    if (expectedViolations > 0) {
+        text += " expected_violations=" + std::to_string(expectedViolations);
+    }
     if (isHeldBack(ref, now)) {
         text += " held_back=1";
     }
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -45,15 +45,16 @@
 private:
     /// Durable jobs with pending tasks.
     std::vector<CellJob *> pendingJobs() const;
-    /// Sorts \a jobs by priority, displaced tasks (jobs with some come first), lateness and
-    /// objective.
+    /// Sorts \a jobs by priority, displaced tasks (jobs with some come first), lateness, for
+    /// overdue jobs whether any task is placed (those without come first), and objective.
     void sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const;
     /// Adds to m_displaced the displaced tasks of \a jobs: long-running ones that have run before
     /// and have neither a worker nor a reservation.  Their wait begins now, unless it has begun.
     void findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
     /// True for the first start of a long-running task while a displaced one may need the capacity.
     bool isHeldBack(const TaskRef &ref, TimePoint now) const;
-    void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step,
+                   std::uint32_t maxStarts, TimePoint now);
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     /// Workers for all tasks of the gang of \a leader, on \a rack if one is given; empty if there
     /// is no room.  The tasks take the number \a run.
@@ -95,7 +96,8 @@
     PlaceWaits m_placeWaits;
     Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
-    std::vector<TaskRef> m_displaced; ///< Displaced tasks before the starts of this pass.
+    TimePoint m_nextBatchWaitReport{}; ///< Earliest next log line about a batch task that waits.
+    std::vector<TaskRef> m_displaced;  ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
 
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -54,8 +54,11 @@
     if (!available.fits(spec.reservation())) {
         return Obstacle::Capacity;
     }
-    if (spec.isFiller && (worker.noFillersUntil > now || !hasUnusedCpuFor(worker, spec))) {
-        return Obstacle::Fillers;
+    if (spec.isFiller && worker.noFillersUntil > now) {
+        return Obstacle::MissedTarget;
+    }
+    if (spec.isFiller && !hasUnusedCpuFor(worker, spec)) {
+        return Obstacle::IdleCpu;
     }
     if (!spec.requiredLabel.empty()
         && std::ranges::find(worker.info.labels, spec.requiredLabel) == worker.info.labels.end()) {
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -17,7 +17,8 @@
     Unresponsive, ///< Its last renewal failed.
     Avoided,      ///< It refused a start or failed runs a short time ago.
     Capacity,
-    Fillers, ///< It takes no fillers, or has too little idle processor time for this one.
+    MissedTarget, ///< A serving task missed its target there a short time ago: no fillers.
+    IdleCpu,      ///< It has too little idle processor time for this filler.
     Label,
     Observed,  ///< A suspect of CrashDetector could not be told from the other fresh tasks there.
     TaskLimit, ///< It runs as many tasks of the step as the step allows.
