Log which batch job has had no run for longest, and why

`batch task waits` names the first task of a pass that fits nowhere, whichever job that is, and `load` counts tasks only.

New line `batch job idle`, every 3 s at most: of the jobs that have had no run for 3 s though a step of theirs is ready, the one that waits longest, for how long, how many there are, its position in the order of the pass, its lateness, whether an earlier owner accepted it, and the workers by obstacle. Few obstacles tell of the order, all workers of a rule, `restored=1` with a low position of the cold start. No decision depends on it.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -121,6 +121,8 @@
     TimePoint deprioritizedAt{};              ///< The job ranks last of its priority from here on.
     std::vector<Occurrence> occurrences;      ///< Occurrences that are due.
     std::uint32_t placedCount = 0;            ///< Tasks for which isPlaced() holds.
+    /// Batch jobs: since when none is placed though one could start; else zero.
+    TimePoint idleSince{};
     std::map<int, DelegationStatus> delegations; ///< Tasks that other cells schedule, by cell.
     /// Called with true once all delegations of a final job are revoked, or with false at the end
     /// of the ownership.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -35,6 +35,10 @@
 constexpr Duration FirstWaitReport = std::chrono::milliseconds(1000);
 constexpr Duration WaitReportInterval = std::chrono::milliseconds(3000);
 
+/// Time that the platform tolerates without a run of an unfinished batch job beside idle capacity,
+/// and the interval of the log lines about jobs that wait for longer.
+constexpr Duration MaxIdleTime = std::chrono::milliseconds(3000);
+
 /// Time that the platform tolerates without a run of a task that has run before.  A displaced task
 /// that has waited longer may fit no worker at all and holds nothing back.
 constexpr Duration MaxFirstStartDelay = std::chrono::milliseconds(6000);
@@ -138,11 +142,55 @@
                 m_state.wantsPlacement = true;
             }
         });
+    reportIdleJobs(jobs, now, nowUnixMs);
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
 }
 
+void Placement::reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now,
+                               std::int64_t nowUnixMs)
+{
+    struct Idle
+    {
+        TaskRef task;
+        std::size_t position = 0; ///< In the order of this pass.
+    };
+    std::optional<Idle> longest;
+    std::size_t idleCount = 0;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        std::optional<TaskRef> startable;
+        forEachStartableStep(jobs.subspan(i, 1), nowUnixMs,
+                             [&startable](CellJob &job, std::uint32_t k, std::uint32_t s) {
+                                 startable = startable.value_or(TaskRef{&job, k, s, 0});
+                             });
+        CellJob &job = *jobs[i];
+        if (!startable || job.isLongRunning() || job.placedCount > 0) {
+            job.idleSince = {};
+            continue;
+        }
+        if (job.idleSince == TimePoint{}) {
+            job.idleSince = now;
+        }
+        ++idleCount;
+        if (!longest || job.idleSince < longest->task.job->idleSince) {
+            longest = Idle{*startable, i};
+        }
+    }
+    if (!longest || now < m_nextIdleReport || now - longest->task.job->idleSince < MaxIdleTime) {
+        return;
+    }
+    m_nextIdleReport = now + MaxIdleTime;
+    const CellJob &job = *longest->task.job;
+    m_state.logDecision(
+        "batch job idle", longest->task,
+        "idle_ms=" + std::to_string(toMs(now - job.idleSince)) + " idle_jobs="
+            + std::to_string(idleCount) + " position=" + std::to_string(longest->position) + " of "
+            + std::to_string(jobs.size()) + " lateness=" + std::to_string(latenessRank(job, now))
+            + " restored=" + std::to_string(job.isFromEarlierOwner ? 1 : 0) + " "
+            + describeObstacles(longest->task, now));
+}
+
 void Placement::startReserved(TimePoint now)
 {
     for (const TaskRef &ref : m_reservations.pendingTasks()) {
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -65,6 +65,9 @@
     /// is none.
     std::vector<std::pair<TaskRef, CellWorker *>>
     chooseRackForGang(const TaskRef &leader, std::uint32_t run, TimePoint now);
+    /// Updates the idle times of \a jobs, in the order of this pass, and logs at intervals why the
+    /// one that has been idle for longest isn't started.  O(jobs x steps).
+    void reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
     void startReserved(TimePoint now);
     /// Reserves workers for the long-running tasks that draining workers are about to end.
     void reserveForEvacuated(TimePoint now);
@@ -97,6 +100,7 @@
     Defragmenter m_defragmenter;
     std::vector<UnplaceableDemand> m_unplaceable;
     TimePoint m_nextBatchWaitReport{}; ///< Earliest next log line about a batch task that waits.
+    TimePoint m_nextIdleReport{};      ///< The same about idle batch jobs.
     std::vector<TaskRef> m_displaced;  ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
