Let a task wait only for the workers that may run it

Cause: a new owner searches the tasks of its predecessors through one gate for the whole cell. A worker with a record that can't answer, as it has left, holds back every task until the longest lease is over, those that ran elsewhere or never too; and the record of a worker that left idle stays until that same wait ends, so that with changes of owner a few seconds apart no owner gets there. Class: an exclusion that is wider than what is unknown.

Change: the record of a worker says what it may run. A worker that takes no further starts, as it drains or is no longer listed, gets a record of the tasks placed there once this owner has heard a report that omits nothing; the record follows as they end, and is deleted when none is left and all ends are durable. It takes tasks again once a record without that limit is durable (`isRecorded`, as before). TaskLocation, a class of its own now, makes a task Pending once no worker that has yet to answer may run it. Builds without limits read a limited record as an unknown host and wait for the longest lease.

Whether half of the workers are heard (`hearsWorkers`) no longer decides here: after the end of all earlier leases nothing runs, whoever hears whom.

Why it works: the set of tasks on a worker without further starts only shrinks, and each task in it is placed there by the owner that puts the record, so the record is a bound for all later owners. Starts elsewhere need a report or that bound.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -3,6 +3,11 @@
 namespace firefly {
 namespace {
 
+/// Added to the computed end of a lease, for orders in flight.
+constexpr Duration LeaseMargin = std::chrono::milliseconds(200);
+/// Lowest rate of a worker's steady clock relative to this process.
+constexpr double SlowestClock = 0.98;
+
 /// Length of the critical path; only steps for which \a isIncluded holds count with their estimate.
 template <typename IsIncluded>
 Duration criticalPath(const JobSpec &spec, const IsIncluded &isIncluded)
@@ -37,6 +42,16 @@
     return criticalPath(spec, [&steps](std::size_t i) { return !steps[i].isDone(); });
 }
 
+TimePoint CellWorker::leaseEnd() const
+{
+    if (!isContacted) {
+        return earlierLeaseEnd;
+    }
+    const double leftMs = static_cast<double>(grantedDeadlineMs - clockMs);
+    const auto left = std::chrono::duration<double, std::milli>(leftMs / SlowestClock);
+    return clockAt + std::chrono::duration_cast<Duration>(left) + LeaseMargin;
+}
+
 std::string CellWorker::describeLoss(const CellTask &task, TimePoint now) const
 {
     const auto survived = survivedMs(task);
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -180,12 +180,19 @@
 {
     WorkerDescription info;
     bool isRegistered = false;      ///< Currently listed by the platform.
-    bool isRecorded = false;        ///< The cell's topic holds its record, with its address.
+    bool hasLeft = false;           ///< The platform lists it no longer.
+    bool isRecorded = false;        ///< The cell's topic holds its record, without limits.
     bool isRestored = false;        ///< This owner has read a record of it from the cell's topic.
     std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
-    TimePoint listedAt{};           ///< First listed with an address that wasn't recorded; or zero.
-    bool isContacted = false;       ///< Has answered a renewal of this owner.
-    bool hasListedAllEnds = false;  ///< Has sent this owner a report that omits no ended run.
+    std::optional<WorkerRecord> record; ///< As restored or last put; unset if there is none.
+    /// By the restored record: the only tasks that it may run; unset if any.
+    std::optional<std::vector<TaskName>> restoredTasks;
+    TimePoint earlierLeaseEnd{};   ///< When the leases of earlier owners are over.
+    TimePoint listedAt{};          ///< First listed with an address that wasn't recorded; or zero.
+    bool isContacted = false;      ///< Has answered a renewal of this owner.
+    bool hasListedAllEnds = false; ///< Has sent this owner a report that omits no ended run.
+    /// Its latest report lists runs that belong to no task in \a tasks and are being stopped.
+    bool hasUntrackedRuns = false;
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
@@ -233,6 +240,8 @@
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - clockAt);
         return clockMs + elapsed.count() * 98 / 100;
     }
+    /// When everything that runs here has ended unless its lease is renewed, as an upper bound.
+    TimePoint leaseEnd() const;
     /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
     std::optional<std::int64_t> survivedMs(const CellTask &task) const
     {
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -41,12 +41,11 @@
     m_state.locateUntil = locateUntil;
     m_state.epoch = epoch;
     m_state.isFenced = false;
-    m_state.isLocating = true;
+    m_location.begin(now);
     m_interference.restoreModel({}, now);
     m_lastModelRecord = now;
     m_lastTick = now;
     m_judgeSilenceFrom = {};
-    m_ownerSince = now;
 }
 
 void CellScheduler::endOwnership()
@@ -73,17 +72,18 @@
     const JobRecords::ParsedKey parsed = JobRecords::parseKey(key);
     switch (parsed.kind) {
     case JobRecords::KeyKind::Worker: {
+        WorkerRecord record = JobRecords::decodeWorker(value);
         auto &worker = m_state.workers[parsed.name];
         if (!worker) {
             worker = std::make_unique<CellWorker>();
             worker->info.id = WorkerId(parsed.name);
-            const auto colon = value.rfind(':');
-            worker->info.endpoint.address = std::string(value.substr(0, colon));
+            const auto colon = record.address.rfind(':');
+            worker->info.endpoint.address = record.address.substr(0, colon);
             worker->info.endpoint.port =
-                static_cast<std::uint16_t>(std::stoi(std::string(value.substr(colon + 1))));
+                static_cast<std::uint16_t>(std::stoi(record.address.substr(colon + 1)));
         }
-        worker->isRecorded = true;
-        worker->isRestored = true;
+        WorkerRecords::restore(*worker, std::move(record));
+        worker->earlierLeaseEnd = m_state.locateUntil;
         return;
     }
     case JobRecords::KeyKind::Spec: {
@@ -436,7 +436,7 @@
     m_now = now;
     detectPause(now);
     expireLeases(now, nowUnixMs);
-    resolveUnlocatedTasks(now);
+    m_location.update(now, canJudgeSilence(now));
     if (now - m_lastCleanup >= CleanupInterval) {
         m_lastCleanup = now;
         dropOldJobs(nowUnixMs);
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -5,6 +5,8 @@
 #include "Cell/CrashDetector.h"
 #include "Cell/GuestSelection.h"
 #include "Cell/Placement.h"
+#include "Cell/TaskLocation.h"
+#include "Cell/WorkerRecords.h"
 #include "Workload/JobRecords.h"
 
 #include <functional>
@@ -225,8 +227,6 @@
 
     // Workers
 
-    void recordWorker(CellWorker &worker);
-    TimePoint leaseEnd(const CellWorker &worker) const;
     void renewLeases(TimePoint now);
     void renewLease(CellWorker &worker, TimePoint now);
     /// Postpones judgements on silent workers if the last tick was long ago.
@@ -238,9 +238,6 @@
     /// tells of this process or its link, not of them.
     bool hearsWorkers(TimePoint now) const;
     void expireLeases(TimePoint now, std::int64_t nowUnixMs);
-    void resolveUnlocatedTasks(TimePoint now);
-    /// Logs on what grounds \a notFound tasks are taken to run nowhere.
-    void logLocation(TimePoint now, std::size_t notFound);
     /// Releases the runs on \a worker that ended because another incarnation has answered an order
     /// of \a sentAt.  Runs ordered since may belong to that one.
     void releaseEarlierRuns(CellWorker &worker, TimePoint sentAt, std::int64_t nowUnixMs);
@@ -276,6 +273,8 @@
     CellState m_state;
     InterferenceGuard m_interference;
     Placement m_placement{m_state, m_interference};
+    WorkerRecords m_records{m_state};
+    TaskLocation m_location{m_state};
     GuestSelection m_guests;
     CrashDetector m_crashDetector{m_state};
     std::map<WorkQueue, BacklogAdmission> m_admission;
@@ -289,8 +288,6 @@
     TimePoint m_lastWorkerCheck{};
     TimePoint m_lastTick{};
     TimePoint m_judgeSilenceFrom{};
-    TimePoint m_ownerSince{};
-    std::uint64_t m_workerRecords = 0; ///< Number of records put by recordWorker().
 };
 
 } // namespace firefly
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -49,6 +49,7 @@
         m_state.wantsPlacement = true;
     }
     ++worker.reportCount;
+    worker.hasUntrackedRuns = false;
     for (const RunningTask &row : report.running) {
         applyRunningTask(worker, row, now);
     }
@@ -69,6 +70,7 @@
     }
     adjustFillers(worker, now);
     acknowledgeEndedRuns(worker, now);
+    m_records.update(worker);
     if (worker.info.isDraining) {
         evacuate(worker);
     }
@@ -90,6 +92,7 @@
 {
     const auto ref = findBegunTask(row.task);
     if (!ref) {
+        worker.hasUntrackedRuns = true;
         sendStop(worker, row.task, row.run);
         return;
     }
@@ -104,6 +107,7 @@
         task.acceptedMs = worker.clockMs - CrashDetector::FreshMs;
     }
     if (task.worker != &worker || task.run != row.run) {
+        worker.hasUntrackedRuns = true;
         sendStop(worker, row.task, row.run);
         return;
     }
--- /dev/null
+++ b/src/Cell/TaskLocation.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Cell/CellState.h"
+
+#include <cstddef>
+#include <set>
+
+namespace firefly {
+
+/// Search of a new owner for the tasks that earlier owners have started.
+///
+/// Starts are not recorded: each worker with a record is asked what it runs.  A task that no report
+/// lists becomes Pending once no worker that has yet to answer may run it, by the workers' records
+/// and leases.
+class TaskLocation
+{
+public:
+    explicit TaskLocation(CellState &state)
+        : m_state(state)
+    {}
+
+    /// Begins the search of an owner that has taken over at \a now.
+    void begin(TimePoint now);
+    /// Makes the tasks Pending that run nowhere, and ends the search if no worker is left to
+    /// answer; \a canJudgeSilence as by CellScheduler.  O(workers), and every CheckInterval
+    /// O(tasks).
+    void update(TimePoint now, bool canJudgeSilence);
+
+private:
+    static constexpr Duration CheckInterval = std::chrono::milliseconds(100);
+
+    /// Tasks that workers which have yet to answer may run.
+    struct Hidden
+    {
+        std::set<TaskName> tasks;
+        std::size_t workers = 0;
+        bool mayBeAny = false;
+    };
+    Hidden findHidden(TimePoint now, bool canJudgeSilence) const;
+    /// Returns the number of tasks that became Pending.
+    std::size_t resolve(const std::set<TaskName> &hidden);
+    void log(TimePoint now, std::size_t notFound, const Hidden &hidden) const;
+
+    CellState &m_state;
+    TimePoint m_begunAt{};
+    TimePoint m_nextCheck{};
+    bool m_isPartlyLogged = false;
+};
+
+} // namespace firefly
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -17,10 +17,6 @@
 constexpr Duration HighWait = std::chrono::milliseconds(250);
 constexpr Duration MinRenewalBackoff = std::chrono::milliseconds(150);
 constexpr Duration MaxRenewalBackoff = std::chrono::milliseconds(1200);
-/// Added to the computed end of a lease, for orders in flight.
-constexpr Duration LeaseMargin = std::chrono::milliseconds(200);
-/// Lowest rate of a worker's steady clock relative to this process.
-constexpr double SlowestClock = 0.98;
 /// A worker whose clock falls back by more than this has been restarted.
 constexpr Duration ClockTolerance = std::chrono::milliseconds(1000);
 constexpr int FullPace = 100;
@@ -88,23 +84,25 @@
     if (!worker) {
         worker = std::make_unique<CellWorker>();
     }
+    worker->earlierLeaseEnd = worker->isRestored ? worker->earlierLeaseEnd : m_state.locateUntil;
     const bool wasReady = worker->isRegistered && worker->acceptsTasks();
     const bool hasGrown = !worker->info.capacity.fits(info.capacity);
-    const bool isNew = !worker->isRestored && worker->recordNumber == 0;
+    const bool isNew = !worker->isRestored && worker->listedAt == TimePoint{};
     const bool hasMoved = !isNew && worker->info.endpoint != info.endpoint;
     worker->info = info;
     worker->isEvacuated = m_state.evacuatedZones.contains(info.zone);
     worker->isRegistered = true;
+    worker->hasLeft = false;
     if (isNew || hasMoved) {
         worker->listedAt = now;
         m_state.logDecision(isNew ? "worker joined" : "worker moved", *worker,
                             "address=" + addressOf(info.endpoint));
-        recordWorker(*worker);
     }
     if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted) {
         worker->isRestartSuspected = true;
         worker->nextRenewal = now;
     }
+    m_records.update(*worker);
     if (info.isDraining) {
         evacuate(*worker);
     } else if (!wasReady || hasGrown) {
@@ -112,31 +110,13 @@
     }
 }
 
-void CellScheduler::recordWorker(CellWorker &worker)
-{
-    worker.isRecorded = false;
-    worker.recordNumber = ++m_workerRecords;
-    m_state.journal.put(
-        {JobRecords::workerKey(worker.info.id.value()), addressOf(worker.info.endpoint)},
-        [this, id = worker.info.id, number = worker.recordNumber] {
-            // A worker that has moved, or left and come back, has another record, and what is
-            // stored now may be the deletion of this one.
-            CellWorker *stored = m_state.findWorker(id);
-            if (!stored || stored->recordNumber != number) {
-                return;
-            }
-            stored->isRecorded = true;
-            m_state.wantsPlacement = true;
-            m_state.logDecision("worker recorded", *stored,
-                                "waited_ms=" + std::to_string(toMs(m_now - stored->listedAt)));
-        });
-}
-
 void CellScheduler::onWorkerGone(const WorkerId &id, TimePoint now)
 {
     m_now = now;
     if (CellWorker *worker = m_state.findWorker(id)) {
         worker->isRegistered = false;
+        worker->hasLeft = true;
+        m_records.update(*worker);
     }
 }
 
@@ -279,16 +259,6 @@
     applyLeaseReport(*worker, report, sentAt, now, nowUnixMs);
 }
 
-TimePoint CellScheduler::leaseEnd(const CellWorker &worker) const
-{
-    if (!worker.isContacted) {
-        return m_state.locateUntil;
-    }
-    const double leftMs = static_cast<double>(worker.grantedDeadlineMs - worker.clockMs);
-    const auto left = std::chrono::duration<double, std::milli>(leftMs / SlowestClock);
-    return worker.clockAt + std::chrono::duration_cast<Duration>(left) + LeaseMargin;
-}
-
 void CellScheduler::renewLeases(TimePoint now)
 {
     if (now >= m_state.ordersUntil) {
@@ -369,81 +339,22 @@
         const bool hasRenewalResult = worker.isContacted || worker.renewFailures > 0;
         // The platform's list tells of a worker that has left, whether or not others are heard.
         const bool isSilenceCertain = hearsMost || (canJudge && !worker.isRegistered);
-        const bool isExpired = hasRenewalResult && isSilenceCertain && now >= leaseEnd(worker);
+        const bool isExpired = hasRenewalResult && isSilenceCertain && now >= worker.leaseEnd();
         if (isExpired && !worker.tasks.empty()) {
             releaseTasks(worker, nowUnixMs);
         }
         if (isExpired && !worker.isRegistered && !worker.isRenewing) {
-            m_state.journal.put({JobRecords::workerKey(it->first), std::nullopt});
+            m_records.remove(worker);
             it = m_state.workers.erase(it);
             continue;
         }
+        m_records.update(worker);
         resendStops(worker, now);
         restartStuckTasks(worker, now);
         ++it;
     }
 }
 
-void CellScheduler::resolveUnlocatedTasks(TimePoint now)
-{
-    if (!m_state.isLocating) {
-        return;
-    }
-    // A worker of which no earlier owner has stored a record runs nothing for one.  The others may
-    // list ended runs that no owner has recorded even after their leases, so each is asked until it
-    // has listed them all.
-    const bool canJudge = now >= m_state.locateUntil && canJudgeSilence(now) && hearsWorkers(now);
-    const bool isComplete = std::ranges::all_of(m_state.workers, [&](const auto &it) {
-        const CellWorker &worker = *it.second;
-        return worker.hasListedAllEnds || !worker.isRestored || worker.isReplaced
-               || (canJudge && worker.renewFailures > 0 && now >= leaseEnd(worker));
-    });
-    if (!isComplete) {
-        return;
-    }
-    m_state.isLocating = false;
-    m_state.wantsPlacement = true;
-    std::size_t notFound = 0;
-    for (auto &[id, job] : m_state.jobs) {
-        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
-            for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
-                for (std::uint32_t i = 0; i < job->spec.steps[s].taskCount; ++i) {
-                    const TaskRef ref{job.get(), k, s, i};
-                    notFound += ref.task().state == TaskState::Unlocated ? 1 : 0;
-                    TaskLedger::resolveUnlocated(ref);
-                }
-            }
-        }
-    }
-    logLocation(now, notFound);
-}
-
-void CellScheduler::logLocation(TimePoint now, std::size_t notFound)
-{
-    std::size_t answered = 0;
-    std::size_t replaced = 0;
-    std::size_t silent = 0;
-    std::size_t joined = 0;
-    for (const auto &[id, worker] : m_state.workers) {
-        if (!worker->isRestored) {
-            ++joined;
-        } else if (worker->isContacted) {
-            ++answered;
-        } else {
-            ++(worker->isReplaced ? replaced : silent);
-        }
-    }
-    m_state.actions.emplace_back(LogDecision{
-        "tasks located",
-        {},
-        {},
-        0,
-        "not_found=" + std::to_string(notFound)
-            + " waited_ms=" + std::to_string(toMs(now - m_ownerSince))
-            + " answered=" + std::to_string(answered) + " replaced=" + std::to_string(replaced)
-            + " silent=" + std::to_string(silent) + " joined=" + std::to_string(joined)});
-}
-
 void CellScheduler::applySuspicions(std::span<const TaskRef> suspects, std::int64_t nowUnixMs)
 {
     std::set<CellJob *> changed;
--- /dev/null
+++ b/src/Cell/WorkerRecords.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Cell/CellState.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace firefly {
+
+/// Keeps the record of each worker in the cell's topic, which tells the next owner what the worker
+/// may run: any task, some tasks, or, without a record, none.
+///
+/// A worker that takes no further starts gets a record of the tasks that it may still run.  It
+/// takes tasks again once a record without that limit is durable.
+class WorkerRecords
+{
+public:
+    explicit WorkerRecords(CellState &state);
+
+    /// Applies a \a record of an earlier owner.
+    static void restore(CellWorker &worker, WorkerRecord record);
+    /// Puts or deletes the record of \a worker as far as its state requires another one.
+    /// O(tasks on the worker).
+    void update(CellWorker &worker);
+    /// Deletes the record of \a worker, which runs nothing any more.
+    void remove(CellWorker &worker);
+
+private:
+    static std::optional<WorkerRecord> requiredRecord(const CellWorker &worker);
+    void put(CellWorker &worker, std::optional<WorkerRecord> record);
+    void onDurable(const WorkerId &id, std::uint64_t number);
+
+    CellState &m_state;
+    std::uint64_t m_count = 0; ///< Records and deletions put.
+};
+
+} // namespace firefly
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -15,6 +15,8 @@
 constexpr char ReferralPrefix = 'r';
 constexpr char InterferencePrefix = 'l';
 constexpr char DelegationPrefix = 'd';
+/// Separates the limits in a worker's record from its address.
+constexpr char LimitsEnd = ' ';
 
 // Fields are stored by array position: append new fields at the end and never reorder them.
 
@@ -90,6 +92,46 @@
     return DelegationPrefix + job.value();
 }
 
+std::string encodeWorker(const WorkerRecord &record)
+{
+    if (!record.tasks) {
+        return record.address;
+    }
+    // Builds that know no limits take them for a part of the host name, so that the worker is
+    // silent to them and they wait for the longest lease.
+    json limits = json::object();
+    limits["tasks"] = json::array();
+    for (const TaskName &it : *record.tasks) {
+        limits["tasks"].push_back({it.job.value(), it.occurrence, it.step, it.index});
+    }
+    return limits.dump() + LimitsEnd + record.address;
+}
+
+WorkerRecord decodeWorker(std::string_view bytes)
+{
+    WorkerRecord record;
+    const auto end = bytes.rfind(LimitsEnd);
+    if (end == std::string_view::npos) {
+        record.address = std::string(bytes);
+        return record;
+    }
+    record.address = std::string(bytes.substr(end + 1));
+    try {
+        const json limits = json::parse(bytes.substr(0, end));
+        if (const auto it = limits.find("tasks"); it != limits.end()) {
+            record.tasks.emplace();
+            for (const json &row : *it) {
+                record.tasks->push_back(
+                    {JobId(row.at(0).get<std::string>()), row.at(1).get<std::uint32_t>(),
+                     row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>()});
+            }
+        }
+    } catch (const json::exception &e) {
+        throw JobRecordError(std::string("worker record: ") + e.what());
+    }
+    return record;
+}
+
 std::string encodeReferral(const JobReferral &referral)
 {
     return nlohmann::json{referral.cell, referral.atUnixMs}.dump();
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -71,6 +71,16 @@
     std::vector<TaskProgress> tasks;
 };
 
+/// What the next owner of a cell may rely on about one of its workers.
+struct WorkerRecord
+{
+    std::string address; ///< HOST:PORT.
+    /// The only tasks that may run there; unset if any may.
+    std::optional<std::vector<TaskName>> tasks;
+
+    bool operator==(const WorkerRecord &) const = default;
+};
+
 /// Keys and encoding of the records in a cell's job topic.
 ///
 /// Specifications and progress are CBOR arrays, referrals are JSON.
@@ -91,6 +101,10 @@
 /// Splits \a key into its kind and name; Unknown for an unknown prefix.
 ParsedKey parseKey(std::string_view key);
 
+std::string encodeWorker(const WorkerRecord &record);
+/// \throws JobRecordError
+WorkerRecord decodeWorker(std::string_view bytes);
+
 /// Key of the record that names the cell that \a job was referred to.
 std::string referralKey(const JobId &job);
 std::string encodeReferral(const JobReferral &referral);
