Wait for the lease of a silent worker once, not once per owner

Cause: each new owner that can't reach a worker waits anew for the longest lease that any earlier owner may have granted, though an earlier owner knew when it ends. Class: a wait that restarts with each owner, as its progress isn't stored.

Change: the record of a silent worker says how much of its lease is left at most, and is put again every 0.5 s. The next owner counts from the moment at which it has read all records, on its own clock: wall clocks of machines may differ. From the put on the owner grants this worker no lease and no start until a record without the limit is durable, as the next owner may read the limited one. A worker whose lease is over and that has no tasks loses its record, also while it is still listed.

Why it works: deadlines are absolute on the worker's clock, so orders that arrive late extend nothing; the left lease is computed from the latest deadline sent, or from the bound that this owner took over; it can only shrink while no lease is granted.

Tests: WorkerRecords (a limited lease isn't extended; a worker that answers again keeps its tasks), CellRandomFaults and CellJoinFaults pass.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -184,7 +184,10 @@
     bool isRecorded = false;        ///< The cell's topic holds its record, without limits.
     bool isRestored = false;        ///< This owner has read a record of it from the cell's topic.
     std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
+    TimePoint recordedAt{};         ///< When \a record was put or restored.
     std::optional<WorkerRecord> record; ///< As restored or last put; unset if there is none.
+    /// The cell's topic may hold a record that limits its lease.
+    bool isLeaseLimited = false;
     /// By the restored record: the only tasks that it may run; unset if any.
     std::optional<std::vector<TaskName>> restoredTasks;
     TimePoint earlierLeaseEnd{};   ///< When the leases of earlier owners are over.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -83,7 +83,6 @@
                 static_cast<std::uint16_t>(std::stoi(record.address.substr(colon + 1)));
         }
         WorkerRecords::restore(*worker, std::move(record));
-        worker->earlierLeaseEnd = m_state.locateUntil;
         return;
     }
     case JobRecords::KeyKind::Spec: {
@@ -136,6 +135,7 @@
 void CellScheduler::finishRestore(TimePoint now, std::int64_t nowUnixMs)
 {
     m_lastTick = now;
+    m_records.finishRestore(now);
     for (auto &[id, job] : m_state.jobs) {
         const auto ageMs = static_cast<double>(nowUnixMs - job->submittedAtUnixMs);
         setImages(*job);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -70,7 +70,7 @@
     }
     adjustFillers(worker, now);
     acknowledgeEndedRuns(worker, now);
-    m_records.update(worker);
+    m_records.update(worker, now);
     if (worker.info.isDraining) {
         evacuate(worker);
     }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -102,7 +102,7 @@
         worker->isRestartSuspected = true;
         worker->nextRenewal = now;
     }
-    m_records.update(*worker);
+    m_records.update(*worker, now);
     if (info.isDraining) {
         evacuate(*worker);
     } else if (!wasReady || hasGrown) {
@@ -116,7 +116,7 @@
     if (CellWorker *worker = m_state.findWorker(id)) {
         worker->isRegistered = false;
         worker->hasLeft = true;
-        m_records.update(*worker);
+        m_records.update(*worker, now);
     }
 }
 
@@ -283,7 +283,7 @@
     order.acknowledgedEndNumber = mayBeRestarted ? 0 : worker.durableEndNumber;
     // Renewals to a worker that doesn't answer may still arrive; were they to extend its lease, its
     // tasks could never be restarted elsewhere.
-    if (worker.isContacted && worker.renewFailures == 0) {
+    if (worker.isContacted && worker.renewFailures == 0 && !worker.isLeaseLimited) {
         const Duration lease = std::min(m_state.bounds.grantedLease(), m_state.ordersUntil - now);
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
@@ -344,11 +344,11 @@
             releaseTasks(worker, nowUnixMs);
         }
         if (isExpired && !worker.isRegistered && !worker.isRenewing) {
-            m_records.remove(worker);
+            m_records.remove(worker, now);
             it = m_state.workers.erase(it);
             continue;
         }
-        m_records.update(worker);
+        m_records.update(worker, now);
         resendStops(worker, now);
         restartStuckTasks(worker, now);
         ++it;
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -7,6 +7,12 @@
 namespace firefly {
 namespace {
 
+/// Silence of a listed worker after which its lease is limited; most return sooner.
+constexpr Duration MinSilence = std::chrono::milliseconds(500);
+/// Interval of the records of the remaining lease of a silent worker; a change of owner prolongs
+/// the wait for it by this much at most.
+constexpr Duration LeaseRecordInterval = std::chrono::milliseconds(500);
+
 std::string addressOf(const CellWorker &worker)
 {
     return worker.info.endpoint.address + ":" + std::to_string(worker.info.endpoint.port);
@@ -20,9 +26,29 @@
     return names;
 }
 
+/// Remaining time until \a end, in ms, rounded up.
+std::int64_t msUntil(TimePoint end, TimePoint now)
+{
+    return std::max<std::int64_t>(0,
+                                  std::chrono::ceil<std::chrono::milliseconds>(end - now).count());
+}
+
 bool isOpen(const std::optional<WorkerRecord> &record)
 {
-    return record && !record->tasks;
+    return record && !record->tasks && !record->leaseLeftMs;
+}
+
+bool limitsLease(const std::optional<WorkerRecord> &record)
+{
+    return record && record->leaseLeftMs;
+}
+
+/// True if \a to differs from \a from in the remaining lease alone.
+bool differsInLeaseOnly(const std::optional<WorkerRecord> &from,
+                        const std::optional<WorkerRecord> &to)
+{
+    return limitsLease(from) && limitsLease(to) && from->address == to->address
+           && from->tasks == to->tasks;
 }
 
 } // namespace
@@ -37,23 +63,43 @@
     worker.restoredTasks = record.tasks;
     worker.record = std::move(record);
     worker.isRecorded = isOpen(worker.record);
+    worker.isLeaseLimited = limitsLease(worker.record);
 }
 
-void WorkerRecords::update(CellWorker &worker)
+void WorkerRecords::finishRestore(TimePoint now)
 {
-    if (std::optional<WorkerRecord> required = requiredRecord(worker); required != worker.record) {
-        put(worker, std::move(required));
+    for (auto &[id, worker] : m_state.workers) {
+        worker->earlierLeaseEnd = m_state.locateUntil;
+        worker->recordedAt = now;
+        if (worker->isLeaseLimited) {
+            // The record may have been put at any time before it was read.
+            const Duration left = std::chrono::milliseconds(*worker->record->leaseLeftMs);
+            worker->earlierLeaseEnd = std::min(worker->earlierLeaseEnd, now + left);
+        }
     }
 }
 
-void WorkerRecords::remove(CellWorker &worker)
+void WorkerRecords::update(CellWorker &worker, TimePoint now)
+{
+    std::optional<WorkerRecord> required = requiredRecord(worker, now);
+    if (required == worker.record) {
+        return;
+    }
+    if (differsInLeaseOnly(worker.record, required) && *required->leaseLeftMs > 0
+        && now - worker.recordedAt < LeaseRecordInterval) {
+        return;
+    }
+    put(worker, std::move(required), now);
+}
+
+void WorkerRecords::remove(CellWorker &worker, TimePoint now)
 {
     if (worker.record) {
-        put(worker, std::nullopt);
+        put(worker, std::nullopt, now);
     }
 }
 
-std::optional<WorkerRecord> WorkerRecords::requiredRecord(const CellWorker &worker)
+std::optional<WorkerRecord> WorkerRecords::requiredRecord(const CellWorker &worker, TimePoint now)
 {
     WorkerRecord record;
     record.address = addressOf(worker);
@@ -66,9 +112,21 @@
         worker.isContacted && worker.hasListedAllEnds && !worker.hasUntrackedRuns;
     const bool isIdle = areTasksKnown && worker.tasks.empty()
                         && worker.durableEndNumber == worker.processedEndNumber;
-    if (isIdle && !mayStartTasks) {
+    const bool isSilent = worker.renewFailures > 0
+                          && (!worker.isRegistered || now - worker.silentSince >= MinSilence);
+    const bool isLeaseOver = isSilent && worker.tasks.empty() && now >= worker.leaseEnd();
+    if (isLeaseOver || (isIdle && (isSilent || !mayStartTasks))) {
         return std::nullopt;
     }
+    if (isSilent) {
+        if (areTasksKnown) {
+            record.tasks = tasksOn(worker);
+        } else if (!worker.isContacted) {
+            record.tasks = worker.restoredTasks;
+        }
+        record.leaseLeftMs = msUntil(worker.leaseEnd(), now);
+        return record;
+    }
     if (!worker.isContacted || worker.renewFailures > 0) {
         // What it may run isn't known better than before.
         std::optional<WorkerRecord> same = worker.record;
@@ -83,13 +141,22 @@
     return record;
 }
 
-void WorkerRecords::put(CellWorker &worker, std::optional<WorkerRecord> record)
+void WorkerRecords::put(CellWorker &worker, std::optional<WorkerRecord> record, TimePoint now)
 {
     const std::string &id = worker.info.id.value();
+    if (limitsLease(record) && !limitsLease(worker.record)) {
+        m_state.logDecision("lease limited", worker,
+                            "tasks="
+                                + (record->tasks ? std::to_string(record->tasks->size()) : "any")
+                                + " lease_left_ms=" + std::to_string(*record->leaseLeftMs)
+                                + " listed=" + std::to_string(worker.isRegistered ? 1 : 0));
+    }
     worker.record = std::move(record);
+    worker.recordedAt = now;
     worker.recordNumber = ++m_count;
     // Any of the records that were put may be the one that the next owner reads.
     worker.isRecorded = false;
+    worker.isLeaseLimited = worker.isLeaseLimited || limitsLease(worker.record);
     std::optional<std::string> value;
     if (worker.record) {
         value = JobRecords::encodeWorker(*worker.record);
@@ -106,6 +173,7 @@
         return;
     }
     worker->isRecorded = isOpen(worker->record);
+    worker->isLeaseLimited = limitsLease(worker->record);
     if (worker->isRecorded) {
         m_state.wantsPlacement = true;
         m_state.logDecision("worker recorded", *worker, {});
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -94,15 +94,20 @@
 
 std::string encodeWorker(const WorkerRecord &record)
 {
-    if (!record.tasks) {
+    if (!record.tasks && !record.leaseLeftMs) {
         return record.address;
     }
     // Builds that know no limits take them for a part of the host name, so that the worker is
     // silent to them and they wait for the longest lease.
     json limits = json::object();
-    limits["tasks"] = json::array();
-    for (const TaskName &it : *record.tasks) {
-        limits["tasks"].push_back({it.job.value(), it.occurrence, it.step, it.index});
+    if (record.leaseLeftMs) {
+        limits["lease_left_ms"] = *record.leaseLeftMs;
+    }
+    if (record.tasks) {
+        limits["tasks"] = json::array();
+        for (const TaskName &it : *record.tasks) {
+            limits["tasks"].push_back({it.job.value(), it.occurrence, it.step, it.index});
+        }
     }
     return limits.dump() + LimitsEnd + record.address;
 }
@@ -118,6 +123,9 @@
     record.address = std::string(bytes.substr(end + 1));
     try {
         const json limits = json::parse(bytes.substr(0, end));
+        if (const auto it = limits.find("lease_left_ms"); it != limits.end()) {
+            record.leaseLeftMs = it->get<std::int64_t>();
+        }
         if (const auto it = limits.find("tasks"); it != limits.end()) {
             record.tasks.emplace();
             for (const json &row : *it) {
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -77,6 +77,9 @@
     std::string address; ///< HOST:PORT.
     /// The only tasks that may run there; unset if any may.
     std::optional<std::vector<TaskName>> tasks;
+    /// Longest remaining lease of the worker when the record was put; unset if the lease may be
+    /// extended.
+    std::optional<std::int64_t> leaseLeftMs;
 
     bool operator==(const WorkerRecord &) const = default;
 };
--- a/test/WorkerRecords.cpp
+++ b/test/WorkerRecords.cpp
@@ -30,18 +30,20 @@
 
 TEST(WorkerRecords, ARecordKeepsItsLimits)
 {
-    const WorkerRecord limited{"10.0.0.1:80", {{Standing, {JobId("batch"), 1, 2, 3}}}};
+    const WorkerRecord limited{"10.0.0.1:80", {{Standing, {JobId("batch"), 1, 2, 3}}}, 4200};
     EXPECT_EQ(JobRecords::decodeWorker(JobRecords::encodeWorker(limited)), limited);
+    const WorkerRecord anyTask{"10.0.0.1:80", {}, 0};
+    EXPECT_EQ(JobRecords::decodeWorker(JobRecords::encodeWorker(anyTask)), anyTask);
     EXPECT_THROW((void)JobRecords::decodeWorker("{\"tasks\":[1]} 10.0.0.1:80"), JobRecordError);
 }
 
 // Builds without limits store the address alone, and read a port behind the last colon.
 TEST(WorkerRecords, ARecordWithoutLimitsIsTheAddress)
 {
-    const WorkerRecord open{"10.0.0.1:80", {}};
+    const WorkerRecord open{"10.0.0.1:80", {}, {}};
     EXPECT_EQ(JobRecords::encodeWorker(open), "10.0.0.1:80");
     EXPECT_EQ(JobRecords::decodeWorker("10.0.0.1:80"), open);
-    const std::string limited = JobRecords::encodeWorker({"10.0.0.1:80", {{Standing}}});
+    const std::string limited = JobRecords::encodeWorker({"10.0.0.1:80", {{Standing}}, 4200});
     EXPECT_EQ(limited.substr(limited.rfind(':') + 1), "80");
 }
 
@@ -72,5 +74,53 @@
     }
 }
 
+// The lease of a silent worker must not grow after the store was told how much of it is left: the
+// next owner starts its tasks elsewhere then.
+TEST(WorkerRecords, ALimitedLeaseIsNotExtendedBeforeTheLimitIsLifted)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed);
+        const std::string silent = startTask(world);
+        FakeCellWorker &worker = *world.workers.at(silent);
+        worker.isReachable = false;
+        while (!storedRecord(world, silent)->leaseLeftMs) {
+            world.step();
+        }
+        const auto left = std::chrono::milliseconds(*storedRecord(world, silent)->leaseLeftMs);
+        EXPECT_EQ(storedRecord(world, silent)->tasks, std::vector{Standing}) << "seed " << seed;
+        const TimePoint limitedAt = world.now;
+        world.isStoreDown = true;
+        worker.isReachable = true;
+        world.run(limitedAt + left - world.now);
+        EXPECT_TRUE(world.owner->state().workers.at(silent)->isContacted) << "seed " << seed;
+        EXPECT_TRUE(worker.isIdle()) << "seed " << seed;
+
+        worker.isReachable = false;
+        world.isStoreDown = false;
+        world.replaceOwner(world.now + 9s);
+        world.run(3s + left);
+        EXPECT_TRUE(isRunning(world, Standing)) << "seed " << seed;
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
+TEST(WorkerRecords, AWorkerThatAnswersAgainKeepsItsTasks)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed);
+        const std::string silent = startTask(world);
+        world.workers.at(silent)->isReachable = false;
+        while (!storedRecord(world, silent)->leaseLeftMs) {
+            world.step();
+        }
+        world.workers.at(silent)->isReachable = true;
+        world.run(10s);
+        EXPECT_TRUE(world.owner->state().workers.at(silent)->isRecorded) << "seed " << seed;
+        EXPECT_FALSE(storedRecord(world, silent)->leaseLeftMs) << "seed " << seed;
+        EXPECT_TRUE(isRunningOn(world, Standing, silent)) << "seed " << seed;
+        EXPECT_EQ(world.audit.runs.at(Standing).size(), 1U) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace firefly
