Don't take entries that never answered for a cut link

Cause: an owner takes silent workers for lost only while it hears half of the listed ones, as otherwise its own link may be cut. Entries at whose addresses nothing ever answered counted as workers that it doesn't hear.

--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -234,8 +234,8 @@
     /// False while this process may have reports yet to read, and once another owner may have
     /// renewed the leases of workers that are silent here.
     bool canJudgeSilence(TimePoint now) const;
-    /// True if at least half of the registered workers reported lately; otherwise their silence
-    /// tells of this process or its link, not of them.
+    /// True if at least half of the registered workers that ever answered reported lately;
+    /// otherwise their silence tells of this process or its link, not of them.
     bool hearsWorkers(TimePoint now) const;
     void expireLeases(TimePoint now, std::int64_t nowUnixMs);
     /// Releases the runs on \a worker that ended because another incarnation has answered an order
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -316,14 +316,17 @@
 
 bool CellScheduler::hearsWorkers(TimePoint now) const
 {
-    std::size_t registered = 0;
+    std::size_t expected = 0;
     std::size_t heard = 0;
     for (const auto &[id, worker] : m_state.workers) {
-        registered += worker->isRegistered ? 1 : 0;
-        const bool isHeard = worker->isContacted && now - worker->clockAt <= HearingWindow;
-        heard += worker->isRegistered && isHeard ? 1 : 0;
+        // An entry that never answered an owner may name no worker of the cell.
+        if (!worker->isRegistered || (!worker->isContacted && !worker->record)) {
+            continue;
+        }
+        ++expected;
+        heard += worker->isContacted && now - worker->clockAt <= HearingWindow ? 1 : 0;
     }
-    return 2 * heard >= registered;
+    return 2 * heard >= expected;
 }
 
 void CellScheduler::expireLeases(TimePoint now, std::int64_t nowUnixMs)
