--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -180,7 +180,7 @@
 {
     WorkerDescription info;
     bool isRegistered = false;      ///< Currently listed by the platform.
-    bool hasLeft = false;           ///< The platform lists it no longer.
+    bool hasLeft = false;           ///< The platform's list, once read, doesn't hold it.
     bool isRecorded = false;        ///< The cell's topic holds its record, without limits.
     bool isRestored = false;        ///< This owner has read a record of it from the cell's topic.
     std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
--- a/src/Cell/CellJournal.cpp
+++ b/src/Cell/CellJournal.cpp
@@ -140,6 +140,7 @@
 
 void CellJournal::onOutcome(AppendOutcome outcome)
 {
+    m_isStoring = outcome == AppendOutcome::Stored;
     FIREFLY_ASSERT(m_isSent, "an outcome requires a batch that awaits its answer");
     m_isSent = false;
     switch (outcome) {
@@ -196,6 +197,7 @@
 
 void CellJournal::abandon()
 {
+    m_isStoring = true;
     const bool mayBeStored = m_mayBeStored || m_isSent;
     const auto inFlight = std::exchange(m_inFlight, std::nullopt);
     const auto waiting = std::exchange(m_waiting, {});
--- a/src/Cell/CellJournal.h
+++ b/src/Cell/CellJournal.h
@@ -59,6 +59,8 @@
     /// Barrier: calls \a onDurable once every record put so far is durable or refused.
     void whenDurable(OnDurable onDurable, OnLost onLost = {});
     bool isIdle() const { return !m_inFlight && m_waiting.empty(); }
+    /// False from an append that wasn't stored, as far as known, until the next one that was.
+    bool isStoring() const { return m_isStoring; }
     std::size_t waitingRecords() const { return m_waiting.size(); }
 
     /// The batch to send now, a retry or a new one; none while an append awaits its answer.
@@ -93,6 +95,7 @@
     std::unordered_map<std::string, std::size_t> m_waitingByKey;
     std::optional<std::vector<Entry>> m_inFlight;
     bool m_isSent = false;        ///< The batch in flight awaits its answer.
+    bool m_isStoring = true;
     bool m_mayBeStored = false;   ///< An earlier attempt of the batch in flight may be stored.
     std::uint64_t m_sequence = 0; ///< Of the batch in flight, else of the latest one.
 };
--- a/src/Cell/TaskLocation.cpp
+++ b/src/Cell/TaskLocation.cpp
@@ -20,9 +20,12 @@
     if (!m_state.isLocating) {
         return;
     }
+    if (now < m_nextCheck) {
+        return;
+    }
     const Hidden hidden = findHidden(now, canJudgeSilence);
     const bool isComplete = hidden.workers == 0;
-    if (hidden.mayBeAny || (!isComplete && now < m_nextCheck)) {
+    if (hidden.mayBeAny) {
         return;
     }
     m_nextCheck = now + CheckInterval;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -283,13 +283,14 @@
     order.acknowledgedEndNumber = mayBeRestarted ? 0 : worker.durableEndNumber;
     // Renewals to a worker that doesn't answer may still arrive; were they to extend its lease, its
     // tasks could never be restarted elsewhere.
-    if (worker.isContacted && worker.renewFailures == 0 && !worker.isLeaseLimited) {
+    const bool isAnswering = worker.isContacted && worker.renewFailures == 0;
+    if (isAnswering && !worker.isLeaseLimited) {
         const Duration lease = std::min(m_state.bounds.grantedLease(), m_state.ordersUntil - now);
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
-        if (worker.durableEndNumber == worker.processedEndNumber) {
-            order.wait = longPollWait(worker);
-        }
+    }
+    if (isAnswering && worker.durableEndNumber == worker.processedEndNumber) {
+        order.wait = longPollWait(worker);
     }
     worker.isRenewing = true;
     m_state.actions.emplace_back(std::move(order));
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -85,6 +85,10 @@
     if (required == worker.record) {
         return;
     }
+    // A limit that can't be stored helps nobody, and couldn't be lifted.
+    if (worker.renewFailures > 0 && !m_state.journal.isStoring()) {
+        return;
+    }
     if (differsInLeaseOnly(worker.record, required) && *required->leaseLeftMs > 0
         && now - worker.recordedAt < LeaseRecordInterval) {
         return;
@@ -106,14 +110,19 @@
     const bool mayStartTasks = !worker.info.isDraining && !worker.hasLeft;
     if (!worker.isContacted && !worker.isRestored) {
         // No owner has started anything there.
-        return mayStartTasks && worker.renewFailures == 0 ? std::optional(record) : std::nullopt;
+        return std::nullopt;
     }
-    const bool areTasksKnown =
-        worker.isContacted && worker.hasListedAllEnds && !worker.hasUntrackedRuns;
-    const bool isIdle = areTasksKnown && worker.tasks.empty()
-                        && worker.durableEndNumber == worker.processedEndNumber;
-    const bool isSilent = worker.renewFailures > 0
-                          && (!worker.isRegistered || now - worker.silentSince >= MinSilence);
+    // A record without an ended task must not be stored before the end: the next owner, which would
+    // not wait for the worker, would start the task again.
+    const bool areTasksKnown = worker.isContacted && worker.hasListedAllEnds
+                               && !worker.hasUntrackedRuns
+                               && worker.durableEndNumber == worker.processedEndNumber;
+    const bool isIdle = areTasksKnown && worker.tasks.empty();
+    // The limit of an earlier owner goes on, since this one extends no lease before an answer.
+    const bool isLimited = !worker.isContacted && worker.isLeaseLimited;
+    const bool isSilent = isLimited
+                          || (worker.renewFailures > 0
+                              && (!worker.isRegistered || now - worker.silentSince >= MinSilence));
     const bool isLeaseOver = isSilent && worker.tasks.empty() && now >= worker.leaseEnd();
     if (isLeaseOver || (isIdle && (isSilent || !mayStartTasks))) {
         return std::nullopt;
@@ -121,13 +130,15 @@
     if (isSilent) {
         if (areTasksKnown) {
             record.tasks = tasksOn(worker);
-        } else if (!worker.isContacted) {
-            record.tasks = worker.restoredTasks;
+        } else if (!mayStartTasks || !worker.isContacted || worker.isLeaseLimited) {
+            // Its tasks have become fewer at most.
+            record.tasks = worker.record ? worker.record->tasks : std::nullopt;
         }
         record.leaseLeftMs = msUntil(worker.leaseEnd(), now);
         return record;
     }
-    if (!worker.isContacted || worker.renewFailures > 0) {
+    const bool mayHaveEnds = worker.durableEndNumber != worker.processedEndNumber;
+    if (!worker.isContacted || worker.renewFailures > 0 || (!mayStartTasks && mayHaveEnds)) {
         // What it may run isn't known better than before.
         std::optional<WorkerRecord> same = worker.record;
         if (same) {
--- a/src/Node/WorkerDirectory.cpp
+++ b/src/Node/WorkerDirectory.cpp
@@ -48,7 +48,7 @@
     std::erase_if(m_workersOfOtherCells, [&keys](const auto &it) { return !keys.contains(it); });
     std::vector<WorkerId> gone;
     for (const auto &[id, worker] : m_scheduler.state().workers) {
-        if (worker->isRegistered && !keys.contains(id)) {
+        if (!worker->hasLeft && !keys.contains(id)) {
             gone.push_back(worker->info.id);
         }
     }
--- a/test/RelistedWorkerRecord.cpp
+++ b/test/RelistedWorkerRecord.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::uint32_t SeedCount = 20;
 const std::string Joined = "w2";
+/// Longer than a worker that isn't listed any more keeps its lease.
+constexpr Duration LeaseTime = 8s;
 
 /// Steps until \a holds, for at most \a limit.
 template <typename Condition>
@@ -51,12 +53,13 @@
         worker = std::make_unique<FakeCellWorker>(Joined, world.audit);
         worker->endpoint.address = "10.0.0.3";
         worker->workTime = 8s;
-        worker->state = FakeCellWorker::State::Down;
         world.owner->onWorkerListed(worker->describe(), world.now);
-        world.run(300ms);
+        ASSERT_TRUE(runUntil(world, 300ms, [&] { return findWorker(world, Joined)->isContacted; }));
+        ASSERT_FALSE(findWorker(world, Joined)->isRecorded) << "seed " << seed;
+        worker->state = FakeCellWorker::State::Down;
         worker->isRegistered = false;
         world.owner->onWorkerGone(WorkerId(Joined), world.now);
-        ASSERT_TRUE(runUntil(world, 3s, [&] { return !findWorker(world, Joined); }));
+        ASSERT_TRUE(runUntil(world, LeaseTime, [&] { return !findWorker(world, Joined); }));
 
         // The batch with the deletion is sent.
         world.isStoreDown = false;
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -578,6 +578,8 @@
         for (const auto &[id, worker] : workers) {
             if (worker->isRegistered) {
                 owner->onWorkerListed(worker->describe(), now);
+            } else {
+                owner->onWorkerGone(WorkerId(id), now);
             }
         }
     }
