--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -112,6 +112,12 @@
         });
     }
 
+    /// Calls \a action once \a delay of simulated time has passed.
+    void after(Duration delay, std::function<void()> action)
+    {
+        m_events.push({now + delay, ++m_eventNumber, std::move(action)});
+    }
+
     /// Advances the simulated time by \a span.
     void run(Duration span)
     {
@@ -332,11 +338,6 @@
             std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     }
 
-    void after(Duration delay, std::function<void()> action)
-    {
-        m_events.push({now + delay, ++m_eventNumber, std::move(action)});
-    }
-
     Duration randomDelay(Duration from, Duration to)
     {
         const auto toMs = [](Duration it) {
