--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -247,6 +247,44 @@
         after(span, [this, id] { removeWorker(id); });
     }
 
+    /// Lets the worker \a id drain for \a span and then take tasks again.
+    void pauseWorker(const std::string &id, Duration span)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        worker.isDraining = true;
+        if (worker.isRegistered) {
+            announce(worker);
+        }
+        after(span, [this, id] {
+            FakeCellWorker &it = *workers.at(id);
+            it.isDraining = false;
+            if (it.state == FakeCellWorker::State::Up && it.isRegistered) {
+                announce(it);
+            }
+        });
+    }
+
+    /// Restarts the worker \a id at once under its id.
+    void restartWorker(const std::string &id)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        if (worker.state != FakeCellWorker::State::Up) {
+            return;
+        }
+        breakGangs(id);
+        worker.reboot(now);
+        if (worker.isRegistered) {
+            announce(worker);
+        }
+    }
+
+    /// Lets the worker \a id work on without a connection for \a span.
+    void disconnectWorker(const std::string &id, Duration span)
+    {
+        workers.at(id)->isReachable = false;
+        after(span, [this, id] { workers.at(id)->isReachable = true; });
+    }
+
     /// Lets time pass while the owner's process is paused; messages to it wait.  Then it ticks
     /// before it reads any.
     void pauseOwner(Duration span)
