--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -112,6 +112,12 @@
         });
     }
 
+    /// Calls \a action once \a delay of simulated time has passed.
+    void after(Duration delay, std::function<void()> action)
+    {
+        m_events.push({now + delay, ++m_eventNumber, std::move(action)});
+    }
+
     /// Advances the simulated time by \a span.
     void run(Duration span)
     {
@@ -241,6 +247,44 @@
         after(span, [this, id] { removeWorker(id); });
     }
 
+    /// Lets the worker \a id drain for \a span and then take tasks again.
+    void pauseWorker(const std::string &id, Duration span)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        worker.isDraining = true;
+        if (worker.isRegistered) {
+            announce(worker);
+        }
+        after(span, [this, id] {
+            FakeCellWorker &it = *workers.at(id);
+            it.isDraining = false;
+            if (it.state == FakeCellWorker::State::Up && it.isRegistered) {
+                announce(it);
+            }
+        });
+    }
+
+    /// Restarts the worker \a id at once under its id.
+    void restartWorker(const std::string &id)
+    {
+        FakeCellWorker &worker = *workers.at(id);
+        if (worker.state != FakeCellWorker::State::Up) {
+            return;
+        }
+        breakGangs(id);
+        worker.reboot(now);
+        if (worker.isRegistered) {
+            announce(worker);
+        }
+    }
+
+    /// Lets the worker \a id work on without a connection for \a span.
+    void disconnectWorker(const std::string &id, Duration span)
+    {
+        workers.at(id)->isReachable = false;
+        after(span, [this, id] { workers.at(id)->isReachable = true; });
+    }
+
     /// Lets time pass while the owner's process is paused; messages to it wait.  Then it ticks
     /// before it reads any.
     void pauseOwner(Duration span)
@@ -332,11 +376,6 @@
             std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
     }
 
-    void after(Duration delay, std::function<void()> action)
-    {
-        m_events.push({now + delay, ++m_eventNumber, std::move(action)});
-    }
-
     Duration randomDelay(Duration from, Duration to)
     {
         const auto toMs = [](Duration it) {
