--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -515,7 +515,17 @@
             });
     }
 
-    void send(const PaceTask &) {}
+    void send(const PaceTask &order)
+    {
+        exchange(
+            order.worker,
+            [this, order, by = epoch] {
+                return workers.at(order.worker.value())->pace(order, by, now);
+            },
+            [this, order](OrderOutcome outcome) {
+                owner->onPaceOutcome(order.worker, order.task, order.run, outcome, now);
+            });
+    }
     void send(const LogDecision &decision) { decisions.push_back(decision); }
     void send(const DelegateTasks &order)
     {
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,8 +60,12 @@
         const StepSpec *step = m_audit.stepOf(order.task);
         const bool isWaiting = holdsGangMembers && step && step->isGang;
         isLateUntil = std::max(isLateUntil, now + lateAfterStart);
-        m_running[order.task] = {order.run, now, isWaiting ? TimePoint::max() : now + workTime,
-                                 hasFailingRuns, order.checkpoint};
+        Run &run = m_running[order.task];
+        run.run = order.run;
+        run.startedAt = now;
+        run.endsAt = isWaiting ? TimePoint::max() : now + workTime;
+        run.fails = hasFailingRuns;
+        run.checkpoint = order.checkpoint;
         return OrderOutcome::Accepted;
     }
 
@@ -78,10 +83,26 @@
         return OrderOutcome::Accepted;
     }
 
-    OrderOutcome pace(const PaceTask & /*order*/, Epoch epoch, TimePoint now)
+    /// Pauses the run at a pace of 0, else lets it work.
+    OrderOutcome pace(const PaceTask &order, Epoch epoch, TimePoint now)
     {
         tick(now);
-        return acceptEpoch(epoch) ? OrderOutcome::Accepted : OrderOutcome::FencedOff;
+        if (!acceptEpoch(epoch)) {
+            return OrderOutcome::FencedOff;
+        }
+        const auto it = m_running.find(order.task);
+        if (it == m_running.end() || it->second.run != order.run) {
+            return OrderOutcome::OldRun;
+        }
+        Run &run = it->second;
+        if (run.pausedAt) {
+            run.endsAt += now - *run.pausedAt;
+            run.pausedAt.reset();
+        }
+        if (order.percent == 0) {
+            run.pausedAt = now;
+        }
+        return OrderOutcome::Accepted;
     }
 
     OrderOutcome renew(const RenewLease &order, Epoch epoch, TimePoint now, LeaseReport &report)
@@ -100,13 +121,17 @@
         report = LeaseReport{};
         report.clockMs = clockMs(now);
         report.incarnationStartUnixMs = incarnation;
-        for (const auto &[task, run] : m_running) {
+        for (auto &[task, run] : m_running) {
             RunningTask row;
             row.task = task;
             row.run = run.run;
-            m_percent += isProgressing ? 1 : 0;
-            row.percent = isLongRunningTask(task) ? StartedPercent
-                                                  : static_cast<int>(m_percent % StartedPercent);
+            if (!run.pausedAt) {
+                m_percent += isProgressing ? 1 : 0;
+                run.percent = static_cast<int>(m_percent % StartedPercent);
+            }
+            row.percent = isLongRunningTask(task) ? StartedPercent : run.percent;
+            const StepSpec *step = m_audit.stepOf(task);
+            row.usage = step && step->targetMs > 0 ? tailLatencyMs : 0.0;
             report.running.push_back(row);
         }
         const auto listed = std::min(m_ended.size(), MaxListedEnds);
@@ -122,7 +147,7 @@
         const bool isLapsed = clockMs(now) > m_deadlineMs;
         std::vector<std::pair<TaskName, RunEndReason>> over;
         for (const auto &[task, run] : m_running) {
-            if (run.endsAt <= now && !isLongRunningTask(task)) {
+            if (run.endsAt <= now && !run.pausedAt && !isLongRunningTask(task)) {
                 over.emplace_back(task, run.fails ? RunEndReason::Failed : RunEndReason::Done);
             } else if (isLapsed) {
                 over.emplace_back(task, RunEndReason::Lapsed);
@@ -238,6 +263,12 @@
         run.fails = fails;
     }
 
+    std::size_t pausedCount() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            m_running, [](const auto &it) { return it.second.pausedAt.has_value(); }));
+    }
+
     bool isIdle() const { return m_running.empty(); }
     /// True while the worker lists ended runs that no owner has acknowledged.
     bool hasEndedRuns() const { return !m_ended.empty(); }
@@ -253,7 +284,8 @@
     TimePoint isLateUntil{}; ///< It leaves orders unanswered and carries them out late until then.
     Duration lateAfterStart{}; ///< It does so for this long after each start.
     bool isDraining = false;
-    bool isProgressing = true; ///< The progress of tasks changes from report to report.
+    bool isProgressing = true;  ///< The progress of tasks changes from report to report.
+    double tailLatencyMs = 0.0; ///< Reported for serving tasks.
     Duration workTime = std::chrono::milliseconds(500); ///< Of runs started from now on.
     bool holdsGangMembers = false; ///< Members of gangs started from now on wait for beginWork().
     bool hasFailingRuns = false;   ///< Runs started from now on end with a failure.
@@ -288,6 +320,8 @@
         TimePoint endsAt{};
         bool fails = false;
         std::string checkpoint;
+        int percent = 0;                   ///< As listed last.
+        std::optional<TimePoint> pausedAt; ///< Set while its pace is 0.
     };
 
     bool isLongRunningTask(const TaskName &task) const
