Resume the fillers that an earlier owner paused

Cause: a paused run makes no progress. Reports don't tell the pace, and a new owner took each run that it found for one at full pace: after 2.5 s, or half of the estimate, it stopped it as stuck and counted a failure of its worker, which then took no task for up to 8 s. Class: what an earlier owner ordered is taken for its default, as it is neither reported nor stored.

Change: the pace of a run that an earlier owner started isn't known. A filler without progress for the time of a stuck one is paused by an order first, so that what the guard assumes holds, and the guard resumes it as any paused one. A run that makes no progress after that is stuck, as before.

Left, by reading: an order of pace that isn't accepted is also followed by the assumption of full pace (onPaceOutcome); each stuck task of a worker counts as one more consecutive failure, also if all are found at once.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -62,6 +62,7 @@
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
     int percent = 0;
     int pace = 100;              ///< Percent of its demand that a filler may use.
+    bool isPaceKnown = true;     ///< False if an order of an earlier owner may have set another.
     double usage = 0.0;          ///< As RunningTask::usage.
     double logTailRatio = 0.0;   ///< Serving tasks: smoothed ln(tail latency / target).
     bool hasTailRatio = false;   ///< logTailRatio is valid.
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -247,6 +247,7 @@
     void applySuspicions(std::span<const TaskRef> suspects, std::int64_t nowUnixMs);
     void recordFailure(CellWorker &worker, TimePoint now);
     void resendStops(CellWorker &worker, TimePoint now);
+    /// Stops the tasks without progress, and pauses those that an earlier owner may have paused.
     void restartStuckTasks(CellWorker &worker, TimePoint now);
     /// Stops the tasks that a draining worker would not finish.
     void evacuate(CellWorker &worker);
@@ -267,6 +268,7 @@
                            std::int64_t nowUnixMs);
     void releaseMissingTasks(CellWorker &worker, const LeaseReport &report, TimePoint sentAt);
     void adjustFillers(CellWorker &worker, TimePoint now);
+    void setPace(const TaskRef &ref, int percent, TimePoint now);
     void acknowledgeEndedRuns(CellWorker &worker, TimePoint now);
     void detectRestart(CellWorker &worker, const OrderReply &reply, TimePoint now);
 
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -103,6 +103,7 @@
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
         task.progressMs = worker.clockMs;
+        task.isPaceKnown = false;
         // An earlier owner started the run, so that it has survived its start.
         task.acceptedMs = worker.clockMs - CrashDetector::FreshMs;
     }
@@ -255,15 +256,20 @@
             sendStop(it.task);
             continue;
         }
-        CellTask &task = it.task.task();
-        task.pace = it.percent;
-        task.paceChangedAt = now;
-        task.progressMs = worker.clockMs;
-        m_state.actions.emplace_back(
-            PaceTask{worker.info.id, it.task.name(), task.run, it.percent});
+        setPace(it.task, it.percent, now);
     }
 }
 
+void CellScheduler::setPace(const TaskRef &ref, int percent, TimePoint now)
+{
+    CellTask &task = ref.task();
+    task.pace = percent;
+    task.isPaceKnown = true;
+    task.paceChangedAt = now;
+    task.progressMs = task.worker->clockMs;
+    m_state.actions.emplace_back(PaceTask{task.worker->info.id, ref.name(), task.run, percent});
+}
+
 void CellScheduler::acknowledgeEndedRuns(CellWorker &worker, TimePoint now)
 {
     if (worker.processedEndNumber == worker.durableEndNumber) {
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -53,6 +53,7 @@
     worker.tasks.pop_back();
     task.worker = nullptr;
     task.pace = 100;
+    task.isPaceKnown = true;
     task.usage = 0.0;
     task.hasTailRatio = false;
     task.overTargetSince = {};
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -450,11 +450,18 @@
         // stuck.
         const Duration stuckTimeout =
             std::max<Duration>(MinStuckTime, std::chrono::milliseconds(it.spec().estimateMs / 2));
-        if (worker.clockMs - task.progressMs >= toMs(stuckTimeout)) {
-            recordFailure(worker, now);
-            m_state.logDecision("task stuck", it, "percent=" + std::to_string(task.percent));
-            sendStop(it);
+        if (worker.clockMs - task.progressMs < toMs(stuckTimeout)) {
+            continue;
+        }
+        if (it.spec().isFiller && !task.isPaceKnown) {
+            // An earlier owner may have paused it; it can be stuck only once the guard resumes it.
+            m_state.logDecision("filler pace changed", it, "percent=0 restored=1");
+            setPace(it, 0, now);
+            continue;
         }
+        recordFailure(worker, now);
+        m_state.logDecision("task stuck", it, "percent=" + std::to_string(task.percent));
+        sendStop(it);
     }
 }
 
