--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -62,6 +62,7 @@
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
     int percent = 0;
     int pace = 100;              ///< Percent of its demand that a filler may use.
+    bool isPaceKnown = true;     ///< False if an order of an earlier owner may have set another.
     double usage = 0.0;          ///< As RunningTask::usage.
     double logTailRatio = 0.0;   ///< Serving tasks: smoothed ln(tail latency / target).
     bool hasTailRatio = false;   ///< logTailRatio is valid.
@@ -180,7 +181,7 @@
 {
     WorkerDescription info;
     bool isRegistered = false;      ///< Currently listed by the platform.
-    bool hasLeft = false;           ///< The platform lists it no longer.
+    bool hasLeft = false;           ///< The platform's list, once read, doesn't hold it.
     bool isRecorded = false;        ///< The cell's topic holds its record, without limits.
     bool isRestored = false;        ///< This owner has read a record of it from the cell's topic.
     std::uint64_t recordNumber = 0; ///< Latest record that this owner has put; 0 if none.
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -283,13 +283,14 @@
     order.acknowledgedEndNumber = mayBeRestarted ? 0 : worker.durableEndNumber;
     // Renewals to a worker that doesn't answer may still arrive; were they to extend its lease, its
     // tasks could never be restarted elsewhere.
-    if (worker.isContacted && worker.renewFailures == 0 && !worker.isLeaseLimited) {
+    const bool isAnswering = worker.isContacted && worker.renewFailures == 0;
+    if (isAnswering && !worker.isLeaseLimited) {
         const Duration lease = std::min(m_state.bounds.grantedLease(), m_state.ordersUntil - now);
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
-        if (worker.durableEndNumber == worker.processedEndNumber) {
-            order.wait = longPollWait(worker);
-        }
+    }
+    if (isAnswering && worker.durableEndNumber == worker.processedEndNumber) {
+        order.wait = longPollWait(worker);
     }
     worker.isRenewing = true;
     m_state.actions.emplace_back(std::move(order));
@@ -453,11 +454,18 @@
         // stuck.
         const Duration stuckTimeout =
             std::max<Duration>(MinStuckTime, std::chrono::milliseconds(it.spec().estimateMs / 2));
-        if (worker.clockMs - task.progressMs >= toMs(stuckTimeout)) {
-            recordFailure(worker, now);
-            m_state.logDecision("task stuck", it, "percent=" + std::to_string(task.percent));
-            sendStop(it);
+        if (worker.clockMs - task.progressMs < toMs(stuckTimeout)) {
+            continue;
+        }
+        if (it.spec().isFiller && !task.isPaceKnown) {
+            // An earlier owner may have paused it; it can be stuck only once the guard resumes it.
+            m_state.logDecision("filler pace changed", it, "percent=0 restored=1");
+            setPace(it, 0, now);
+            continue;
         }
+        recordFailure(worker, now);
+        m_state.logDecision("task stuck", it, "percent=" + std::to_string(task.percent));
+        sendStop(it);
     }
 }
 
