--- a/src/Cell/CellJournal.h
+++ b/src/Cell/CellJournal.h
@@ -94,7 +94,7 @@
     std::vector<Entry> m_waiting;
     std::unordered_map<std::string, std::size_t> m_waitingByKey;
     std::optional<std::vector<Entry>> m_inFlight;
-    bool m_isSent = false;        ///< The batch in flight awaits its answer.
+    bool m_isSent = false; ///< The batch in flight awaits its answer.
     bool m_isStoring = true;
     bool m_mayBeStored = false;   ///< An earlier attempt of the batch in flight may be stored.
     std::uint64_t m_sequence = 0; ///< Of the batch in flight, else of the latest one.
--- a/test/fakes/IdleJobs.h
+++ b/test/fakes/IdleJobs.h
@@ -131,7 +131,7 @@
     bool hasRoom(const JobId &job) const
     {
         const StepSpec &step = m_world.audit.specs.at(job.value()).steps.front();
-        const std::int64_t wanted = 2 * (step.isGang ? step.taskCount : 1);
+        const std::int64_t wanted = 2 * std::int64_t{step.isGang ? step.taskCount : 1};
         std::int64_t capacity = 0;
         std::int64_t reserved = 0;
         std::int64_t fitting = 0;
