Log the cell of each decision and whom a start passes over

'long-running task placed' now says what the task asks for, whether it has run before, and how many displaced tasks with longer waits the worker could have taken (passed_over, longest_passed_ms); it is written after a wait of 1 s, as before, or past such a task. Every decision and refusal names its cell. No change of logic. LongRunningTaskWait and LongRunningTaskOvertaking pass.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -514,7 +514,7 @@
         {Obstacle::TaskLimit, "task_limit"}};
     std::map<Obstacle, int> counts;
     std::int64_t freeCpu = 0;
-    std::int64_t largestFreeCpu = 0;
+    ResourceVector largestFree;
     int expectedViolations = 0; // Workers where the filler would push serving tasks over targets.
     for (const auto &[id, worker] : m_state.workers) {
         const ResourceVector available = m_reservations.availableTo(ref, *worker);
@@ -527,18 +527,19 @@
         ++counts[*obstacle];
         if (*obstacle == Obstacle::Capacity) {
             freeCpu += std::max<std::int64_t>(0, available.milliCpu);
-            largestFreeCpu = std::max(largestFreeCpu, available.milliCpu);
+            largestFree = available.milliCpu > largestFree.milliCpu ? available : largestFree;
         }
     }
     const ResourceVector &demand = ref.spec().demand;
     std::string text = "cpu=" + std::to_string(demand.milliCpu) + " memory_mb="
                        + std::to_string(demand.memoryMb) + " free_cpu=" + std::to_string(freeCpu)
-                       + " largest_free_cpu=" + std::to_string(largestFreeCpu);
+                       + " largest_free_cpu=" + std::to_string(largestFree.milliCpu);
     for (const auto &[obstacle, name] : Names) {
         if (const auto it = counts.find(obstacle); it != counts.end()) {
             text += std::string(" ") + name + "=" + std::to_string(it->second);
         }
     }
+    text += " largest_free_memory_mb=" + std::to_string(largestFree.memoryMb);
     if (expectedViolations > 0) {
         text += " expected_violations=" + std::to_string(expectedViolations);
     }
@@ -581,17 +582,45 @@
     return value;
 }
 
+void Placement::reportStart(const TaskRef &ref, const CellWorker &worker, TimePoint now) const
+{
+    if (!ref.spec().isLongRunning) {
+        return;
+    }
+    const TimePoint since = ref.task().waitingSince == TimePoint{} ? now : ref.task().waitingSince;
+    std::size_t passedOver = 0;
+    TimePoint longestPassed = now;
+    for (const TaskRef &it : m_displaced) {
+        const CellTask &task = it.task();
+        if (task.state != TaskState::Pending || task.waitingSince >= since || it == ref
+            || PlacementRules::findObstacle(worker, m_reservations.availableTo(it, worker),
+                                            m_reservations.countOfStep(it, worker), it, now)) {
+            continue;
+        }
+        ++passedOver;
+        longestPassed = std::min(longestPassed, task.waitingSince);
+    }
+    if (now - since < FirstWaitReport && passedOver == 0) {
+        return;
+    }
+    const ResourceVector &demand = ref.spec().demand;
+    m_state.logDecision(
+        "long-running task placed", ref,
+        "on=" + worker.info.id.value() + " waited_ms=" + std::to_string(toMs(now - since)) + " cpu="
+            + std::to_string(demand.milliCpu) + " memory_mb=" + std::to_string(demand.memoryMb)
+            + " has_run=" + std::to_string(ref.hasRunBefore() ? 1 : 0)
+            + " passed_over=" + std::to_string(passedOver)
+            + " longest_passed_ms=" + std::to_string(toMs(now - longestPassed)));
+}
+
 void Placement::start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now)
 {
+    reportStart(ref, worker, now);
     TaskLedger::place(ref, worker, TaskState::Starting, run);
     m_placeWaits.onPlaced(ref, worker, now);
     CellTask &task = ref.task();
     task.startedAt = now;
     CrashDetector::onStart(ref, worker, now);
-    if (task.waitingSince != TimePoint{} && now - task.waitingSince >= FirstWaitReport) {
-        m_state.logDecision("long-running task placed", ref,
-                            "waited_ms=" + std::to_string(toMs(now - task.waitingSince)));
-    }
     task.waitingSince = {};
     const Duration left = std::min(StartValidity, m_state.ordersUntil - now);
     task.startDeadlineMs = worker.clockAtLeast(now) + std::max<std::int64_t>(1, toMs(left));
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -81,6 +81,9 @@
     /// Preference for \a worker, higher is better; none if the task must not run there.
     std::optional<double> score(CellWorker &worker, const TaskRef &ref, TimePoint now) const;
     void start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now);
+    /// Logs the wait of the long-running task \a ref, which is about to start on \a worker, and the
+    /// displaced tasks with longer waits that fit there; O(displaced tasks).
+    void reportStart(const TaskRef &ref, const CellWorker &worker, TimePoint now) const;
 
     /// A demand that fitted no worker in this pass, so that larger ones are skipped.
     struct UnplaceableDemand
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -107,7 +107,7 @@
     std::int64_t longRunning = 0;
     std::int64_t fillers = 0;
     std::int64_t freeCpu = 0;
-    std::int64_t largestFreeCpu = 0;
+    ResourceVector largestFree;
     int usable = 0;
     int evacuatedWorkers = 0;
     std::size_t evacuatedTasks = 0;
@@ -118,7 +118,8 @@
             ++usable;
             usableCapacity += it->info.capacity.milliCpu;
             freeCpu += it->freeRoom().milliCpu;
-            largestFreeCpu = std::max(largestFreeCpu, it->freeRoom().milliCpu);
+            const ResourceVector free = it->freeRoom();
+            largestFree = free.milliCpu > largestFree.milliCpu ? free : largestFree;
         }
         evacuatedWorkers += it->isEvacuated ? 1 : 0;
         evacuatedTasks += it->isEvacuated ? it->tasks.size() : 0;
@@ -174,7 +175,8 @@
             {"displaced", displaced},
             {"unlocated", unlocated},
             {"free_cpu", freeCpu},
-            {"largest_free_cpu", largestFreeCpu},
+            {"largest_free_cpu", largestFree.milliCpu},
+            {"largest_free_memory_mb", largestFree.memoryMb},
             {"over_target", overTarget},
             {"paced", paced},
             {"place_waits_begun", waits.begun},
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -380,7 +380,7 @@
         delegations = std::make_unique<DelegationSender>(context, scheduler, log, metrics,
                                                          options.sendDelegation, afterReply);
         orders = std::make_unique<OrderSender>(
-            scheduler, workers, log, metrics, epoch, afterReply,
+            scheduler, workers, log, metrics, options.cell, epoch, afterReply,
             [this](const DelegationRequest &request) { delegations->send(request); });
         JobPartition::Callbacks callbacks;
         callbacks.onLoaded = guarded([](Private &self) { self.beginServing(); });
--- a/src/Node/OrderSender.cpp
+++ b/src/Node/OrderSender.cpp
@@ -26,12 +26,13 @@
 struct OrderSender::Private : std::enable_shared_from_this<Private>
 {
     Private(CellScheduler &schedulerIn, platform::WorkerClient &workersIn, EventLog &logIn,
-            Metrics &metricsIn, Epoch epochIn, std::function<void()> afterReplyIn,
+            Metrics &metricsIn, int cellIn, Epoch epochIn, std::function<void()> afterReplyIn,
             OnDelegation onDelegationIn)
         : scheduler(schedulerIn)
         , workers(workersIn)
         , log(logIn)
         , metrics(metricsIn)
+        , cell(cellIn)
         , epoch(epochIn)
         , afterReply(std::move(afterReplyIn))
         , onDelegation(std::move(onDelegationIn))
@@ -130,6 +131,7 @@
                                   {"task", platform::formatTaskName(note.task)},
                                   {"run", note.run},
                                   {"worker", note.worker},
+                                  {"cell", cell},
                                   {"epoch", epoch},
                                   {"detail", note.detail}};
         });
@@ -156,6 +158,7 @@
                                   {"task", platform::formatTaskName(order.task)},
                                   {"run", order.run},
                                   {"worker", order.worker.value()},
+                                  {"cell", cell},
                                   {"outcome", toString(outcome)}};
         });
     }
@@ -164,6 +167,7 @@
     platform::WorkerClient &workers;
     EventLog &log;
     Metrics &metrics;
+    int cell;
     Epoch epoch;
     std::function<void()> afterReply;
     OnDelegation onDelegation;
@@ -171,9 +175,9 @@
 };
 
 OrderSender::OrderSender(CellScheduler &scheduler, platform::WorkerClient &workers, EventLog &log,
-                         Metrics &metrics, Epoch epoch, std::function<void()> afterReply,
+                         Metrics &metrics, int cell, Epoch epoch, std::function<void()> afterReply,
                          OnDelegation onDelegation)
-    : m_private(std::make_shared<Private>(scheduler, workers, log, metrics, epoch,
+    : m_private(std::make_shared<Private>(scheduler, workers, log, metrics, cell, epoch,
                                           std::move(afterReply), std::move(onDelegation)))
 {}
 
--- a/src/Node/OrderSender.h
+++ b/src/Node/OrderSender.h
@@ -19,10 +19,10 @@
 public:
     using OnDelegation = std::function<void(const DelegationRequest &)>;
 
-    /// \a afterReply is called after each reply was passed to the scheduler, \a onDelegation for
-    /// each request to the owner of another cell.
+    /// The log lines name \a cell.  \a afterReply is called after each reply was passed to the
+    /// scheduler, \a onDelegation for each request to the owner of another cell.
     OrderSender(CellScheduler &scheduler, platform::WorkerClient &workers, EventLog &log,
-                Metrics &metrics, Epoch epoch, std::function<void()> afterReply,
+                Metrics &metrics, int cell, Epoch epoch, std::function<void()> afterReply,
                 OnDelegation onDelegation);
     ~OrderSender();
     OrderSender(const OrderSender &) = delete;
--- a/test/DelegationRequests.cpp
+++ b/test/DelegationRequests.cpp
@@ -132,7 +132,7 @@
     platform::WorkerClient workers(curl);
     std::vector<DelegationRequest> passed;
     OrderSender orders(
-        *home.world.owner, workers, home.log, home.metrics, home.world.epoch, [] {},
+        *home.world.owner, workers, home.log, home.metrics, 0, home.world.epoch, [] {},
         [&passed](const DelegationRequest &it) { passed.push_back(it); });
     home.world.onDelegate = {}; // Drops requests, which then stay open.
     const auto sendActions = [&] {
