--- /dev/null
+++ b/test/LongRunningTaskOrder.cpp
@@ -0,0 +1,114 @@
+#include "fakes/FleetWorld.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace firefly {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t SeedCount = 5;
+constexpr std::int64_t Demand = 5000; ///< Fits a worker only alone.
+/// Time within which a task has to start in another cell that has room.
+constexpr Duration MaxCrossing = 3s;
+
+void submit(CellWorld &cell, const std::string &id)
+{
+    cell.submit(JobId(id), makeLongRunning(1, Demand));
+}
+
+void cancel(CellWorld &cell, const std::string &id)
+{
+    cell.owner->cancel(JobId(id), cell.now, cell.unixMs(), [](CellScheduler::Verdict) {});
+}
+
+TaskName taskOf(const std::string &id)
+{
+    return {JobId(id), 0, 0, 0};
+}
+
+/// Drains the worker that runs the task of the job \a id.
+void displace(CellWorld &cell, const std::string &id)
+{
+    const auto it = cell.audit.runningOn.find(taskOf(id));
+    ASSERT_TRUE(it != cell.audit.runningOn.end() && !it->second.empty()) << id;
+    drain(cell, *it->second.begin());
+}
+
+/// A cell of three workers with a task each, of which two are displaced: \a second, whose job was
+/// submitted first, three seconds after \a first.
+void displaceTwo(CellWorld &cell, const std::string &first, const std::string &second)
+{
+    cell.run(500ms);
+    submit(cell, second);
+    cell.run(200ms);
+    submit(cell, first);
+    submit(cell, "blocker");
+    cell.run(1s);
+    displace(cell, first);
+    cell.run(3s);
+    displace(cell, second);
+    cell.run(1s);
+    ASSERT_FALSE(isRunning(cell, taskOf(first)));
+    ASSERT_FALSE(isRunning(cell, taskOf(second)));
+}
+
+// Guards against a long-running task that stays down while another one of its cell that was
+// displaced later takes the room that both wait for.
+TEST(LongRunningTaskOrder, ThePieceGoesToTheTaskThatHasWaitedLongest)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld cell(seed, 3);
+        displaceTwo(cell, "first", "second");
+        cancel(cell, "blocker");
+        cell.run(1s);
+        EXPECT_TRUE(isRunning(cell, taskOf("first"))) << "seed " << seed;
+        EXPECT_FALSE(isRunning(cell, taskOf("second"))) << "seed " << seed;
+    }
+}
+
+// Guards against the same after a change of owner, which doesn't end the wait.
+TEST(LongRunningTaskOrder, ThePieceGoesToTheTaskThatHasWaitedLongestOverOwners)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld cell(seed, 3);
+        displaceTwo(cell, "first", "second");
+        cell.replaceOwner(cell.now);
+        cell.run(2s);
+        cancel(cell, "blocker");
+        cell.run(1s);
+        EXPECT_TRUE(isRunning(cell, taskOf("first"))) << "seed " << seed;
+        EXPECT_FALSE(isRunning(cell, taskOf("second"))) << "seed " << seed;
+    }
+}
+
+// Guards against a long-running task that stays down while another cell gives its free room to
+// tasks that were displaced later.
+TEST(LongRunningTaskOrder, ThePieceOfAnotherCellGoesToTheTaskThatHasWaitedLongest)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        FleetWorld world(seed, 2, 2);
+        world.run(500ms);
+        submit(world.cell(0), "first");
+        submit(world.cell(0), "beside");
+        submit(world.cell(1), "second");
+        submit(world.cell(1), "blocker");
+        world.run(1s);
+        displace(world.cell(0), "first");
+        world.run(4s);
+        displace(world.cell(1), "second");
+        world.run(1s);
+        ASSERT_EQ(world.countRuns(taskOf("first")), 0U);
+        ASSERT_EQ(world.countRuns(taskOf("second")), 0U);
+        cancel(world.cell(1), "blocker");
+        world.run(MaxCrossing);
+        EXPECT_EQ(world.countRuns(taskOf("first")), 1U) << "seed " << seed;
+        EXPECT_EQ(world.countRuns(taskOf("second")), 0U) << "seed " << seed;
+        EXPECT_EQ(world.allViolations(), std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace firefly
