Let batch jobs without a run take turns

Callers saw accepted batch jobs without a run for tens of seconds while others held several places.

Cause: the order of batch jobs is strict: priority, lateness, objective. Who ranks behind a backlog gets no start as long as that has tasks. Evidence: IdleBatchJobs failed in 4 of 8 cases, idle for 15 s (all that is measured) where 3 s are tolerated.

Change: a batch job with nothing placed for 1.5 s starts one task (a gang: all of it) when a pass comes to the first batch job of the order: the longest idle one that fits, one turn in a pass, another batch start between two turns, so that the others keep half of the starts. It overtakes no displaced long-running task.

Why it works: waiting for a turn is bounded by the number of idle jobs, not by the backlog of those before them. With more idle jobs than half of the starts serve in 1.5 s some still wait for longer.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -5,6 +5,7 @@
 #include "Cell/TaskLedger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -38,6 +39,10 @@
 /// Time that the platform tolerates without a run of an unfinished batch job beside idle capacity,
 /// and the interval of the log lines about jobs that wait for longer.
 constexpr Duration MaxIdleTime = std::chrono::milliseconds(3000);
+/// Time without a run after which a batch job may start a task before all other batch jobs, and the
+/// starts of other batch tasks between two such turns.
+constexpr Duration IdleTurnDelay = MaxIdleTime / 2;
+constexpr std::uint32_t MinStartsBetweenIdleTurns = 1;
 
 /// Time that the platform tolerates without a run of a task that has run before.  A displaced task
 /// that has waited longer may fit no worker at all and holds nothing back.
@@ -125,9 +130,14 @@
     findDisplaced(jobs, now, nowUnixMs);
     sortJobs(jobs, now);
     const CellJob *resumed = nullptr;
+    const CellJob *advanced = nullptr;
+    bool isIdleTurnOver = m_startsSinceIdleTurn < MinStartsBetweenIdleTurns;
     forEachStartableStep(
         jobs, nowUnixMs, [&](CellJob &job, std::uint32_t occurrence, std::uint32_t step) {
-            if (&job == resumed) {
+            if (!job.isLongRunning() && !std::exchange(isIdleTurnOver, true)) {
+                advanced = startLongestIdle(jobs, job.spec.policy.priority, now, nowUnixMs);
+            }
+            if (&job == resumed || &job == advanced) {
                 return;
             }
             const bool isIdle = isOverdue(job, now) && job.placedCount == 0;
@@ -148,6 +158,45 @@
     }
 }
 
+const CellJob *Placement::startLongestIdle(std::span<CellJob *const> jobs, int priority,
+                                           TimePoint now, std::int64_t nowUnixMs)
+{
+    std::vector<CellJob *> idle;
+    std::ranges::copy_if(jobs, std::back_inserter(idle), [now](const CellJob *it) {
+        return !it->isLongRunning() && it->placedCount == 0 && it->idleSince != TimePoint{}
+               && now - it->idleSince >= IdleTurnDelay;
+    });
+    // Jobs that have been idle for equally long keep the order of this pass.
+    std::ranges::stable_sort(idle, {}, &CellJob::idleSince);
+    // Displaced tasks of the priorities that this pass hasn't come to.
+    const auto wouldOvertake = [&](const CellJob &job) {
+        return std::ranges::any_of(m_displaced, [&](const TaskRef &it) {
+            const int other = it.job->spec.policy.priority;
+            return it.task().state == TaskState::Pending && other > priority
+                   && other <= job.spec.policy.priority;
+        });
+    };
+    const CellJob *started = nullptr;
+    forEachStartableStep(idle, nowUnixMs,
+                         [&](CellJob &job, std::uint32_t occurrence, std::uint32_t step) {
+                             if (started || wouldOvertake(job)) {
+                                 return;
+                             }
+                             if (job.spec.steps[step].isGang) {
+                                 startGang(job, occurrence, step, now);
+                             } else {
+                                 startStep(job, occurrence, step, 1, now);
+                             }
+                             if (job.placedCount > 0) {
+                                 started = &job;
+                                 m_startsSinceIdleTurn = 0;
+                                 // The next pass starts its other tasks in their turn.
+                                 m_state.wantsPlacement = true;
+                             }
+                         });
+    return started;
+}
+
 void Placement::reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now,
                                std::int64_t nowUnixMs)
 {
@@ -616,6 +665,9 @@
 void Placement::start(const TaskRef &ref, CellWorker &worker, std::uint32_t run, TimePoint now)
 {
     reportStart(ref, worker, now);
+    if (!ref.spec().isLongRunning) {
+        ++m_startsSinceIdleTurn;
+    }
     TaskLedger::place(ref, worker, TaskState::Starting, run);
     m_placeWaits.onPlaced(ref, worker, now);
     CellTask &task = ref.task();
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -65,6 +65,12 @@
     /// is none.
     std::vector<std::pair<TaskRef, CellWorker *>>
     chooseRackForGang(const TaskRef &leader, std::uint32_t run, TimePoint now);
+    /// Starts a task, or a gang, of the batch job among \a jobs that has had no run for longest and
+    /// for some time at least, whatever its priority and lateness, of those that fit.  The
+    /// pass has come to \a priority; displaced tasks of the following ones aren't overtaken.
+    /// Returns the job; null if none has started.
+    const CellJob *startLongestIdle(std::span<CellJob *const> jobs, int priority, TimePoint now,
+                                    std::int64_t nowUnixMs);
     /// Updates the idle times of \a jobs, in the order of this pass, and logs at intervals why the
     /// one that has been idle for longest isn't started.  O(jobs x steps).
     void reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
@@ -104,7 +110,8 @@
     std::vector<UnplaceableDemand> m_unplaceable;
     TimePoint m_nextBatchWaitReport{}; ///< Earliest next log line about a batch task that waits.
     TimePoint m_nextIdleReport{};      ///< The same about idle batch jobs.
-    std::vector<TaskRef> m_displaced;  ///< Displaced tasks before the starts of this pass.
+    std::uint32_t m_startsSinceIdleTurn = 0; ///< Of batch tasks.
+    std::vector<TaskRef> m_displaced;        ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
 
