Release tasks of dark workers when most workers are dark

Cause: expireLeases judged listed workers only while half of them were heard, and took less for a cut of its own link, without an end.

Change: below half, the tasks of a silent worker are released too once all its renewals have failed for the longest lease that a worker accepts (6 s), while some other worker was heard at all times. The wait begins anew when no worker was heard in 3.5 s or the owner was paused for longer.

Why it works: canJudgeSilence still applies, so the claim is fresh and no other owner can have renewed a lease. This owner extends none after a failed renewal, and leaseEnd() counts every deadline that it has sent, so nothing runs on the worker any more, whatever the owner's link does. An owner that loses its claim releases nothing, as before. An owner that hears nobody gives no work up, and one whose link comes back asks each worker again before it judges.

--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -235,8 +235,13 @@
     /// renewed the leases of workers that are silent here.
     bool canJudgeSilence(TimePoint now) const;
     /// True if at least half of the registered workers that ever answered reported lately;
-    /// otherwise their silence tells of this process or its link, not of them.
-    bool hearsWorkers(TimePoint now) const;
+    /// otherwise their silence may tell of this process or its link, not of them.  Updates
+    /// m_hearingSince.
+    bool hearsMostWorkers(TimePoint now);
+    /// True if all renewals of \a worker have failed for as long as the longest lease, while other
+    /// workers were heard without a break.  Its silence then isn't that of this process or its
+    /// link.
+    bool isSilentBesideOthers(const CellWorker &worker, TimePoint now) const;
     void expireLeases(TimePoint now, std::int64_t nowUnixMs);
     /// Releases the runs on \a worker that ended because another incarnation has answered an order
     /// of \a sentAt.  Runs ordered since may belong to that one.
@@ -290,6 +295,8 @@
     TimePoint m_lastWorkerCheck{};
     TimePoint m_lastTick{};
     TimePoint m_judgeSilenceFrom{};
+    /// Since when some registered worker has been heard at all times; unset while none is.
+    std::optional<TimePoint> m_hearingSince;
 };
 
 } // namespace firefly
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -304,6 +304,9 @@
         return;
     }
     m_judgeSilenceFrom = now + ListenTime;
+    if (gap > HearingWindow) {
+        m_hearingSince.reset();
+    }
     if (gap >= LoggedTickGap) {
         m_state.actions.emplace_back(
             LogDecision{"owner was delayed", {}, {}, 0, "ms=" + std::to_string(toMs(gap))});
@@ -315,7 +318,7 @@
     return now >= m_judgeSilenceFrom && now <= m_state.exclusiveUntil();
 }
 
-bool CellScheduler::hearsWorkers(TimePoint now) const
+bool CellScheduler::hearsMostWorkers(TimePoint now)
 {
     std::size_t expected = 0;
     std::size_t heard = 0;
@@ -327,9 +330,21 @@
         ++expected;
         heard += worker->isContacted && now - worker->clockAt <= HearingWindow ? 1 : 0;
     }
+    if (heard == 0) {
+        m_hearingSince.reset();
+    } else if (!m_hearingSince) {
+        m_hearingSince = now;
+    }
     return 2 * heard >= expected;
 }
 
+bool CellScheduler::isSilentBesideOthers(const CellWorker &worker, TimePoint now) const
+{
+    // When a link comes back, the first answers come before each worker has been asked again.
+    return worker.renewFailures > 0 && m_hearingSince
+           && now - std::max(*m_hearingSince, worker.silentSince) >= m_state.bounds.maxLease;
+}
+
 void CellScheduler::expireLeases(TimePoint now, std::int64_t nowUnixMs)
 {
     if (now - m_lastWorkerCheck < WorkerCheckInterval) {
@@ -337,13 +352,15 @@
     }
     m_lastWorkerCheck = now;
     const bool canJudge = canJudgeSilence(now);
-    const bool hearsMost = canJudge && hearsWorkers(now);
+    const bool hearsMost = hearsMostWorkers(now);
     for (auto it = m_state.workers.begin(); it != m_state.workers.end();) {
         CellWorker &worker = *it->second;
         const bool hasRenewalResult = worker.isContacted || worker.renewFailures > 0;
         // The platform's list tells of a worker that has left, whether or not others are heard.
-        const bool isSilenceCertain = hearsMost || (canJudge && !worker.isRegistered);
-        const bool isExpired = hasRenewalResult && isSilenceCertain && now >= worker.leaseEnd();
+        const bool isSilenceCertain =
+            hearsMost || !worker.isRegistered || isSilentBesideOthers(worker, now);
+        const bool isExpired =
+            canJudge && hasRenewalResult && isSilenceCertain && now >= worker.leaseEnd();
         if (isExpired && !worker.tasks.empty()) {
             releaseTasks(worker, nowUnixMs);
         }
