Log the free pieces of a crowded cell and how long a cell had no owner

New lines `free pieces`, new fields `claim_ms` and `without_owner_ms` of `owner begins`. No change of logic.

--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -3,7 +3,12 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <map>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace firefly {
 
@@ -80,6 +85,30 @@
 
 namespace {
 
+constexpr std::size_t MaxLoggedPieces = 6;
+
+/// The free capacity of \a worker, what reservations hold of it, and what keeps tasks away.
+std::string describePiece(const CellWorker &worker)
+{
+    const ResourceVector free = worker.freeRoom();
+    std::string text = worker.info.id.value() + " " + std::to_string(free.milliCpu) + "/"
+                       + std::to_string(free.memoryMb);
+    if (worker.held != ResourceVector{}) {
+        text += " held " + std::to_string(worker.held.milliCpu) + "/"
+                + std::to_string(worker.held.memoryMb);
+    }
+    if (!worker.isRecorded) {
+        text += " unrecorded";
+    }
+    if (worker.renewFailures > 0) {
+        text += " unresponsive";
+    }
+    if (worker.avoidUntil > Clock::now()) {
+        text += " avoided";
+    }
+    return text;
+}
+
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -187,6 +216,30 @@
             {"locating", state.isLocating}};
 }
 
+nlohmann::json summarizeFreePieces(const CellScheduler &scheduler)
+{
+    const CellState &state = scheduler.state();
+    std::vector<const CellWorker *> workers;
+    std::size_t unknown = 0;
+    for (const auto &[id, it] : state.workers) {
+        if (!it->isRegistered || !it->acceptsTasks()) {
+            continue;
+        }
+        unknown += it->isContacted ? 0 : 1;
+        if (it->isContacted) {
+            workers.push_back(it.get());
+        }
+    }
+    const auto end =
+        workers.begin() + static_cast<std::ptrdiff_t>(std::min(MaxLoggedPieces, workers.size()));
+    std::ranges::partial_sort(workers, end, std::greater(),
+                              [](const CellWorker *it) { return it->freeRoom().milliCpu; });
+    nlohmann::json pieces = nlohmann::json::array();
+    std::ranges::transform(workers.begin(), end, std::back_inserter(pieces),
+                           [](const CellWorker *it) { return describePiece(*it); });
+    return {{"pieces", std::move(pieces)}, {"unknown_workers", unknown}};
+}
+
 nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler)
 {
     const CellState &state = scheduler.state();
--- a/src/Node/CellDump.h
+++ b/src/Node/CellDump.h
@@ -16,6 +16,9 @@
 /// Totals of one cell for its periodic load log line; O(tasks).
 nlohmann::json summarizeLoad(const CellScheduler &scheduler);
 
+/// The largest pieces of free capacity on single workers of one cell, for a log line; O(workers).
+nlohmann::json summarizeFreePieces(const CellScheduler &scheduler);
+
 /// State of one cell, shown to operators by /state; O(jobs + workers).
 nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler);
 
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -38,6 +38,10 @@
 constexpr Duration MeasureInterval = std::chrono::milliseconds(200);
 /// Interval of the owner's load log line.
 constexpr Duration LoadLogInterval = std::chrono::seconds(2);
+/// Interval of the log line about free pieces of capacity, which lasts while tasks wait for them.
+constexpr Duration PieceLogInterval = std::chrono::milliseconds(250);
+/// Long-running demand, as a fraction of the cell's capacity, above which free pieces are logged.
+constexpr double CrowdedLoad = 0.9;
 /// A change of the load by this fraction of the cell's capacity is published at once.
 constexpr double SignificantLoadChange = 0.05;
 /// Time for which a process that is no longer a candidate goes on following the claims.
@@ -304,6 +308,7 @@
 
     void logLoad(TimePoint now)
     {
+        logFreePieces(now);
         if (now - lastLoadLogAt < LoadLogInterval) {
             return;
         }
@@ -313,6 +318,18 @@
         log.write(LogLevel::Info, "cell", "load", fields);
     }
 
+    /// Logs the largest free pieces of capacity while long-running tasks fill most of the cell.
+    void logFreePieces(TimePoint now)
+    {
+        if (now - lastPieceLogAt < PieceLogInterval || publishedLoad.longRunning < CrowdedLoad) {
+            return;
+        }
+        lastPieceLogAt = now;
+        nlohmann::json fields = summarizeFreePieces(scheduler);
+        fields["cell"] = options.cell;
+        log.write(LogLevel::Info, "cell", "free pieces", fields);
+    }
+
     // Ownership
 
     void onClaimRecord(const KeyedRecord &record)
@@ -321,7 +338,11 @@
             return;
         }
         try {
-            election.onClaim(decodeClaim(*record.value), Clock::now());
+            const OwnershipClaim claim = decodeClaim(*record.value);
+            if (claim.holder.empty() && election.hasOwner()) {
+                ownerlessSince = Clock::now();
+            }
+            election.onClaim(claim, Clock::now());
         } catch (const ClaimRecordError &e) {
             log.write(LogLevel::Error, "cell", "unreadable claim", {{"error", e.what()}});
         }
@@ -339,6 +360,7 @@
         }
         const bool isNew = append->claim.epoch != election.epoch();
         if (isNew) {
+            claimSentAt = now;
             log.write(LogLevel::Info, "cell", "claiming",
                       {{"cell", options.cell},
                        {"epoch", append->claim.epoch},
@@ -368,9 +390,16 @@
     {
         isOwning = true;
         epoch = election.epoch();
-        log.write(
-            LogLevel::Info, "cell", "owner begins",
-            {{"cell", options.cell}, {"epoch", epoch}, {"version", election.claim().renewal}});
+        const auto toMs = [](Duration it) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+        };
+        log.write(LogLevel::Info, "cell", "owner begins",
+                  {{"cell", options.cell},
+                   {"epoch", epoch},
+                   {"version", election.claim().renewal},
+                   {"claim_ms", toMs(now - claimSentAt)},
+                   {"without_owner_ms",
+                    ownerlessSince ? toMs(now - *ownerlessSince) : std::int64_t{-1}}});
         // Until the workers are known, other cells should send no jobs or tasks here.
         election.setLoad({1.0, 1.0, 1.0});
         publishedGivenUp.clear();
@@ -668,6 +697,9 @@
     Timer timer;
     std::deque<HeldJob> held; ///< In the order of their decisions.
     TimePoint lastLoadLogAt{};
+    TimePoint lastPieceLogAt{};
+    TimePoint claimSentAt{};                 ///< Of the latest claim under a new epoch.
+    std::optional<TimePoint> ownerlessSince; ///< When the latest release was read.
     TimePoint lastMeasuredAt{};
     TimePoint lastDelegationAt{};
     TimePoint lastPublishedAt{};
