Let displaced tasks take capacity that is kept until batch tasks end

Callers saw a long-running task that doesn't run while there is room for it.

Cause: a reservation for a displaced task keeps the free part of a worker idle until the batch tasks beside it have ended, for up to 2 s and 1 s of margin, also when their estimates are wrong. Smaller displaced tasks that fit the piece now stay down beside it, and other cells don't see it. Class: capacity that is promised to one task is idle for all others.

Change: a long-running task that has run before takes such capacity where nothing else fits it; the reservation on that worker is given up and its task searches again. Batch tasks and first starts don't.

Tests of Defragmenter, reservations, order, restart and delegation pass as before; LongRunningTaskOrder stays red.

Why it works: a piece stands idle for a reservation only while no displaced task of the cell fits it.

--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -12,7 +12,34 @@
     FIREFLY_ASSERT(!contains(ref), "a task can hold one reservation only");
     const ResourceVector amount = ref.spec().reservation();
     m_entries.push_back({ref.name(), worker.info.id, amount, kind, now + timeout});
-    worker.held.add(amount);
+    addHeld(worker, m_entries.back());
+}
+
+void CapacityReservations::addHeld(CellWorker &worker, const Entry &entry)
+{
+    worker.held.add(entry.amount);
+    if (entry.kind == Kind::BatchEnds) {
+        worker.heldForBatchEnds.add(entry.amount);
+    }
+}
+
+void CapacityReservations::subtractHeld(CellWorker &worker, const Entry &entry)
+{
+    worker.held.subtract(entry.amount);
+    if (entry.kind == Kind::BatchEnds) {
+        worker.heldForBatchEnds.subtract(entry.amount);
+    }
+}
+
+void CapacityReservations::removeBatchEnds(CellWorker &worker)
+{
+    std::erase_if(m_entries, [&worker](const Entry &it) {
+        const bool isRemoved = it.worker == worker.info.id && it.kind == Kind::BatchEnds;
+        if (isRemoved) {
+            subtractHeld(worker, it);
+        }
+        return isRemoved;
+    });
 }
 
 void CapacityReservations::removeObsolete(TimePoint now)
@@ -20,9 +47,10 @@
     std::erase_if(m_entries, [&](const Entry &it) { return !isNeeded(it, now); });
     for (auto &[id, worker] : m_state.workers) {
         worker->held = {};
+        worker->heldForBatchEnds = {};
     }
     for (const Entry &it : m_entries) {
-        m_state.findWorker(it.worker)->held.add(it.amount);
+        addHeld(*m_state.findWorker(it.worker), it);
     }
 }
 
@@ -33,7 +61,7 @@
         return;
     }
     if (CellWorker *worker = m_state.findWorker(entry->worker)) {
-        worker->held.subtract(entry->amount);
+        subtractHeld(*worker, *entry);
     }
     m_entries.erase(m_entries.begin() + (entry - m_entries.data()));
 }
@@ -83,6 +111,19 @@
     return available;
 }
 
+ResourceVector CapacityReservations::availableBeforeBatchEnds(const TaskRef &ref,
+                                                              const CellWorker &worker) const
+{
+    ResourceVector available = availableTo(ref, worker);
+    available.add(worker.heldForBatchEnds);
+    const Entry *own = find(ref.name());
+    if (own && own->worker == worker.info.id && own->kind == Kind::BatchEnds) {
+        // availableTo() has added it.
+        available.subtract(own->amount);
+    }
+    return available;
+}
+
 bool CapacityReservations::isNeeded(const Entry &entry, TimePoint now) const
 {
     const auto ref = m_state.findTask(entry.task);
--- a/src/Cell/CapacityReservations.h
+++ b/src/Cell/CapacityReservations.h
@@ -29,6 +29,8 @@
     /// Keeps the demand of \a ref on \a worker for \a timeout.
     void add(const TaskRef &ref, CellWorker &worker, Kind kind, TimePoint now,
              Duration timeout = Timeout);
+    /// Drops the reservations on \a worker that wait for batch tasks to end.
+    void removeBatchEnds(CellWorker &worker);
     /// Drops the reservations whose task no longer needs one, whose worker takes no tasks any more,
     /// or whose time is up.  O(workers).
     void removeObsolete(TimePoint now);
@@ -45,6 +47,8 @@
     /// Capacity of \a worker that \a ref may use; components are negative as far as kept capacity
     /// isn't free yet.
     ResourceVector availableTo(const TaskRef &ref, const CellWorker &worker) const;
+    /// The same, with the capacity that is kept until batch tasks end.
+    ResourceVector availableBeforeBatchEnds(const TaskRef &ref, const CellWorker &worker) const;
 
 private:
     struct Entry
@@ -56,6 +60,8 @@
         TimePoint expiresAt{};
     };
 
+    static void addHeld(CellWorker &worker, const Entry &entry);
+    static void subtractHeld(CellWorker &worker, const Entry &entry);
     /// Workers and jobs may have been erased since the entry was made.
     bool isNeeded(const Entry &entry, TimePoint now) const;
     const Entry *find(const TaskName &task) const;
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -93,6 +93,12 @@
     }
 }
 
+/// True for a long-running task that its users have had before.
+bool isDisplaced(const TaskRef &ref)
+{
+    return ref.spec().isLongRunning && ref.hasRunBefore();
+}
+
 void beginWait(CellTask &task, TimePoint now)
 {
     task.waitingSince = now;
@@ -246,7 +252,9 @@
         if (ref.task().notBefore > now) {
             continue;
         }
-        if (CellWorker *worker = chooseWorker(ref, now)) {
+        CellWorker *worker =
+            isDisplaced(ref) ? chooseWorkerForDisplaced(ref, now) : chooseWorker(ref, now);
+        if (worker) {
             m_reservations.remove(ref);
             start(ref, *worker, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
         } else {
@@ -266,7 +274,7 @@
                 || ref.spec().isGang || isFinal(ref.job->state) || m_reservations.contains(ref)) {
                 continue;
             }
-            if (CellWorker *worker = chooseWorker(ref, now)) {
+            if (CellWorker *worker = chooseWorkerForDisplaced(ref, now)) {
                 m_reservations.add(ref, *worker, CapacityReservations::Kind::Free, now);
             } else {
                 m_waiting.push_back(ref);
@@ -379,7 +387,8 @@
             onUnplaceable(ref, now);
             return;
         }
-        CellWorker *worker = chooseWorker(ref, now);
+        CellWorker *worker =
+            isDisplaced(ref) ? chooseWorkerForDisplaced(ref, now) : chooseWorker(ref, now);
         if (!worker && CrashDetector::isSuspect(task)) {
             // The others of the step don't need a worker without fresh tasks.
             onUnplaceable(ref, now);
@@ -482,7 +491,8 @@
 {
     const StepSpec &spec = ref.spec();
     return std::ranges::any_of(m_unplaceable, [&](const UnplaceableDemand &it) {
-        return it.isFiller == spec.isFiller && (!spec.isFiller || it.image == ref.image())
+        return (it.isDisplaced || !isDisplaced(ref)) && it.isFiller == spec.isFiller
+               && (!spec.isFiller || it.image == ref.image())
                && it.service == ref.job->spec.policy.service && spec.demand.fits(it.demand);
     });
 }
@@ -491,13 +501,13 @@
 {
     const StepSpec &spec = ref.spec();
     if (spec.requiredLabel.empty() && spec.maxPerWorker == 0) {
-        m_unplaceable.push_back(
-            {ref.job->spec.policy.service, spec.isFiller, ref.image(), spec.demand});
+        m_unplaceable.push_back({ref.job->spec.policy.service, spec.isFiller, ref.image(),
+                                 spec.demand, isDisplaced(ref)});
     }
 }
 
-CellWorker *Placement::chooseWorker(const TaskRef &ref, TimePoint now, const CellWorker *excluded,
-                                    const std::string *rack) const
+CellWorker *Placement::chooseWorkerBy(const TaskRef &ref, TimePoint now, Available availableTo,
+                                      const CellWorker *excluded, const std::string *rack) const
 {
     CellWorker *best = nullptr;
     double bestScore = -std::numeric_limits<double>::infinity();
@@ -505,7 +515,7 @@
         if (rack && worker->info.rack != *rack) {
             continue;
         }
-        const ResourceVector available = m_reservations.availableTo(ref, *worker);
+        const ResourceVector available = (m_reservations.*availableTo)(ref, *worker);
         if (worker.get() == excluded
             || PlacementRules::findObstacle(*worker, available,
                                             m_reservations.countOfStep(ref, *worker), ref, now)) {
@@ -520,6 +530,18 @@
     return best;
 }
 
+CellWorker *Placement::chooseWorkerForDisplaced(const TaskRef &ref, TimePoint now)
+{
+    if (CellWorker *worker = chooseWorker(ref, now)) {
+        return worker;
+    }
+    CellWorker *worker = chooseWorkerBy(ref, now, &CapacityReservations::availableBeforeBatchEnds);
+    if (worker) {
+        m_reservations.removeBatchEnds(*worker);
+    }
+    return worker;
+}
+
 void Placement::onUnplaceable(const TaskRef &ref, TimePoint now)
 {
     if (ref.spec().isLongRunning) {
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -78,9 +78,23 @@
     /// Reserves workers for the long-running tasks that draining workers are about to end.
     void reserveForEvacuated(TimePoint now);
     void onUnplaceable(const TaskRef &ref, TimePoint now);
+    /// The best worker with room for \a ref.
     CellWorker *chooseWorker(const TaskRef &ref, TimePoint now,
                              const CellWorker *excluded = nullptr,
-                             const std::string *rack = nullptr) const;
+                             const std::string *rack = nullptr) const
+    {
+        return chooseWorkerBy(ref, now, &CapacityReservations::availableTo, excluded, rack);
+    }
+    /// The same, where \a available tells what \a ref may use of a worker.
+    using Available = ResourceVector (CapacityReservations::*)(const TaskRef &,
+                                                               const CellWorker &) const;
+    CellWorker *chooseWorkerBy(const TaskRef &ref, TimePoint now, Available available,
+                               const CellWorker *excluded = nullptr,
+                               const std::string *rack = nullptr) const;
+    /// As chooseWorker() for a long-running task that has run before.  Where nothing else fits it
+    /// takes capacity that is kept for other tasks until batch tasks end, which gives up these
+    /// reservations.
+    CellWorker *chooseWorkerForDisplaced(const TaskRef &ref, TimePoint now);
     /// Logs at intervals why the long-running task \a ref still waits; O(workers) per log line.
     void reportWait(const TaskRef &ref, TimePoint now) const;
     std::string describeObstacles(const TaskRef &ref, TimePoint now) const;
@@ -98,6 +112,7 @@
         bool isFiller = false;
         ImageIndex image = 0; ///< Compared for fillers only.
         ResourceVector demand;
+        bool isDisplaced = false; ///< Kept capacity didn't help either.
     };
     bool isKnownUnplaceable(const TaskRef &ref) const;
     void recordUnplaceable(const TaskRef &ref);
