Let a claim count once the store has acknowledged it

What callers saw: in a quarter of its changes of owner a cell has no working owner for about 1 s more than needed, while pieces of capacity stand free.

Cause: a claimer became the owner only when it read its own claim back. Evidence (by the lead, n=1): the append is answered at once, but the claimer's held read returns the record when its wait is over (1,012 ms), in the same moment in which those of 10 other VMs return it after 16 to 28 ms. That a read isn't woken which arrives while an append is under way is suspected, not shown.

Change: CellElection keeps the latest append and applies its claim when it is acknowledged. Records at or below the known (epoch, renewal) have no effect. The position of the next append is the end of what is known; an acknowledged append makes one record more known, whatever end the response reports. `claim_ms` now is the time until the acknowledgement, and `without_owner_ms` counts from the acknowledgement of an own release.

Why it works: the append is guarded by the end of what was read, so no claim can stand before it that the claimer doesn't know, and the state from which the expiry of earlier orders is computed is the one that a read back would have met. One epoch has one holder, whose renewals rise.

AnAppendedClaimIsReadBeforeTheNextClaim is replaced: its check is in AStoredClaimCountsBeforeItIsRead, and that nothing unread may precede a claim in RecordsAfterAnOwnAppendAreReadBeforeTheNextClaim. CellElection 20 of 20, NodeDrain, CellJoinFaults and PartitionedOwnerLeases pass (arm64, one run).

--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -1,6 +1,7 @@
 #include "CellLease/CellElection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace firefly {
 namespace {
@@ -29,7 +30,7 @@
         m_connectedSince = now;
     }
     m_hasRead = true;
-    m_readEnd = std::max(m_readEnd, end);
+    m_knownEnd = std::max(m_knownEnd, end);
     m_topicEnd = std::max(m_topicEnd, end);
 }
 
@@ -40,14 +41,24 @@
 
 void CellElection::onClaim(const OwnershipClaim &claim, TimePoint now)
 {
-    if (claim.epoch < m_claim.epoch) {
+    if (!isNewer(claim)) {
         return;
     }
-    const bool isOwn = claim.holder == m_options.holder;
-    if (isOwn && claim.renewal == m_renewal) {
+    if (claim.holder == m_options.holder && claim.renewal == m_renewal) {
         m_renewedAt = std::max(m_renewedAt, m_appendSentAt);
     }
-    if (isOwn && claim.epoch > m_claim.epoch) {
+    apply(claim, now);
+}
+
+bool CellElection::isNewer(const OwnershipClaim &claim) const
+{
+    // All claims of one epoch are by the same holder, also its release.
+    return std::pair(claim.epoch, claim.renewal) > std::pair(m_claim.epoch, m_claim.renewal);
+}
+
+void CellElection::apply(const OwnershipClaim &claim, TimePoint now)
+{
+    if (claim.holder == m_options.holder && claim.epoch > m_claim.epoch) {
         // A resigned owner sends no more orders, but its leases are still valid.
         const Duration ordersAfter = hasOwner() ? OwnerTimeout : Duration{};
         m_earlierOrdersExpiry =
@@ -63,8 +74,13 @@
 {
     m_isAppending = false;
     m_topicEnd = std::max(m_topicEnd, end);
+    // All claims before the position of the append were known when it was sent.
+    m_knownEnd = std::max(m_knownEnd, m_lastSent.position + 1);
     m_renewedAt = std::max(m_renewedAt, m_appendSentAt);
     m_retryAt = now;
+    if (isNewer(m_lastSent.claim)) {
+        apply(m_lastSent.claim, now);
+    }
 }
 
 void CellElection::onAppendFailed(TimePoint now)
@@ -113,7 +129,7 @@
         return std::nullopt;
     }
     Append append;
-    append.position = m_topicEnd;
+    append.position = m_knownEnd;
     append.claim = m_claim;
     append.claim.pendingByQueue = m_pending;
     append.claim.load = m_load;
@@ -130,7 +146,7 @@
             append.claim.holder.clear();
         }
     } else {
-        const bool hasUnreadRecords = m_readEnd < m_topicEnd;
+        const bool hasUnreadRecords = m_knownEnd < m_topicEnd;
         if (m_isResigning || !m_isConnected || hasUnreadRecords || !mayClaim(now)) {
             return std::nullopt;
         }
@@ -145,6 +161,7 @@
     append.claim.renewal = ++m_renewal;
     m_isAppending = true;
     m_appendSentAt = now;
+    m_lastSent = append;
     return append;
 }
 
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -17,7 +17,7 @@
     std::string holder;        ///< Incarnation of the owner process; empty after its resignation.
     std::string node;          ///< Name of the owner's VM.
     Endpoint endpoint;         ///< Where the owner accepts requests of other processes.
-    std::uint64_t renewal = 0; ///< Counts the claims of the holder.
+    std::uint64_t renewal = 0; ///< Counts the claims of the holder; orders those of one epoch.
     std::map<std::string, int> pendingByQueue; ///< Number of jobs without a started task.
     CellLoad load;
     std::map<std::string, ServiceRoom> rooms; ///< By service; only in the directory.
@@ -28,10 +28,10 @@
 /// Leader election for a cell by conditional appends to its ownership topic.
 ///
 /// A claim is appended only if the topic has not grown since it was read, so that one of several
-/// candidates wins.  The owner renews its claim; others may claim the cell after OwnerTimeout
-/// without a renewal.  The new owner's higher epoch fences the earlier owner at the store and at
-/// each worker that it reaches; no order of the earlier owner takes effect after the ordersUntil()
-/// of its last renewal.
+/// candidates wins.  Therefore a claim counts once it is stored; it need not be read back.  The
+/// owner renews its claim; others may claim the cell after OwnerTimeout without a renewal.  The new
+/// owner's higher epoch fences the earlier owner at the store and at each worker that it reaches;
+/// no order of the earlier owner takes effect after the ordersUntil() of its last renewal.
 class CellElection
 {
 public:
@@ -58,7 +58,9 @@
     /// The topic was read up to position \a end.
     void onRead(std::uint64_t end, TimePoint now);
     void onReadFailed();
+    /// \a claim was read; it has no effect unless it is newer than claim().
     void onClaim(const OwnershipClaim &claim, TimePoint now);
+    /// The latest claim was stored; the topic then ended at \a end.
     void onAppended(std::uint64_t end, TimePoint now);
     /// The append of the latest claim was refused, or its outcome is unknown.
     void onAppendFailed(TimePoint now);
@@ -104,6 +106,9 @@
     TimePoint claimSeenAt() const { return m_claimSeenAt; }
 
 private:
+    bool isNewer(const OwnershipClaim &claim) const;
+    /// Makes \a claim the latest one.
+    void apply(const OwnershipClaim &claim, TimePoint now);
     bool mayClaim(TimePoint now) const;
     bool isRenewalDue(TimePoint now) const;
 
@@ -121,7 +126,8 @@
     int m_claimRank = 0;
     Epoch m_givenUpEpoch = 0;
     std::uint64_t m_topicEnd = 0; ///< Highest end seen in reads and own appends.
-    std::uint64_t m_readEnd = 0;  ///< The topic has been read up to here.
+    std::uint64_t m_knownEnd = 0; ///< All claims before this position are known.
+    Append m_lastSent;            ///< Latest append; awaits its answer while m_isAppending.
     std::uint64_t m_renewal = 0;
     TimePoint m_appendSentAt{};
     TimePoint m_renewedAt{}; ///< When the latest successful claim was sent.
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -339,16 +339,23 @@
         }
         try {
             const OwnershipClaim claim = decodeClaim(*record.value);
-            if (claim.holder.empty() && election.hasOwner()) {
-                ownerlessSince = Clock::now();
-            }
+            const bool hadOwner = election.hasOwner();
             election.onClaim(claim, Clock::now());
+            noteRelease(hadOwner);
         } catch (const ClaimRecordError &e) {
             log.write(LogLevel::Error, "cell", "unreadable claim", {{"error", e.what()}});
         }
         postStep();
     }
 
+    /// Records when the cell was released; \a hadOwner tells whether it had an owner until now.
+    void noteRelease(bool hadOwner)
+    {
+        if (hadOwner && !election.hasOwner()) {
+            ownerlessSince = Clock::now();
+        }
+    }
+
     void sendClaim(TimePoint now)
     {
         if (!isOwning) {
@@ -378,7 +385,9 @@
                              return;
                          }
                          if (result.outcome == AppendOutcome::Stored) {
+                             const bool hadOwner = self->election.hasOwner();
                              self->election.onAppended(result.end, Clock::now());
+                             self->noteRelease(hadOwner);
                          } else {
                              self->election.onAppendFailed(Clock::now());
                          }
@@ -699,7 +708,7 @@
     TimePoint lastLoadLogAt{};
     TimePoint lastPieceLogAt{};
     TimePoint claimSentAt{};                 ///< Of the latest claim under a new epoch.
-    std::optional<TimePoint> ownerlessSince; ///< When the latest release was read.
+    std::optional<TimePoint> ownerlessSince; ///< When the latest release became known.
     TimePoint lastMeasuredAt{};
     TimePoint lastDelegationAt{};
     TimePoint lastPublishedAt{};
