Read the claims at once after a refused claim

What callers saw: a candidate whose claim was refused claims again up to three times, 300 ms apart, with the old position (seen by the lead in a log); each call is refused and priced.

Cause: the response to a refused append tells the end of the topic, but nobody used it; the candidate stayed in a held read until the wait of 1 s was over, where the store didn't wake it.

Change: CellElection::onAppendRefused() takes the end; no claim is sent, by an owner either, while claims before the known end are unread. TopicFollower::catchUp() reads at once without waiting and goes on from there; the result of the read that waits is dropped, so that no record is applied twice and the position never moves back. CellHost calls it whenever the response to an append shows unread claims. Cost: one read, and the dropped one runs to its end, per refused claim; the refused repeats are gone.

Why it works: responses of the store are linearizable, so a read that is sent after the refusal returns the records that caused it.

The random schedules now report the end of refusals.

--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+void CellElection::onAppendRefused(std::uint64_t end, TimePoint now)
+{
+    m_topicEnd = std::max(m_topicEnd, end);
+    onAppendFailed(now);
+}
+
 void CellElection::onAppendFailed(TimePoint now)
 {
     m_isAppending = false;
@@ -125,7 +131,7 @@
 
 std::optional<CellElection::Append> CellElection::next(TimePoint now)
 {
-    if (m_isAppending || !m_hasRead || now < m_retryAt) {
+    if (m_isAppending || !m_hasRead || hasUnreadClaims() || now < m_retryAt) {
         return std::nullopt;
     }
     Append append;
@@ -146,8 +152,7 @@
             append.claim.holder.clear();
         }
     } else {
-        const bool hasUnreadRecords = m_knownEnd < m_topicEnd;
-        if (m_isResigning || !m_isConnected || hasUnreadRecords || !mayClaim(now)) {
+        if (m_isResigning || !m_isConnected || !mayClaim(now)) {
             return std::nullopt;
         }
         append.claim.epoch = m_claim.epoch + 1;
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -62,7 +62,9 @@
     void onClaim(const OwnershipClaim &claim, TimePoint now);
     /// The latest claim was stored; the topic then ended at \a end.
     void onAppended(std::uint64_t end, TimePoint now);
-    /// The append of the latest claim was refused, or its outcome is unknown.
+    /// The latest claim was not stored, since the topic had grown to \a end.
+    void onAppendRefused(std::uint64_t end, TimePoint now);
+    /// The append of the latest claim failed otherwise, or its outcome is unknown.
     void onAppendFailed(TimePoint now);
 
     // Decisions
@@ -104,6 +106,10 @@
     const OwnershipClaim &claim() const { return m_claim; }
     bool hasOwner() const { return !m_claim.holder.empty(); }
     TimePoint claimSeenAt() const { return m_claimSeenAt; }
+    /// True if the topic is known to have claims that were not read; none is sent until they are.
+    bool hasUnreadClaims() const { return m_knownEnd < m_topicEnd; }
+    /// Highest known end of the topic.
+    std::uint64_t topicEnd() const { return m_topicEnd; }
 
 private:
     bool isNewer(const OwnershipClaim &claim) const;
@@ -125,7 +131,7 @@
     Epoch m_releasedEpoch = 0;
     int m_claimRank = 0;
     Epoch m_givenUpEpoch = 0;
-    std::uint64_t m_topicEnd = 0; ///< Highest end seen in reads and own appends.
+    std::uint64_t m_topicEnd = 0; ///< Highest end seen in reads and responses to appends.
     std::uint64_t m_knownEnd = 0; ///< All claims before this position are known.
     Append m_lastSent;            ///< Latest append; awaits its answer while m_isAppending.
     std::uint64_t m_renewal = 0;
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -388,9 +388,14 @@
                              const bool hadOwner = self->election.hasOwner();
                              self->election.onAppended(result.end, Clock::now());
                              self->noteRelease(hadOwner);
+                         } else if (result.isConflict) {
+                             self->election.onAppendRefused(result.end, Clock::now());
                          } else {
                              self->election.onAppendFailed(Clock::now());
                          }
+                         if (self->claims && self->election.hasUnreadClaims()) {
+                             self->claims->catchUp(self->election.topicEnd());
+                         }
                          self->postStep();
                      });
     }
--- a/src/Node/TopicFollower.cpp
+++ b/src/Node/TopicFollower.cpp
@@ -79,18 +79,24 @@
         read();
     }
 
-    void read()
+    void read() { readFor(options.wait); }
+
+    /// Reads from the current position on; the result of an earlier read is dropped.
+    void readFor(Duration wait)
     {
         if (isStopped) {
             return;
         }
-        store.read(options.partition, position, options.wait,
-                   [weak = weak_from_this()](const platform::ReadResult &result) {
-                       const auto self = weak.lock();
-                       if (self && !self->isStopped) {
-                           self->onReadResult(result);
-                       }
-                   });
+        isReading = true;
+        store.read(
+            options.partition, position, wait,
+            [weak = weak_from_this(), number = ++readNumber](const platform::ReadResult &result) {
+                const auto self = weak.lock();
+                if (self && !self->isStopped && self->readNumber == number) {
+                    self->isReading = false;
+                    self->onReadResult(result);
+                }
+            });
     }
 
     void onReadResult(const platform::ReadResult &result)
@@ -139,6 +145,18 @@
         }
     }
 
+    void catchUp(std::uint64_t end)
+    {
+        if (end <= position) {
+            return;
+        }
+        if (isReading) {
+            readFor(Duration{});
+        } else {
+            endPause();
+        }
+    }
+
     /// Reports that \a step has failed and repeats it later.
     void retry(void (Private::*step)(), const std::string &error)
     {
@@ -161,7 +179,9 @@
     std::uint64_t position = 0;
     int failures = 0; ///< Failed reads in a row.
     bool isFirstPage = true;
-    bool isPausing = false; ///< Between two reads.
+    std::uint64_t readNumber = 0; ///< Of the latest read.
+    bool isReading = false;       ///< The latest read awaits its result.
+    bool isPausing = false;       ///< Between two reads.
     bool isStopped = false;
 };
 
@@ -189,4 +209,9 @@
     m_private->endPause();
 }
 
+void TopicFollower::catchUp(std::uint64_t end)
+{
+    m_private->catchUp(end);
+}
+
 } // namespace firefly
--- a/src/Node/TopicFollower.h
+++ b/src/Node/TopicFollower.h
@@ -6,6 +6,7 @@
 #include <asio/basic_waitable_timer.hpp>
 #include <asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -48,6 +49,9 @@
     void setPause(Duration pause);
     /// Ends a pause between reads.
     void readNow();
+    /// Reads at once if the topic, which is known to have grown to \a end, was not read that far.
+    /// The store may not wake a waiting read; the result of the one that waits is dropped.
+    void catchUp(std::uint64_t end);
 
 private:
     struct Private;
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -296,6 +296,29 @@
     EXPECT_EQ(append->position, 2U);
 }
 
+// Guards against a refused claim that is sent again at its old position, which the store refuses
+// each time.
+TEST(CellElection, ARefusedClaimIsNotRepeatedBeforeTheTopicIsRead)
+{
+    CellElection election = makeElection("a");
+    TimePoint now{10s};
+    election.onRead(0, now);
+    ASSERT_TRUE(election.next(now).has_value());
+    election.onAppendRefused(2, now);
+    EXPECT_TRUE(election.hasUnreadClaims());
+    EXPECT_EQ(election.topicEnd(), 2U);
+    now += 300ms;
+    EXPECT_FALSE(election.next(now).has_value());
+    election.onClaim({1, "b.1", "b", {}, 1, {}}, now);
+    election.onClaim({1, "", "b", {}, 2, {}}, now);
+    election.onRead(2, now);
+    EXPECT_FALSE(election.hasUnreadClaims());
+    const auto append = election.next(now);
+    ASSERT_TRUE(append.has_value());
+    EXPECT_EQ(append->position, 2U);
+    EXPECT_EQ(append->claim.epoch, 2U);
+}
+
 // Guards against a new owner that starts tasks before the orders of the earlier owner have expired,
 // when its claim counts without being read or is read again later.
 TEST(CellElection, AStoredClaimWaitsForTheOrdersOfTheEarlierOwner)
@@ -537,7 +560,7 @@
             if (sent.isAnswerLost) {
                 it.election->onAppendFailed(m_now);
             } else if (!sent.isStored) {
-                it.election->onAppendFailed(m_now);
+                it.election->onAppendRefused(m_topic.size(), m_now);
             } else {
                 it.election->onAppended(sent.append.position + 1, m_now);
                 const OwnershipClaim &claim = sent.append.claim;
