A process that has sent its release no longer answers as the only owner

Cause: isExclusiveOwner() ignored a release in flight, as ordersUntil() doesn't. Evidence: the new test.

Change: both conditions now end when the release is sent. Why it works: others may claim the cell as soon as the release is stored.

Test: AnOwnerIsNotExclusiveOnceItsReleaseIsSent failed on the code before.

--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -103,7 +103,7 @@
 
 bool CellElection::isExclusiveOwner(TimePoint now) const
 {
-    return isOwner() && now < m_renewedAt + OwnerTimeout;
+    return isOwner() && m_claim.epoch > m_releasedEpoch && now < m_renewedAt + OwnerTimeout;
 }
 
 TimePoint CellElection::ordersUntil() const
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -319,6 +319,22 @@
     EXPECT_EQ(append->claim.epoch, 2U);
 }
 
+// Guards against a process that answers for a cell whose release it has sent: another owner may
+// already know jobs that it doesn't.
+TEST(CellElection, AnOwnerIsNotExclusiveOnceItsReleaseIsSent)
+{
+    CellElection election = makeElection("a");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    election.onRead(end, now);
+    ASSERT_TRUE(claimOnce(election, now, end));
+    election.yield();
+    EXPECT_TRUE(election.isExclusiveOwner(now));
+    now += 10ms;
+    ASSERT_TRUE(election.next(now).has_value());
+    EXPECT_FALSE(election.isExclusiveOwner(now));
+}
+
 // Guards against a new owner that starts tasks before the orders of the earlier owner have expired,
 // when its claim counts without being read or is read again later.
 TEST(CellElection, AStoredClaimWaitsForTheOrdersOfTheEarlierOwner)
