--- a/test/TopicFollower.cpp
+++ b/test/TopicFollower.cpp
@@ -72,7 +72,7 @@
     asio::io_context context{1};
     platform::StoreStandin store{context};
     std::vector<std::pair<HttpRequest, HttpServer::Respond>> waitingReads;
-    Endpoint endpoint{"127.0.0.1", 18711};
+    Endpoint endpoint{"127.0.0.1", 18731};
     HttpServer server{context, endpoint, HttpLimits{},
                       [this](const HttpRequest &request, HttpServer::Respond respond) {
                           handle(request, std::move(respond));
