--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -79,6 +79,7 @@
     std::optional<Append> next(TimePoint now);
     /// Releases the cell with the next append and makes no further claims.
     void resign() { m_isResigning = true; }
+    bool isResigning() const { return m_isResigning; }
     /// Releases the cell with the next append; this process may claim it again.
     void yield() { m_isYielding = isOwner(); }
     /// Ends the ownership of this process until it wins a new claim.
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -163,7 +163,8 @@
                 || now >= election.ordersUntil())) {
             endOwnership();
         }
-        if (!isOwning && election.isOwner() && now < election.ordersUntil()) {
+        if (!isOwning && election.isOwner() && !election.isResigning()
+            && now < election.ordersUntil()) {
             beginOwnership(now);
         }
         if (partition && !partition->isFailing()) {
