Continue the wait of a displaced long-running task over owners

Cause: the begin of a wait (CellTask::waitingSince) was kept in memory only. With each owner the wait began anew, so that delegation waited 1 s anew and the order of the displaced tasks was lost; a guest counted each delegated task as one that had just been displaced.

Change: progress records and delegations carry the begin of the wait of tasks that have run before, in Unix ms. It stands in a field of its own after the crashes; builds without it read the fields that they know by position and no others, and records without it decode to no wait. An owner writes the waits of all jobs at once, every 500 ms at most, and only those that have lasted for 500 ms or have ended: at most two appends a second more, one record a job, 20 to 30 bytes a task. A restored wait is clamped to the last 10 min and never lies in the future, as the clocks of VMs may differ by 5 s. A guest continues the wait that the home tells it.

A killed owner loses the waits that began at most about 1 s before; a wait that ended as shortly before counts on if its task is displaced again right then. A guest that changes owner before its first record of a wait, 500 ms at most, begins it anew. Tasks of a restored job that have never run count as displaced as before, with a wait that begins with that owner and is now inherited too.

LongRunningTaskOrder stays red in all three cases, also over owners: within one cell too the order isn't by wait.

Results: on the code before, LongRunningWaitOverOwners (records left out, as they don't compile there) failed in TheWaitUnderAnEarlierOwnerCounts and TheGuestContinuesTheWaitOfADelegatedTask; now 8 of 8 cases pass. CellOwnerChange, TaskDelegation, TaskDelegationFaults, LongRunningTaskWait and LongRunningTaskPriority pass.

--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -17,6 +17,8 @@
 /// that has never run.
 constexpr Duration DisplacedDelay = std::chrono::milliseconds(1000);
 constexpr Duration FirstStartDelay = std::chrono::milliseconds(3000);
+/// Time for which a new owner tries its own workers only, some of which it has yet to record.
+constexpr Duration LocatedDelay = std::chrono::milliseconds(300);
 constexpr Duration RequestRetryInterval = std::chrono::milliseconds(300);
 
 } // namespace
@@ -37,6 +39,9 @@
 CellScheduler::delegationCandidates(TimePoint now) const
 {
     std::vector<DelegationCandidate> candidates;
+    if (now - m_location.resolvedAt() < LocatedDelay) {
+        return candidates;
+    }
     for (const auto &[id, job] : m_state.jobs) {
         if (job->occurrences.empty()) {
             continue;
@@ -108,7 +113,11 @@
         // The guest continues above all runs that any owner of this cell may have started.
         task.run = it.task.hasRunBefore() ? TaskLedger::nextRun(task, m_state.epoch) - 1 : 0;
         task.guest = guest;
+        const bool isWaiting = task.waitingSince != TimePoint{};
+        const TimePoint waitingSince = isWaiting ? task.waitingSince : it.waitingSince;
         TaskLedger::moveElsewhere(it.task);
+        // The guest continues the wait.
+        task.waitingSince = waitingSince;
         it.task.job->delegations[*guest];
         delegated[it.task.job].push_back(it.task.name());
     }
@@ -147,7 +156,7 @@
     return rooms;
 }
 
-std::vector<TaskProgress> CellScheduler::delegatedTasks(CellJob &job, int guest)
+std::vector<TaskProgress> CellScheduler::delegatedTasks(CellJob &job, int guest) const
 {
     std::vector<TaskProgress> tasks = progressOf(job);
     std::erase_if(tasks, [&](const TaskProgress &it) {
@@ -260,6 +269,7 @@
                                 std::int64_t nowUnixMs, const OnVerdict &onVerdict)
 {
     m_now = now;
+    setClock(now, nowUnixMs);
     const TaskDelegation delegation = JobRecords::decodeDelegation(record);
     CellJob *job = m_state.findJob(id);
     if (job && !job->isGuestPart) {
@@ -363,6 +373,7 @@
         task.run = it.run;
         task.checkpoint = it.checkpoint;
         task.crashes = it.crashes;
+        task.waitingSince = beginOfWait(it.waitingSinceUnixMs);
         TaskLedger::moveBack(ref);
         m_state.logDecision("delegated task accepted", ref, {});
     }
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -56,6 +56,7 @@
     std::int64_t progressMs = 0;
     TimePoint notBefore{};    ///< Earliest time of the next start.
     TimePoint waitingSince{}; ///< Long-running tasks: since when it waits for a worker; else zero.
+    TimePoint recordedWait{}; ///< waitingSince in the latest progress record of the job.
     std::optional<PlaceWait> placeWait; ///< Of a pending task, or of a gang at its first task.
     TimePoint movedAt{};                ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -16,6 +16,12 @@
 constexpr std::size_t WorkersPerInterval = 100;
 /// Interval between records of the interference model, from which the next owner starts.
 constexpr Duration ModelRecordInterval = std::chrono::seconds(3);
+/// Interval between records of waits, so that tasks displaced together share one append.
+constexpr Duration WaitRecordInterval = std::chrono::milliseconds(500);
+/// Shorter waits aren't recorded, as most of them end soon.
+constexpr Duration MinRecordedWait = std::chrono::milliseconds(500);
+/// A recorded wait counts as this long at most, in case a clock was wrong.
+constexpr Duration MaxRestoredWait = std::chrono::minutes(10);
 constexpr Duration CleanupInterval = std::chrono::seconds(1);
 /// A job has no more value for its client this many objectives after its submission.
 constexpr int MaxUsefulObjectives = 3;
@@ -27,6 +33,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
+/// The begin of the wait that the next owner has to continue; zero for none.  Of tasks that have
+/// never run no client misses a run.
+TimePoint waitToRecord(const CellJob &job, const CellTask &task)
+{
+    const bool isMissed = task.guest || task.run > 0 || job.isFromEarlierOwner;
+    return isMissed && task.state != TaskState::Done ? task.waitingSince : TimePoint{};
+}
+
 } // namespace
 
 CellScheduler::CellScheduler(const CellBounds &bounds)
@@ -134,7 +148,9 @@
 
 void CellScheduler::finishRestore(TimePoint now, std::int64_t nowUnixMs)
 {
+    m_now = now;
     m_lastTick = now;
+    setClock(now, nowUnixMs);
     m_records.finishRestore(now);
     for (auto &[id, job] : m_state.jobs) {
         const auto ageMs = static_cast<double>(nowUnixMs - job->submittedAtUnixMs);
@@ -183,6 +199,8 @@
             job.delegations[*it.guest];
             m_delegatingJobs.insert(job.id.value());
         }
+        task.waitingSince = beginOfWait(it.waitingSinceUnixMs);
+        task.recordedWait = task.waitingSince;
     }
 }
 
@@ -328,6 +346,13 @@
         // The guests have yet to be told.
         std::erase_if(progress.tasks, [](const TaskProgress &it) { return !it.guest; });
     }
+    for (Occurrence &it : job.occurrences) {
+        for (StepRun &step : it.steps) {
+            for (CellTask &task : step.tasks) {
+                task.recordedWait = waitToRecord(job, task);
+            }
+        }
+    }
     const JobState state = job.state;
     m_state.journal.put({JobRecords::progressKey(job.id), JobRecords::encodeProgress(progress)},
                         [this, id = job.id, state] {
@@ -337,7 +362,57 @@
                         });
 }
 
-std::vector<TaskProgress> CellScheduler::progressOf(const CellJob &job)
+void CellScheduler::recordWaits(TimePoint now)
+{
+    if (now - m_lastWaitRecord < WaitRecordInterval) {
+        return;
+    }
+    m_lastWaitRecord = now;
+    const auto isDue = [&](const CellJob &job, const CellTask &task) {
+        const TimePoint wait = waitToRecord(job, task);
+        return wait != task.recordedWait && (wait == TimePoint{} || now - wait >= MinRecordedWait);
+    };
+    for (const auto &[id, job] : m_state.jobs) {
+        if (isFinal(job->state) || !job->isLongRunning()) {
+            continue;
+        }
+        const bool hasDue = std::ranges::any_of(job->occurrences, [&](const Occurrence &it) {
+            return std::ranges::any_of(it.steps, [&](const StepRun &step) {
+                return std::ranges::any_of(step.tasks,
+                                           [&](const CellTask &task) { return isDue(*job, task); });
+            });
+        });
+        if (hasDue) {
+            recordProgress(*job);
+        }
+    }
+}
+
+void CellScheduler::setClock(TimePoint now, std::int64_t nowUnixMs)
+{
+    m_unixMsAtZero =
+        nowUnixMs
+        - std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+}
+
+std::int64_t CellScheduler::toUnixMs(TimePoint time) const
+{
+    return m_unixMsAtZero
+           + std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+TimePoint CellScheduler::beginOfWait(std::int64_t unixMs) const
+{
+    if (unixMs == 0) {
+        return {};
+    }
+    const auto longestMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(MaxRestoredWait).count();
+    const std::int64_t waitedMs = std::clamp<std::int64_t>(toUnixMs(m_now) - unixMs, 0, longestMs);
+    return m_now - std::chrono::milliseconds(waitedMs);
+}
+
+std::vector<TaskProgress> CellScheduler::progressOf(const CellJob &job) const
 {
     std::vector<TaskProgress> rows;
     for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
@@ -346,12 +421,14 @@
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const CellTask &task = step.tasks[i];
                 const bool isDone = task.state == TaskState::Done;
+                const TimePoint wait = waitToRecord(job, task);
+                const bool isWaiting = wait != TimePoint{};
                 if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty() || task.guest
-                    || !task.crashes.isEmpty()) {
-                    rows.push_back({k, s, i, isDone, task.failedRuns,
-                                    isDone ? std::string() : task.checkpoint, task.guest,
-                                    task.guest ? task.run : 0,
-                                    isDone ? CrashHistory() : task.crashes});
+                    || !task.crashes.isEmpty() || isWaiting) {
+                    rows.push_back(
+                        {k, s, i, isDone, task.failedRuns, isDone ? std::string() : task.checkpoint,
+                         task.guest, task.guest ? task.run : 0,
+                         isDone ? CrashHistory() : task.crashes, isWaiting ? toUnixMs(wait) : 0});
                 }
             }
         }
@@ -434,6 +511,7 @@
 void CellScheduler::tick(TimePoint now, std::int64_t nowUnixMs)
 {
     m_now = now;
+    setClock(now, nowUnixMs);
     detectPause(now);
     expireLeases(now, nowUnixMs);
     m_location.update(now, canJudgeSilence(now));
@@ -455,6 +533,7 @@
     } else if (!m_state.wantsPlacement) {
         updateWaiting(now);
     }
+    recordWaits(now);
     sendDelegations(now);
     renewLeases(now);
 }
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -157,7 +157,14 @@
     double evacuatedMilliCpu() const;
     static CellJournal::OnLost verdictOnLoss(OnVerdict onVerdict);
     void recordProgress(CellJob &job);
-    static std::vector<TaskProgress> progressOf(const CellJob &job);
+    std::vector<TaskProgress> progressOf(const CellJob &job) const;
+    /// Records the waits of long-running tasks that have begun or ended, all at once, as far as
+    /// due: the next owner continues them.
+    void recordWaits(TimePoint now);
+    void setClock(TimePoint now, std::int64_t nowUnixMs);
+    std::int64_t toUnixMs(TimePoint time) const;
+    /// The begin of a wait by its record; zero for none.
+    TimePoint beginOfWait(std::int64_t unixMs) const;
     static void setObjective(CellJob &job, TimePoint submittedAt);
     void setImages(CellJob &job);
     Duration placementInterval() const;
@@ -215,7 +222,7 @@
     /// with a waiting task).
     std::vector<DelegationCandidate> delegationCandidates(TimePoint now) const;
     /// Tasks of \a job that were delegated to \a guest, as far as that is durable.
-    static std::vector<TaskProgress> delegatedTasks(CellJob &job, int guest);
+    std::vector<TaskProgress> delegatedTasks(CellJob &job, int guest) const;
     void sendDelegations(TimePoint now);
     void sendDelegation(CellJob &job, int guest, DelegationStatus &status);
     void endDelegation(CellJob &job, int guest);
@@ -287,11 +294,13 @@
     std::map<WorkQueue, BacklogAdmission> m_admission;
     std::set<std::string> m_delegatingJobs; ///< Jobs with delegations, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
-    TimePoint m_now{}; ///< Time of the latest input.
+    TimePoint m_now{};               ///< Time of the latest input.
+    std::int64_t m_unixMsAtZero = 0; ///< Wall-clock time at the zero of the steady clock.
     TimePoint m_lastPlacement{};
     TimePoint m_lastCleanup{};
     TimePoint m_lastWaitingUpdate{};
     TimePoint m_lastModelRecord{};
+    TimePoint m_lastWaitRecord{};
     TimePoint m_lastWorkerCheck{};
     TimePoint m_lastTick{};
     TimePoint m_judgeSilenceFrom{};
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -102,6 +102,7 @@
         // Of an ended job too: the run occupies the worker until it is stopped.
         TaskLedger::place(*ref, worker, TaskState::Running, row.run);
         task.startedAt = now;
+        task.waitingSince = {};
         task.progressMs = worker.clockMs;
         task.isPaceKnown = false;
         // An earlier owner started the run, so that it has survived its start.
--- a/src/Cell/TaskLocation.cpp
+++ b/src/Cell/TaskLocation.cpp
@@ -11,6 +11,7 @@
 {
     m_state.isLocating = true;
     m_begunAt = now;
+    m_resolvedAt = now;
     m_nextCheck = {};
     m_isPartlyLogged = false;
 }
@@ -31,6 +32,7 @@
     m_nextCheck = now + CheckInterval;
     m_state.isLocating = !isComplete;
     const std::size_t notFound = resolve(hidden.tasks);
+    m_resolvedAt = notFound > 0 ? now : m_resolvedAt;
     m_state.wantsPlacement = m_state.wantsPlacement || notFound > 0 || isComplete;
     if (isComplete || !std::exchange(m_isPartlyLogged, true)) {
         log(now, notFound, hidden);
--- a/src/Cell/TaskLocation.h
+++ b/src/Cell/TaskLocation.h
@@ -25,6 +25,8 @@
     /// answer; \a canJudgeSilence as by CellScheduler.  O(workers), and every CheckInterval
     /// O(tasks).
     void update(TimePoint now, bool canJudgeSilence);
+    /// When tasks last became Pending, or the search began.
+    TimePoint resolvedAt() const { return m_resolvedAt; }
 
 private:
     static constexpr Duration CheckInterval = std::chrono::milliseconds(100);
@@ -43,6 +45,7 @@
 
     CellState &m_state;
     TimePoint m_begunAt{};
+    TimePoint m_resolvedAt{};
     TimePoint m_nextCheck{};
     bool m_isPartlyLogged = false;
 };
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -278,7 +278,22 @@
     return rows;
 }
 
-void readCrashes(const json &record, std::size_t field, std::vector<TaskProgress> &tasks)
+json waitsToJson(const std::vector<TaskProgress> &tasks)
+{
+    json rows = json::array();
+    for (const TaskProgress &it : tasks) {
+        if (it.waitingSinceUnixMs != 0) {
+            rows.push_back(json::array({it.occurrence, it.step, it.index, it.waitingSinceUnixMs}));
+        }
+    }
+    return rows;
+}
+
+/// Calls \a read with each row of \a field and the task of \a tasks that the row is about.
+/// Records of earlier versions lack the field.
+template <typename Read>
+void readTaskRows(const json &record, std::size_t field, std::vector<TaskProgress> &tasks,
+                  const Read &read)
 {
     if (record.size() <= field) {
         return;
@@ -289,18 +304,33 @@
             return task.occurrence == at(0) && task.step == at(1) && task.index == at(2);
         });
         if (it != tasks.end()) {
-            it->crashes = {at(3), at(4), at(5), at(6)};
+            read(row, *it);
         }
     }
 }
 
+void readCrashes(const json &record, std::size_t field, std::vector<TaskProgress> &tasks)
+{
+    readTaskRows(record, field, tasks, [](const json &row, TaskProgress &task) {
+        const auto at = [&row](std::size_t i) { return row.at(i).get<std::uint32_t>(); };
+        task.crashes = {at(3), at(4), at(5), at(6)};
+    });
+}
+
+void readWaits(const json &record, std::size_t field, std::vector<TaskProgress> &tasks)
+{
+    readTaskRows(record, field, tasks, [](const json &row, TaskProgress &task) {
+        row.at(3).get_to(task.waitingSinceUnixMs);
+    });
+}
+
 } // namespace
 
 std::string encodeProgress(const JobProgress &progress)
 {
-    return toBytes(
-        json::array({static_cast<int>(progress.state), progress.finalAtUnixMs, progress.isStarted,
-                     toJson(progress.tasks), crashesToJson(progress.tasks)}));
+    return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
+                                progress.isStarted, toJson(progress.tasks),
+                                crashesToJson(progress.tasks), waitsToJson(progress.tasks)}));
 }
 
 JobProgress decodeProgress(std::string_view bytes)
@@ -313,6 +343,7 @@
         row.at(2).get_to(progress.isStarted);
         progress.tasks = toTasks(row.at(3));
         readCrashes(row, 4, progress.tasks);
+        readWaits(row, 5, progress.tasks);
         return progress;
     } catch (const json::exception &e) {
         throw JobRecordError(std::string("progress record: ") + e.what());
@@ -323,7 +354,7 @@
 {
     const std::string spec = encodeSpec(delegation.spec, delegation.submittedAtUnixMs);
     return toBytes(json::array({json::binary({spec.begin(), spec.end()}), toJson(delegation.tasks),
-                                crashesToJson(delegation.tasks)}));
+                                crashesToJson(delegation.tasks), waitsToJson(delegation.tasks)}));
 }
 
 TaskDelegation decodeDelegation(std::string_view bytes)
@@ -336,6 +367,7 @@
             decodeSpec(std::string(spec.begin(), spec.end()), delegation.submittedAtUnixMs);
         delegation.tasks = toTasks(row.at(1));
         readCrashes(row, 2, delegation.tasks);
+        readWaits(row, 3, delegation.tasks);
         for (const TaskProgress &it : delegation.tasks) {
             const bool isTask = delegation.spec.repetitions == 0 && it.occurrence == 0
                                 && it.step < delegation.spec.steps.size()
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -23,8 +23,8 @@
     bool operator==(const CrashHistory &) const = default;
 };
 
-/// Durable progress of a task that is done, has failed, has saved a checkpoint or may have crashed
-/// a worker.
+/// Durable progress of a task that is done, has failed, has saved a checkpoint, may have crashed a
+/// worker or waits for one.
 struct TaskProgress
 {
     std::uint32_t occurrence = 0;
@@ -37,6 +37,9 @@
     std::optional<int> guest; ///< Cell that the task was delegated to, if any.
     std::uint32_t run = 0;    ///< Of a delegated task: no earlier run has a higher number.
     CrashHistory crashes;
+    /// Long-running task: when its wait for a worker began, of a delegated one its wait at home; 0
+    /// if it doesn't wait.
+    std::int64_t waitingSinceUnixMs = 0;
 };
 
 /// Durable progress of one job.
