Prefer the VM that started last as the next owner of a cell

Cause: VMs of equal resources were ranked by a hash of name and cell, whether or not the restart had yet to reach them.

Change: the announcement carries the start of the process (started_at, Unix ms; a build without it ignores the field, and a record without it counts as the oldest). Of VMs with equal resources for a cell the latest start ranks first; starts within the same second are ordered by the hash as before, so that a fleet that starts at once spreads its cells. Resources go first as before, so that a VM that owns a cell already comes after an idle one; hasMuchBetterOwner() doesn't look at starts. A withdrawn VM has no announcement and no rank.

Why it works: a rolling restart comes last to the VM that it restarted last. The order depends on records only, not on when they were read, so that all VMs agree on it, also a reader that has just started and VMs whose clocks differ; only announcements in flight, or VMs of two builds, can make candidates collide, which the conditional append of the claim settles.

A process in a restart loop gets a cell only when another owner leaves, as before its announcement is read.

--- a/src/CellLease/DirectoryRecord.cpp
+++ b/src/CellLease/DirectoryRecord.cpp
@@ -44,17 +44,22 @@
     return isNumber && cell >= 0 ? std::optional(cell) : std::nullopt;
 }
 
-std::string encodeCapacity(const VmCapacity &capacity)
+std::string encodeAnnouncement(const VmAnnouncement &announcement)
 {
-    return nlohmann::json{{"cpu_share", capacity.cpuShare}, {"link_mbps", capacity.linkMbps}}
-        .dump();
+    const VmCapacity &capacity = announcement.capacity;
+    nlohmann::json object = {{"cpu_share", capacity.cpuShare}, {"link_mbps", capacity.linkMbps}};
+    if (announcement.startedAtUnixMs != 0) {
+        object["started_at"] = announcement.startedAtUnixMs;
+    }
+    return object.dump();
 }
 
-VmCapacity decodeCapacity(std::string_view bytes)
+VmAnnouncement decodeAnnouncement(std::string_view bytes)
 {
     try {
         const auto object = nlohmann::json::parse(bytes);
-        VmCapacity capacity;
+        VmAnnouncement announcement;
+        VmCapacity &capacity = announcement.capacity;
         object.at("cpu_share").get_to(capacity.cpuShare);
         object.at("link_mbps").get_to(capacity.linkMbps);
         const bool isValid = std::isfinite(capacity.cpuShare) && capacity.cpuShare > 0
@@ -62,7 +67,10 @@
         if (!isValid) {
             throw ClaimRecordError("VM capacity: cpu_share and link_mbps must be positive");
         }
-        return capacity;
+        if (const auto it = object.find("started_at"); it != object.end()) {
+            it->get_to(announcement.startedAtUnixMs);
+        }
+        return announcement;
     } catch (const nlohmann::json::exception &e) {
         throw ClaimRecordError(std::string("VM capacity: ") + e.what());
     }
--- a/src/CellLease/DirectoryRecord.h
+++ b/src/CellLease/DirectoryRecord.h
@@ -2,6 +2,7 @@
 
 #include "Core/VmCapacity.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,8 +18,18 @@
 /// The cell that the record with \a key describes, if it describes one.
 std::optional<int> cellOfRecord(std::string_view key);
 
-std::string encodeCapacity(const VmCapacity &capacity);
-/// \throws ClaimRecordError if a field is missing or malformed.
-VmCapacity decodeCapacity(std::string_view bytes);
+/// What a VM announces of itself.
+struct VmAnnouncement
+{
+    VmCapacity capacity;
+    /// Start of the process by the clock of its VM; 0 if unknown, as from an earlier build.
+    std::int64_t startedAtUnixMs = 0;
+
+    bool operator==(const VmAnnouncement &) const = default;
+};
+
+std::string encodeAnnouncement(const VmAnnouncement &announcement);
+/// \throws ClaimRecordError if a field is malformed, or one of the capacity missing.
+VmAnnouncement decodeAnnouncement(std::string_view bytes);
 
 } // namespace firefly
--- a/src/CellLease/FleetDirectory.cpp
+++ b/src/CellLease/FleetDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace firefly {
@@ -16,7 +17,14 @@
     return std::min(vm.cpuShare, vm.linkMbps / LinkMbpsPerCore) / std::max(1, cells);
 }
 
-/// Orders VMs with equal resources, differently for each cell.
+/// Orders VMs with equal resources: the latest starts first.  The start comes from the
+/// announcement, so that all processes agree on the order.
+std::int64_t startOrder(const VmAnnouncement &announcement)
+{
+    return -(announcement.startedAtUnixMs / FleetDirectory::StartSpan.count());
+}
+
+/// Orders VMs with equal resources and starts, differently for each cell.
 std::size_t tieBreaker(const std::string &node, int cell)
 {
     return std::hash<std::string>()(node + "/" + std::to_string(cell));
@@ -24,9 +32,10 @@
 
 } // namespace
 
-void FleetDirectory::onVm(const std::string &node, const VmCapacity &capacity, TimePoint now)
+void FleetDirectory::onVm(const std::string &node, const VmAnnouncement &announcement,
+                          TimePoint now)
 {
-    m_vms[node] = {capacity, now};
+    m_vms[node] = {announcement, now};
     m_firstVmAt = m_firstVmAt.value_or(now);
     m_latestVmAt = std::max(m_latestVmAt, now);
 }
@@ -85,7 +94,7 @@
     std::vector<VmCapacity> result;
     for (const auto &[name, vm] : m_vms) {
         if (isSeenWithin(VmTimeout, vm)) {
-            result.push_back(vm.capacity);
+            result.push_back(vm.announcement.capacity);
         }
     }
     return result;
@@ -111,7 +120,11 @@
     }
     const auto otherCounts = countOtherCells(cell);
     const OwnershipClaim *last = findCell(cell);
-    const double own = shareForCell(self->second.capacity, otherCells + 1);
+    const auto keyOf = [cell](const std::string &name, const Vm &vm, int others) {
+        return std::tuple(-shareForCell(vm.announcement.capacity, others + 1),
+                          startOrder(vm.announcement), tieBreaker(name, cell));
+    };
+    const auto own = keyOf(node, self->second, otherCells);
     int rank = 0;
     for (const auto &[name, vm] : m_vms) {
         if (name == node || !isSeenWithin(VmTimeout, vm) || (last && last->node == name)) {
@@ -119,9 +132,7 @@
         }
         const auto count = otherCounts.find(name);
         const int others = count == otherCounts.end() ? 0 : count->second;
-        const double share = shareForCell(vm.capacity, others + 1);
-        const bool isTie = share == own;
-        rank += share > own || (isTie && tieBreaker(name, cell) < tieBreaker(node, cell)) ? 1 : 0;
+        rank += keyOf(name, vm, others) < own ? 1 : 0;
     }
     return rank;
 }
@@ -133,12 +144,13 @@
         return false;
     }
     const auto otherCounts = countOtherCells(cell);
-    const double needed = HandoverRatio * shareForCell(self->second.capacity, ownedCells);
+    const double needed =
+        HandoverRatio * shareForCell(self->second.announcement.capacity, ownedCells);
     return std::ranges::any_of(m_vms, [&](const auto &it) {
         const auto count = otherCounts.find(it.first);
         const int others = count == otherCounts.end() ? 0 : count->second;
         return it.first != node && isSeenWithin(HandoverFreshness, it.second)
-               && shareForCell(it.second.capacity, others + 1) >= needed;
+               && shareForCell(it.second.announcement.capacity, others + 1) >= needed;
     });
 }
 
--- a/src/CellLease/FleetDirectory.h
+++ b/src/CellLease/FleetDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CellLease/CellElection.h"
+#include "CellLease/DirectoryRecord.h"
 #include "Core/VmCapacity.h"
 
 #include <map>
@@ -24,6 +25,9 @@
     static constexpr Duration VmInterval = std::chrono::seconds(4);
     /// A VM without an announcement for this long, measured to the latest of any VM, is left out.
     static constexpr Duration VmTimeout = std::chrono::seconds(13);
+    /// VMs that started within the same such span, as those of a fleet that starts at once, are
+    /// ordered by their names.
+    static constexpr std::chrono::milliseconds StartSpan = std::chrono::seconds(1);
     /// Only a VM that announced itself this lately is worth a hand-over.
     static constexpr Duration HandoverFreshness = std::chrono::seconds(6);
     /// Candidates that follow the claims of a cell besides its owner.
@@ -38,7 +42,7 @@
 
     // Inputs
 
-    void onVm(const std::string &node, const VmCapacity &capacity, TimePoint now);
+    void onVm(const std::string &node, const VmAnnouncement &announcement, TimePoint now);
     /// A VM has withdrawn its announcement.
     void onVmGone(const std::string &node) { m_vms.erase(node); }
     /// A publication of an owner of \a cell, whose renewal counts its publications.  One that is
@@ -59,9 +63,9 @@
     /// Capacities of the VMs that announced themselves lately.
     std::vector<VmCapacity> capacities() const;
     /// Number of VMs that can give \a cell more resources than \a node, which owns or claims
-    /// \a otherCells other cells.  The last owner of the cell isn't counted.  A \a node that isn't
-    /// known yet comes first in a fleet of up to LostCellStandbyCount VMs and last in a larger one.
-    /// O(VMs + cells).
+    /// \a otherCells other cells, or as many but started later: a rolling restart comes to them
+    /// last.  The last owner of the cell isn't counted.  A \a node that isn't known yet comes first
+    /// in a fleet of up to LostCellStandbyCount VMs and last in a larger one.  O(VMs + cells).
     int rankOf(const std::string &node, int cell, int otherCells) const;
     /// True if some VM other than \a node, which owns \a ownedCells cells with \a cell, has
     /// HandoverRatio times its resources for the cell.  O(VMs + cells).
@@ -70,7 +74,7 @@
 private:
     struct Vm
     {
-        VmCapacity capacity;
+        VmAnnouncement announcement;
         TimePoint seenAt{};
     };
     struct Cell
--- a/src/Node/DirectoryClient.cpp
+++ b/src/Node/DirectoryClient.cpp
@@ -2,6 +2,7 @@
 
 #include "CellLease/ClaimRecord.h"
 #include "CellLease/DirectoryRecord.h"
+#include "Core/UnixTime.h"
 #include "Node/TopicFollower.h"
 
 #include <asio/basic_waitable_timer.hpp>
@@ -81,7 +82,7 @@
         }
         try {
             if (node) {
-                directory.onVm(*node, decodeCapacity(*record.value), now);
+                directory.onVm(*node, decodeAnnouncement(*record.value), now);
             } else if (const auto cell = cellOfRecord(record.key)) {
                 directory.onCell(*cell, decodeClaim(*record.value), now);
             }
@@ -124,7 +125,7 @@
 
     void announce()
     {
-        put(vmRecordKey(settings.node), encodeCapacity(settings.capacity));
+        put(vmRecordKey(settings.node), encodeAnnouncement({settings.capacity, startedAtUnixMs}));
         announceTimer.expires_after(FleetDirectory::VmInterval);
         announceTimer.async_wait([weak = weak_from_this()](asio::error_code ec) {
             const auto self = weak.lock();
@@ -201,6 +202,7 @@
     bool isOwner = false;
     TimePoint fastUntil{};
     TimePoint startedAt = Clock::now();
+    std::int64_t startedAtUnixMs = unixMs();
     TimePoint lastReadAt{};
 };
 
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -6,6 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,8 +17,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr VmCapacity Strong{0.5, 200};
-constexpr VmCapacity Weak{0.069, 20};
+constexpr VmAnnouncement Strong{{0.5, 200}};
+constexpr VmAnnouncement Weak{{0.069, 20}};
 constexpr TimePoint Start{100s};
 
 OwnershipClaim makeClaim(const std::string &node, Epoch epoch, std::uint64_t renewal)
@@ -248,9 +251,185 @@
     EXPECT_EQ(makeFleet(0, 30).rankOf("new-vm", 0, 0), 0);
 }
 
+/// Six equal VMs with three cells that are restarted in turn.
+class RollingRestart
+{
+public:
+    static constexpr int VmCount = 6;
+    static constexpr int CellCount = 3;
+    static constexpr Duration StopInterval = 1300ms;
+    static constexpr Duration BootTime = 1s;
+
+    /// Names that begin with \a prefix; other names fall into another order where VMs are equal.
+    explicit RollingRestart(const std::string &prefix)
+    {
+        for (int i = 0; i < VmCount; ++i) {
+            m_names.push_back(prefix + std::to_string(i));
+            announce(i, -3600s);
+        }
+        for (int cell = 0; cell < CellCount; ++cell) {
+            moveCell(cell, -1);
+        }
+        m_changes.assign(CellCount, 0);
+    }
+
+    void run()
+    {
+        constexpr Duration Step = 100ms;
+        const Duration end = VmCount * StopInterval + BootTime;
+        for (Duration at{}; at <= end; at += Step) {
+            for (int i = 0; i < VmCount; ++i) {
+                const Duration start = i * StopInterval + BootTime;
+                if (at == i * StopInterval) {
+                    stop(i);
+                } else if (at == start) {
+                    announce(i, start);
+                }
+            }
+        }
+    }
+
+    int changes(int cell) const { return m_changes.at(static_cast<std::size_t>(cell)); }
+    /// Number of changes of owner if each cell goes to the VM that is stopped last, or never again.
+    int idealChanges(int cell) const
+    {
+        const int first = m_firstOwners.at(static_cast<std::size_t>(cell));
+        int changes = 0;
+        for (int owner = first; owner >= 0;) {
+            const Duration stop = owner * StopInterval;
+            const bool isAnyBack = stop >= BootTime;
+            owner = isAnyBack || owner == VmCount - 1 ? -1 : VmCount - 1;
+            ++changes;
+        }
+        return changes;
+    }
+    /// Number of cells that moved to a VM which was still to be stopped, though one was back that
+    /// owned no cell.
+    int needlessChanges() const { return m_needlessChanges; }
+
+private:
+    void announce(int vm, Duration startedAt)
+    {
+        const auto sinceEpoch = 1'765'000'000s + startedAt;
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch);
+        m_fleet.onVm(m_names.at(static_cast<std::size_t>(vm)), {Strong.capacity, ms.count()},
+                     Start);
+        m_isUp[vm] = true;
+        m_isBack[vm] = startedAt >= Duration{};
+    }
+
+    void stop(int vm)
+    {
+        m_isUp[vm] = false;
+        m_fleet.onVmGone(m_names.at(static_cast<std::size_t>(vm)));
+        for (int cell = 0; cell < CellCount; ++cell) {
+            if (m_owners.at(static_cast<std::size_t>(cell)) == vm) {
+                moveCell(cell, vm);
+            }
+        }
+    }
+
+    void moveCell(int cell, int from)
+    {
+        int next = -1;
+        bool isAnyBack = false;
+        for (int i = 0; i < VmCount; ++i) {
+            const int others = static_cast<int>(std::ranges::count(m_owners, i));
+            const std::string &name = m_names.at(static_cast<std::size_t>(i));
+            if (!m_isUp[i] || i == from) {
+                continue;
+            }
+            isAnyBack = isAnyBack || (m_isBack[i] && others == 0);
+            next = m_fleet.rankOf(name, cell, others) == 0 ? i : next;
+        }
+        ASSERT_GE(next, 0) << "cell " << cell << " has no candidate of rank 0";
+        m_owners.at(static_cast<std::size_t>(cell)) = next;
+        if (from < 0) {
+            m_firstOwners.at(static_cast<std::size_t>(cell)) = next;
+        }
+        m_needlessChanges += isAnyBack && !m_isBack[next] ? 1 : 0;
+        ++m_changes.at(static_cast<std::size_t>(cell));
+        const std::string &name = m_names.at(static_cast<std::size_t>(next));
+        m_fleet.onCell(cell, makeClaim(name, ++m_epoch, 1), Start);
+    }
+
+    FleetDirectory m_fleet;
+    std::vector<std::string> m_names;
+    std::map<int, bool> m_isUp;
+    std::map<int, bool> m_isBack; ///< Up after its restart.
+    std::vector<int> m_owners = std::vector<int>(CellCount, -1);
+    std::vector<int> m_firstOwners = std::vector<int>(CellCount, -1);
+    std::vector<int> m_changes = std::vector<int>(CellCount, 0);
+    int m_needlessChanges = 0;
+    Epoch m_epoch = 0;
+};
+
+// In rolling restarts (issue 58) cells went to VMs that were stopped themselves a second later.
+TEST(FleetDirectory, InARollingRestartCellsGoToVmsThatAreBack)
+{
+    constexpr int FleetCount = 20;
+    int changes = 0;
+    int ideal = 0;
+    int needless = 0;
+    for (int fleet = 0; fleet < FleetCount; ++fleet) {
+        RollingRestart restart("fleet-" + std::to_string(fleet) + "-");
+        restart.run();
+        needless += restart.needlessChanges();
+        for (int cell = 0; cell < RollingRestart::CellCount; ++cell) {
+            changes += restart.changes(cell);
+            ideal += restart.idealChanges(cell);
+        }
+    }
+    RecordProperty("changes", changes);
+    RecordProperty("ideal", ideal);
+    EXPECT_EQ(needless, 0) << changes << " changes of owner, at best " << ideal;
+}
+
+TEST(FleetDirectory, AVmOfAnEarlierBuildCountsAsTheOldest)
+{
+    FleetDirectory fleet;
+    fleet.onVm("old", decodeAnnouncement(R"({"cpu_share":0.5,"link_mbps":200})"), Start);
+    fleet.onVm("new", {Strong.capacity, 1'765'000'000'123}, Start);
+    for (int cell = 0; cell < 10; ++cell) {
+        EXPECT_EQ(fleet.rankOf("new", cell, 0), 0);
+        EXPECT_EQ(fleet.rankOf("old", cell, 0), 1);
+    }
+}
+
+TEST(FleetDirectory, ALaterStartDoesNotOutweighResources)
+{
+    FleetDirectory fleet;
+    fleet.onVm("weak", {Weak.capacity, 9'000'000}, Start);
+    fleet.onVm("strong", {Strong.capacity, 1'000'000}, Start);
+    EXPECT_EQ(fleet.rankOf("strong", 0, 0), 0);
+    EXPECT_TRUE(fleet.hasMuchBetterOwner("weak", 0, 1));
+    EXPECT_FALSE(fleet.hasMuchBetterOwner("strong", 0, 1));
+}
+
+// Equal ranks at the first start would leave all cells to the VM whose process was the last.
+TEST(FleetDirectory, AFleetThatStartsAtOnceSpreadsItsCells)
+{
+    constexpr int VmCount = 6;
+    FleetDirectory fleet;
+    for (int i = 0; i < VmCount; ++i) {
+        fleet.onVm(strongVm(i), {Strong.capacity, 1'000'000 + 50 * i}, Start);
+    }
+    std::set<int> firsts;
+    for (int cell = 0; cell < 12; ++cell) {
+        for (int i = 0; i < VmCount; ++i) {
+            if (fleet.rankOf(strongVm(i), cell, 0) == 0) {
+                firsts.insert(i);
+            }
+        }
+    }
+    EXPECT_GE(firsts.size(), 3U);
+}
+
 TEST(FleetDirectory, RecordsAreUnchangedAfterEncodingAndDecoding)
 {
-    EXPECT_EQ(decodeCapacity(encodeCapacity(Weak)), Weak);
+    EXPECT_EQ(decodeAnnouncement(encodeAnnouncement(Weak)), Weak);
+    const VmAnnouncement started{Strong.capacity, 1'765'000'000'123};
+    EXPECT_EQ(decodeAnnouncement(encodeAnnouncement(started)), started);
     EXPECT_EQ(vmOfRecord(vmRecordKey("front-1")), "front-1");
     EXPECT_EQ(cellOfRecord(cellRecordKey(11)), 11);
     EXPECT_FALSE(vmOfRecord(cellRecordKey(1)).has_value());
@@ -293,8 +472,9 @@
     }
     for (const char *bytes :
          {"", "{", "[]", "{}", R"({"cpu_share":"x","link_mbps":1})",
-          R"({"cpu_share":0,"link_mbps":1})", R"({"cpu_share":1,"link_mbps":-1})"}) {
-        EXPECT_THROW(decodeCapacity(bytes), ClaimRecordError) << bytes;
+          R"({"cpu_share":0,"link_mbps":1})", R"({"cpu_share":1,"link_mbps":-1})",
+          R"({"cpu_share":1,"link_mbps":1,"started_at":"x"})"}) {
+        EXPECT_THROW(decodeAnnouncement(bytes), ClaimRecordError) << bytes;
     }
 }
 
