Refuse long-running jobs without room beside displaced tasks

Cause: CellScheduler::admit() didn't limit long-running jobs, so that their first starts competed with displaced tasks for capacity.

The test of referred jobs was added after the change and wasn't run on the code before.

Change: while displaced tasks wait, a new long-running job is refused ("no room", Retry-After 4 to 8 s) unless each of its tasks has a piece beside the tasks that wait and those on draining workers (LongRunningRoom). Capacity of batch tasks counts as room. Known and scheduled jobs are never refused, nor is any job before the listed workers of a new owner have answered. As a batch job, it is referred to spare capacity first; a referred job is decided by its guest and not referred again, and a repeated submission follows the stored referral.

Why it works: an accepted job fits into pieces that no waiting task is counted on for. A refused job leaves no record of the job, thus never starts.

--- a/src/Admission/BacklogAdmission.cpp
+++ b/src/Admission/BacklogAdmission.cpp
@@ -47,9 +47,11 @@
     case AdmissionReason::Late:
         return "late";
     case AdmissionReason::Backlog:
+        return "backlog";
+    case AdmissionReason::NoRoom:
         break;
     }
-    return "backlog";
+    return "no room";
 }
 
 Duration BacklogAdmission::halfLife() const
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -560,7 +560,7 @@
         const BacklogAdmission::Decision decision = scheduler.admit(id, spec, Clock::now());
         if (decision.isRefused()) {
             if (isReferred || !referToSpareCapacity(id, spec, done)) {
-                refuseForBacklog(id, spec, decision, done);
+                refuseForLoad(id, spec, decision, done);
             }
             return;
         }
@@ -590,13 +590,15 @@
         return true;
     }
 
-    void refuseForBacklog(const JobId &id, const JobSpec &spec,
-                          const BacklogAdmission::Decision &decision, const OnCallerReply &done)
+    void refuseForLoad(const JobId &id, const JobSpec &spec,
+                       const BacklogAdmission::Decision &decision, const OnCallerReply &done)
     {
         const auto toMs = [](Duration it) {
             return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
         };
-        metrics.add("firefly_admission_refusals_total{reason=\"backlog\"}");
+        const bool isRoomMissing = decision.reason == AdmissionReason::NoRoom;
+        metrics.add(isRoomMissing ? "firefly_admission_refusals_total{reason=\"room\"}"
+                                  : "firefly_admission_refusals_total{reason=\"backlog\"}");
         log.write(LogLevel::Info, "cell", "job refused", [&] {
             return nlohmann::json{{"job", id.value()},
                                   {"cell", options.cell},
@@ -605,10 +607,12 @@
                                   {"ahead_core_s", decision.ahead},
                                   {"rate_cores", decision.rate},
                                   {"expected_ms", toMs(decision.expectedTime)},
+                                  {"displaced_tasks", decision.displacedTasks},
                                   {"retry_after_ms", toMs(decision.retryAfter)}};
         });
         CallerReply reply{CallerOutcome::Refused, JobState::Queued, 0,
-                          "the backlog is too long for the job to end in time"};
+                          isRoomMissing ? "there is no room for the tasks of the job"
+                                        : "the backlog is too long for the job to end in time"};
         reply.retryAfter = decision.retryAfter;
         done(reply);
     }
