Don't offer capacity that is kept for a displaced task to other cells

Cause: one figure for tasks with different rights. The new test fails with it (3000 for less than 3000) and passes without.

--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -144,8 +144,6 @@
         ServiceRoom &room = rooms[worker->info.service];
         ResourceVector free = worker->freeRoom();
         free.subtract(worker->held);
-        // A delegated task that has run before may take it.
-        free.add(worker->heldForBatchEnds);
         const auto keepLarger = [](ResourceVector &largest, const ResourceVector &it) {
             largest = it.milliCpu > largest.milliCpu ? it : largest;
         };
--- a/test/IdleRoomBesideWaitingTasks.cpp
+++ b/test/IdleRoomBesideWaitingTasks.cpp
@@ -74,5 +74,17 @@
     }
 }
 
+// Guards against an offer of capacity that is kept for a displaced task of this cell: first starts
+// and batch tasks of other cells couldn't take it here.
+TEST(IdleRoomBesideWaitingTasks, KeptCapacityIsNotOfferedToOtherCells)
+{
+    CellWorld world(1, 5);
+    fill(world);
+    drainWorkerOf(world, "large0");
+    drainWorkerOf(world, "large1");
+    world.run(200ms);
+    EXPECT_LT(world.owner->roomByService().at("svc").largestFree.milliCpu, 3000);
+}
+
 } // namespace
 } // namespace firefly
