Leave kept capacity to tasks that are down

Now only tasks that are down take it, and the next pass searches for the others. IdleRoomBesideWaitingTasks and the tests of Defragmenter, reservations and overtaking pass.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -274,7 +274,7 @@
                 || ref.spec().isGang || isFinal(ref.job->state) || m_reservations.contains(ref)) {
                 continue;
             }
-            if (CellWorker *worker = chooseWorkerForDisplaced(ref, now)) {
+            if (CellWorker *worker = chooseWorker(ref, now)) {
                 m_reservations.add(ref, *worker, CapacityReservations::Kind::Free, now);
             } else {
                 m_waiting.push_back(ref);
@@ -538,6 +538,8 @@
     CellWorker *worker = chooseWorkerBy(ref, now, &CapacityReservations::availableBeforeBatchEnds);
     if (worker) {
         m_reservations.removeBatchEnds(*worker);
+        // The tasks that lose their reservations search again.
+        m_state.wantsPlacement = true;
     }
     return worker;
 }
