A process with a claim in flight has not resigned yet

A process whose drain ended while its claim was in flight, or was stored but not released yet, left the cell to an owner that was gone: nobody claims it for 2.2 s. Now the drain also waits for the answer to the claim and for the release. NodeDrain passes.

--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -777,7 +777,9 @@
 
 bool CellHost::hasResigned() const
 {
-    return !m_private->isOwning;
+    // A claim in flight may still be stored; without a release others would wait for its owner.
+    const CellElection &election = m_private->election;
+    return !m_private->isOwning && !election.isOwner() && !election.isClaiming();
 }
 
 void CellHost::submit(const JobId &id, JobSpec spec, bool isReferred, OnCallerReply done)
