--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -372,18 +372,19 @@
         const TimePoint wait = waitToRecord(job, task);
         return wait != task.recordedWait && (wait == TimePoint{} || now - wait >= MinRecordedWait);
     };
-    for (const auto &[id, job] : m_state.jobs) {
-        if (isFinal(job->state) || !job->isLongRunning()) {
+    for (const auto &entry : m_state.jobs) {
+        CellJob &job = *entry.second;
+        if (isFinal(job.state) || !job.isLongRunning()) {
             continue;
         }
-        const bool hasDue = std::ranges::any_of(job->occurrences, [&](const Occurrence &it) {
+        const bool hasDue = std::ranges::any_of(job.occurrences, [&](const Occurrence &it) {
             return std::ranges::any_of(it.steps, [&](const StepRun &step) {
                 return std::ranges::any_of(step.tasks,
-                                           [&](const CellTask &task) { return isDue(*job, task); });
+                                           [&](const CellTask &task) { return isDue(job, task); });
             });
         });
         if (hasDue) {
-            recordProgress(*job);
+            recordProgress(job);
         }
     }
 }
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -397,6 +397,14 @@
 
 // Random schedules
 
+/// A read of the topic that awaits its answer.
+struct Read
+{
+    std::size_t from = 0;
+    std::optional<std::size_t> end; ///< Set if the records were read when the call was made.
+    TimePoint answeredAt{};
+};
+
 /// Candidates of one cell on a topic whose calls are delayed, lost or processed late.
 class RandomElections
 {
@@ -432,12 +440,6 @@
     static constexpr Duration MaxReadDelay = 1s;
     static constexpr Duration AppendTimeout = 1600ms;
 
-    struct Read
-    {
-        std::size_t from = 0;
-        std::optional<std::size_t> end; ///< Set if the records were read when the call was made.
-        TimePoint answeredAt{};
-    };
     struct SentAppend
     {
         CellElection::Append append;
