Revert "Refuse long-running jobs without room beside displaced tasks"

The review (by reading): never-run tasks of a restored job count as displaced, so that a refusal can last for good; only the home cell is asked.

--- a/src/Admission/BacklogAdmission.cpp
+++ b/src/Admission/BacklogAdmission.cpp
@@ -47,11 +47,9 @@
     case AdmissionReason::Late:
         return "late";
     case AdmissionReason::Backlog:
-        return "backlog";
-    case AdmissionReason::NoRoom:
         break;
     }
-    return "no room";
+    return "backlog";
 }
 
 Duration BacklogAdmission::halfLife() const
--- a/src/Admission/BacklogAdmission.h
+++ b/src/Admission/BacklogAdmission.h
@@ -3,7 +3,6 @@
 #include "Admission/ServiceTimeEstimate.h"
 #include "Core/Clock.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -11,14 +10,12 @@
 
 /// Why a new job was accepted or refused.
 enum class AdmissionReason : std::uint8_t {
-    NotLimited,   ///< Known or scheduled, of a queue without an objective, or long-running while
-                  ///< no displaced task waits.
-    FreeCapacity, ///< Nothing waits, or the job has room.
+    NotLimited,   ///< Known, long-running or scheduled, or of a queue without an objective.
+    FreeCapacity, ///< Nothing waits, or the job can start at once.
     RateUnknown,  ///< Too little finished under load to predict an end.
     InTime,       ///< Expected to meet its objective.
     Late,         ///< Expected to end late, but while its caller still has a use for it.
     Backlog,      ///< Refused: expected to end too late.
-    NoRoom,       ///< Refused: long-running, without room beside the displaced tasks that wait.
 };
 
 /// Name of \a reason in log lines.
@@ -63,14 +60,10 @@
         AdmissionReason reason = AdmissionReason::FreeCapacity;
         double ahead = 0.0;
         double rate = 0.0;
-        Duration expectedTime{};        ///< Until the job's end; 0 if not predicted.
-        Duration retryAfter{};          ///< In whole seconds; 0 unless refused.
-        std::size_t displacedTasks = 0; ///< That wait for the room; set with NoRoom.
+        Duration expectedTime{}; ///< Until the job's end; 0 if not predicted.
+        Duration retryAfter{};   ///< In whole seconds; 0 unless refused.
 
-        bool isRefused() const
-        {
-            return reason == AdmissionReason::Backlog || reason == AdmissionReason::NoRoom;
-        }
+        bool isRefused() const { return reason == AdmissionReason::Backlog; }
     };
 
     /// Decides on a new job; one that isn't refused counts as accepted.
--- a/src/Cell/CellAdmission.cpp
+++ b/src/Cell/CellAdmission.cpp
@@ -2,7 +2,6 @@
 
 #include "Admission/RetryAdvice.h"
 #include "Cell/CellScheduler.h"
-#include "Cell/LongRunningRoom.h"
 #include "Cell/PlacementRules.h"
 #include "Cell/TaskLedger.h"
 
@@ -12,9 +11,6 @@
 namespace {
 
 constexpr Duration WaitingUpdateInterval = std::chrono::milliseconds(100);
-/// Least time after which a long-running job without room should return; up to twice as long, so
-/// that refused jobs don't return together.
-constexpr Duration RoomRetryAfter = std::chrono::seconds(4);
 
 /// True if Placement serves \a job before \a other, a new job, once both are late.
 bool precedes(const CellJob &job, const CellJob &other, TimePoint now)
@@ -101,13 +97,8 @@
     job.spec = spec;
     BacklogAdmission::Decision notLimited;
     notLimited.reason = AdmissionReason::NotLimited;
-    if (isKnown(id) || job.isScheduled()) {
-        return notLimited;
-    }
-    if (job.isLongRunning()) {
-        return admitLongRunning(id, spec);
-    }
-    if (spec.policy.targetLatencyMs <= 0) {
+    if (isKnown(id) || job.isLongRunning() || job.isScheduled()
+        || spec.policy.targetLatencyMs <= 0) {
         return notLimited;
     }
     double fillerCpu = 0.0;
@@ -145,25 +136,6 @@
     return admission.decide(request, now);
 }
 
-BacklogAdmission::Decision CellScheduler::admitLongRunning(const JobId &id,
-                                                           const JobSpec &spec) const
-{
-    BacklogAdmission::Decision decision;
-    const LongRunningRoom room(m_state, spec.policy.service);
-    if (!room.hasDisplaced() || !room.isKnown()) {
-        decision.reason = AdmissionReason::NotLimited;
-        return decision;
-    }
-    if (room.fits(spec)) {
-        return decision;
-    }
-    const auto spread = std::chrono::duration_cast<Duration>(RoomRetryAfter * spreadOf(id.value()));
-    decision.reason = AdmissionReason::NoRoom;
-    decision.displacedTasks = room.displacedCount();
-    decision.retryAfter = std::chrono::ceil<std::chrono::seconds>(RoomRetryAfter + spread);
-    return decision;
-}
-
 void CellScheduler::updateWaiting(TimePoint now)
 {
     if (now - m_lastWaitingUpdate < WaitingUpdateInterval) {
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -63,10 +63,8 @@
     /// Submits a job; a repeated submission of \a id shares the verdict of the first.
     void submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
                 const OnVerdict &onVerdict);
-    /// Decides whether a new job should be submitted here: a batch job by the work that would be
-    /// served before it, a long-running one by the room beside displaced tasks.  O(jobs + tasks of
-    /// started jobs) under load, O(workers) otherwise; for a long-running job O(tasks), while
-    /// displaced tasks wait O(waiting tasks x workers).
+    /// Decides whether a new job should be submitted here, by the work that would be served before
+    /// it.  O(jobs + tasks of started jobs) under load, O(workers) otherwise.
     BacklogAdmission::Decision admit(const JobId &id, const JobSpec &spec, TimePoint now);
     /// Refers the job \a id to \a cell; the verdict is Accepted once the referral is durable.
     void refer(const JobId &id, int cell, std::int64_t nowUnixMs, const OnVerdict &onVerdict);
@@ -204,7 +202,6 @@
     };
     RemainingWork remainingWork(const CellJob &job, const WorkQueue &queue,
                                 const BacklogAdmission &admission) const;
-    BacklogAdmission::Decision admitLongRunning(const JobId &id, const JobSpec &spec) const;
     /// True if some worker has room for a first task of \a job.
     bool hasRoomFor(CellJob &job, TimePoint now) const;
     /// Tells the admission control of each queue whether its tasks wait, as far as due.  Call it
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -575,7 +575,7 @@
         const BacklogAdmission::Decision decision = scheduler.admit(id, spec, Clock::now());
         if (decision.isRefused()) {
             if (isReferred || !referToSpareCapacity(id, spec, done)) {
-                refuseForLoad(id, spec, decision, done);
+                refuseForBacklog(id, spec, decision, done);
             }
             return;
         }
@@ -605,15 +605,13 @@
         return true;
     }
 
-    void refuseForLoad(const JobId &id, const JobSpec &spec,
-                       const BacklogAdmission::Decision &decision, const OnCallerReply &done)
+    void refuseForBacklog(const JobId &id, const JobSpec &spec,
+                          const BacklogAdmission::Decision &decision, const OnCallerReply &done)
     {
         const auto toMs = [](Duration it) {
             return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
         };
-        const bool isRoomMissing = decision.reason == AdmissionReason::NoRoom;
-        metrics.add(isRoomMissing ? "firefly_admission_refusals_total{reason=\"room\"}"
-                                  : "firefly_admission_refusals_total{reason=\"backlog\"}");
+        metrics.add("firefly_admission_refusals_total{reason=\"backlog\"}");
         log.write(LogLevel::Info, "cell", "job refused", [&] {
             return nlohmann::json{{"job", id.value()},
                                   {"cell", options.cell},
@@ -622,12 +620,10 @@
                                   {"ahead_core_s", decision.ahead},
                                   {"rate_cores", decision.rate},
                                   {"expected_ms", toMs(decision.expectedTime)},
-                                  {"displaced_tasks", decision.displacedTasks},
                                   {"retry_after_ms", toMs(decision.retryAfter)}};
         });
         CallerReply reply{CallerOutcome::Refused, JobState::Queued, 0,
-                          isRoomMissing ? "there is no room for the tasks of the job"
-                                        : "the backlog is too long for the job to end in time"};
+                          "the backlog is too long for the job to end in time"};
         reply.retryAfter = decision.retryAfter;
         done(reply);
     }
