--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -276,6 +276,8 @@
             }
             if (CellWorker *worker = chooseWorker(ref, now)) {
                 m_reservations.add(ref, *worker, CapacityReservations::Kind::Free, now);
+                m_state.logDecision("capacity reserved", ref,
+                                    "on=" + worker->info.id.value() + " still_running=1");
             } else {
                 m_waiting.push_back(ref);
             }
