Add a failing test of capacity that is kept for tasks that still run

The test drains workers that take 900 ms to end a run while other capacity becomes free. The fake worker can now take a time to end a run that it is told to stop.

--- /dev/null
+++ b/test/CapacityKeptForRunningTasks.cpp
@@ -0,0 +1,111 @@
+#include "fakes/LongRunningTasks.h"
+#include "fakes/RoomAudit.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace firefly {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t SeedCount = 5;
+constexpr Duration Slice = 20ms;
+constexpr std::int64_t Demand = 5000; ///< Fits a worker only alone.
+constexpr int LeavingCount = 2;
+constexpr Duration StopTime = 900ms;
+
+TaskName taskOf(const std::string &job)
+{
+    return {JobId(job), 0, 0, 0};
+}
+
+std::string workerOf(const CellWorld &world, const std::string &job)
+{
+    const auto it = world.audit.runningOn.find(taskOf(job));
+    return it != world.audit.runningOn.end() && !it->second.empty() ? *it->second.begin() : "";
+}
+
+/// A cell of workers with one task each: "down", and \a count tasks "leaving0" and so on, and as
+/// many "blocker0" and so on.
+void fill(CellWorld &world, int count)
+{
+    for (auto &[id, worker] : world.workers) {
+        worker->capacity = {Demand, 64000, 0};
+    }
+    world.replaceOwner(world.now);
+    world.run(500ms);
+    world.submit(JobId("down"), makeLongRunning(1, Demand));
+    for (int i = 0; i < count; ++i) {
+        world.submit(JobId("leaving" + std::to_string(i)), makeLongRunning(1, Demand));
+        world.submit(JobId("blocker" + std::to_string(i)), makeLongRunning(1, Demand));
+    }
+    world.run(1s);
+}
+
+void cancel(CellWorld &world, const std::string &job)
+{
+    world.owner->cancel(JobId(job), world.now, world.unixMs(), [](CellScheduler::Verdict) {});
+}
+
+/// Frees the worker of the blocker \a number, while the worker of the leaving task \a number drains
+/// and takes a while to end its run.
+void freeOneAndDrainOne(CellWorld &world, const std::string &number)
+{
+    cancel(world, "blocker" + number);
+    const std::string leaving = workerOf(world, "leaving" + number);
+    world.workers.at(leaving)->stopTime = StopTime;
+    drain(world, leaving);
+}
+
+// Guards against a displaced task that stays down while free capacity is kept for tasks that still
+// run on workers that leave.
+TEST(CapacityKeptForRunningTasks, FreeCapacityGoesToATaskThatIsDownFirst)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 1 + 2 * LeavingCount);
+        fill(world, LeavingCount);
+        drain(world, workerOf(world, "down"));
+        world.run(3s);
+        ASSERT_FALSE(isRunning(world, taskOf("down"))) << "seed " << seed;
+        for (int i = 0; i < LeavingCount; ++i) {
+            freeOneAndDrainOne(world, std::to_string(i));
+        }
+        world.run(MaxDowntime - 3s);
+        EXPECT_TRUE(isRunning(world, taskOf("down"))) << "seed " << seed;
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
+// Guards against capacity that stands idle beside a displaced task, as each piece that becomes free
+// is kept for a task that still runs on a worker that leaves.
+TEST(CapacityKeptForRunningTasks, CapacityDoesNotStandIdleWhileWorkersLeaveInTurn)
+{
+    constexpr int RoundCount = 5;
+    constexpr int PiecesPerRound = 2;
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 1 + 2 * PiecesPerRound * RoundCount);
+        const std::array<const CellWorld *, 1> cells{&world};
+        fill(world, PiecesPerRound * RoundCount);
+        drain(world, workerOf(world, "down"));
+        world.run(1s);
+        RoomAudit audit;
+        for (int round = 0; round < RoundCount; ++round) {
+            for (int i = 0; i < PiecesPerRound; ++i) {
+                freeOneAndDrainOne(world, std::to_string(PiecesPerRound * round + i));
+            }
+            for (const TimePoint end = world.now + 800ms; world.now < end;) {
+                world.run(Slice);
+                audit.observe(cells, world.now);
+            }
+        }
+        EXPECT_LT(audit.longestIdle, RoomAudit::MaxIdleTime) << "seed " << seed;
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace firefly
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -78,7 +78,8 @@
         m_highestRun[order.task] = std::max(m_highestRun[order.task], order.run);
         const auto it = m_running.find(order.task);
         if (it != m_running.end() && it->second.run == order.run) {
-            end(order.task, RunEndReason::Stopped, now);
+            it->second.stopsAt = it->second.stopsAt.value_or(now + stopTime);
+            tick(now);
         }
         return OrderOutcome::Accepted;
     }
@@ -147,7 +148,9 @@
         const bool isLapsed = clockMs(now) > m_deadlineMs;
         std::vector<std::pair<TaskName, RunEndReason>> over;
         for (const auto &[task, run] : m_running) {
-            if (run.endsAt <= now && !run.pausedAt && !isLongRunningTask(task)) {
+            if (run.stopsAt && *run.stopsAt <= now) {
+                over.emplace_back(task, RunEndReason::Stopped);
+            } else if (run.endsAt <= now && !run.pausedAt && !isLongRunningTask(task)) {
                 over.emplace_back(task, run.fails ? RunEndReason::Failed : RunEndReason::Done);
             } else if (isLapsed) {
                 over.emplace_back(task, RunEndReason::Lapsed);
@@ -287,6 +290,7 @@
     bool isProgressing = true;  ///< The progress of tasks changes from report to report.
     double tailLatencyMs = 0.0; ///< Reported for serving tasks.
     Duration workTime = std::chrono::milliseconds(500); ///< Of runs started from now on.
+    Duration stopTime{};                                ///< From a stop order until its run ends.
     bool holdsGangMembers = false; ///< Members of gangs started from now on wait for beginWork().
     bool hasFailingRuns = false;   ///< Runs started from now on end with a failure.
     double clockRate = 1.0;        ///< Relative to simulated time.
@@ -322,6 +326,7 @@
         std::string checkpoint;
         int percent = 0;                   ///< As listed last.
         std::optional<TimePoint> pausedAt; ///< Set while its pace is 0.
+        std::optional<TimePoint> stopsAt;  ///< Set once it was told to stop.
     };
 
     bool isLongRunningTask(const TaskName &task) const
