Let displaced tasks take capacity that is kept for tasks that still run

What callers saw: long-running tasks stay down beside free capacity (LOST).

Cause: a task that a draining worker is about to end gets a reservation in the pass in which it is told to stop, before all displaced tasks.

Change: such reservations have a kind of their own, and, as those that wait for batch tasks, yield to a displaced task that fits nowhere else. Only as many are given up on the worker as that task needs; before, all that waited for batch tasks were.

--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -18,28 +18,38 @@
 void CapacityReservations::addHeld(CellWorker &worker, const Entry &entry)
 {
     worker.held.add(entry.amount);
-    if (entry.kind == Kind::BatchEnds) {
-        worker.heldForBatchEnds.add(entry.amount);
+    if (isDeferred(entry.kind)) {
+        worker.heldDeferred.add(entry.amount);
     }
 }
 
 void CapacityReservations::subtractHeld(CellWorker &worker, const Entry &entry)
 {
     worker.held.subtract(entry.amount);
-    if (entry.kind == Kind::BatchEnds) {
-        worker.heldForBatchEnds.subtract(entry.amount);
+    if (isDeferred(entry.kind)) {
+        worker.heldDeferred.subtract(entry.amount);
     }
 }
 
-void CapacityReservations::removeBatchEnds(CellWorker &worker)
+bool CapacityReservations::removeDeferred(const TaskRef &ref, const CellWorker &worker)
 {
-    std::erase_if(m_entries, [&worker](const Entry &it) {
-        const bool isRemoved = it.worker == worker.info.id && it.kind == Kind::BatchEnds;
-        if (isRemoved) {
-            subtractHeld(worker, it);
+    const ResourceVector demand = ref.spec().reservation();
+    bool isAnyRemoved = false;
+    for (const Kind kind : {Kind::RunEnds, Kind::BatchEnds}) {
+        while (!availableTo(ref, worker).fits(demand)) {
+            const auto it = std::ranges::find_if(m_entries, [&](const Entry &entry) {
+                return entry.worker == worker.info.id && entry.kind == kind
+                       && entry.task != ref.name();
+            });
+            if (it == m_entries.end()) {
+                break;
+            }
+            subtractHeld(*m_state.findWorker(it->worker), *it);
+            m_entries.erase(it);
+            isAnyRemoved = true;
         }
-        return isRemoved;
-    });
+    }
+    return isAnyRemoved;
 }
 
 void CapacityReservations::removeObsolete(TimePoint now)
@@ -47,7 +57,7 @@
     std::erase_if(m_entries, [&](const Entry &it) { return !isNeeded(it, now); });
     for (auto &[id, worker] : m_state.workers) {
         worker->held = {};
-        worker->heldForBatchEnds = {};
+        worker->heldDeferred = {};
     }
     for (const Entry &it : m_entries) {
         addHeld(*m_state.findWorker(it.worker), it);
@@ -111,13 +121,13 @@
     return available;
 }
 
-ResourceVector CapacityReservations::availableBeforeBatchEnds(const TaskRef &ref,
-                                                              const CellWorker &worker) const
+ResourceVector CapacityReservations::availableWithDeferred(const TaskRef &ref,
+                                                           const CellWorker &worker) const
 {
     ResourceVector available = availableTo(ref, worker);
-    available.add(worker.heldForBatchEnds);
+    available.add(worker.heldDeferred);
     const Entry *own = find(ref.name());
-    if (own && own->worker == worker.info.id && own->kind == Kind::BatchEnds) {
+    if (own && own->worker == worker.info.id && isDeferred(own->kind)) {
         // availableTo() has added it.
         available.subtract(own->amount);
     }
--- a/src/Cell/CapacityReservations.h
+++ b/src/Cell/CapacityReservations.h
@@ -24,13 +24,15 @@
         Free,      ///< It is free now.
         BatchEnds, ///< It becomes free as batch tasks end.
         Move,      ///< It becomes free as other tasks move.
+        RunEnds,   ///< It is free, but the task still runs on a worker that it has to leave.
     };
 
     /// Keeps the demand of \a ref on \a worker for \a timeout.
     void add(const TaskRef &ref, CellWorker &worker, Kind kind, TimePoint now,
              Duration timeout = Timeout);
-    /// Drops the reservations on \a worker that wait for batch tasks to end.
-    void removeBatchEnds(CellWorker &worker);
+    /// Drops as many deferred reservations on \a worker as \a ref needs to start there, those of
+    /// tasks that still run first.  Returns true if some were dropped.
+    bool removeDeferred(const TaskRef &ref, const CellWorker &worker);
     /// Drops the reservations whose task no longer needs one, whose worker takes no tasks any more,
     /// or whose time is up.  O(workers).
     void removeObsolete(TimePoint now);
@@ -47,8 +49,9 @@
     /// Capacity of \a worker that \a ref may use; components are negative as far as kept capacity
     /// isn't free yet.
     ResourceVector availableTo(const TaskRef &ref, const CellWorker &worker) const;
-    /// The same, with the capacity that is kept until batch tasks end.
-    ResourceVector availableBeforeBatchEnds(const TaskRef &ref, const CellWorker &worker) const;
+    /// The same, with the capacity of deferred reservations: those whose tasks can't start yet,
+    /// until batch tasks or their own runs end.
+    ResourceVector availableWithDeferred(const TaskRef &ref, const CellWorker &worker) const;
 
 private:
     struct Entry
@@ -60,6 +63,7 @@
         TimePoint expiresAt{};
     };
 
+    static bool isDeferred(Kind kind) { return kind == Kind::BatchEnds || kind == Kind::RunEnds; }
     static void addHeld(CellWorker &worker, const Entry &entry);
     static void subtractHeld(CellWorker &worker, const Entry &entry);
     /// Workers and jobs may have been erased since the entry was made.
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -217,7 +217,7 @@
     std::uint64_t reportCount = 0;   ///< Reports applied by this owner.
     ResourceVector reserved;         ///< Capacity reserved by placed tasks.
     ResourceVector held;             ///< Capacity kept for other tasks, by CapacityReservations.
-    ResourceVector heldForBatchEnds; ///< The part of \a held that waits for batch tasks to end.
+    ResourceVector heldDeferred;     ///< The part of \a held whose tasks can't start yet.
     std::int64_t fillerCpu = 0;      ///< Demand of the placed fillers, in thousandths of a core.
     std::int64_t longRunningCpu = 0; ///< CPU reserved by long-running tasks, same unit.
     std::vector<TaskRef> tasks;      ///< Placed tasks.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -275,7 +275,7 @@
                 continue;
             }
             if (CellWorker *worker = chooseWorker(ref, now)) {
-                m_reservations.add(ref, *worker, CapacityReservations::Kind::Free, now);
+                m_reservations.add(ref, *worker, CapacityReservations::Kind::RunEnds, now);
                 m_state.logDecision("capacity reserved", ref,
                                     "on=" + worker->info.id.value() + " still_running=1");
             } else {
@@ -537,9 +537,8 @@
     if (CellWorker *worker = chooseWorker(ref, now)) {
         return worker;
     }
-    CellWorker *worker = chooseWorkerBy(ref, now, &CapacityReservations::availableBeforeBatchEnds);
-    if (worker) {
-        m_reservations.removeBatchEnds(*worker);
+    CellWorker *worker = chooseWorkerBy(ref, now, &CapacityReservations::availableWithDeferred);
+    if (worker && m_reservations.removeDeferred(ref, *worker)) {
         // The tasks that lose their reservations search again.
         m_state.wantsPlacement = true;
     }
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -92,7 +92,7 @@
                                const CellWorker *excluded = nullptr,
                                const std::string *rack = nullptr) const;
     /// As chooseWorker() for a long-running task that has run before.  Where nothing else fits it
-    /// takes capacity that is kept for other tasks until batch tasks end, which gives up these
+    /// takes capacity that is kept for tasks that can't start yet, which gives up these
     /// reservations.
     CellWorker *chooseWorkerForDisplaced(const TaskRef &ref, TimePoint now);
     /// Logs at intervals why the long-running task \a ref still waits; O(workers) per log line.
