--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -31,7 +31,7 @@
     }
 }
 
-bool CapacityReservations::removeDeferred(const TaskRef &ref, const CellWorker &worker)
+bool CapacityReservations::removeDeferred(const TaskRef &ref, CellWorker &worker)
 {
     const ResourceVector demand = ref.spec().reservation();
     bool isAnyRemoved = false;
@@ -44,11 +44,14 @@
             if (it == m_entries.end()) {
                 break;
             }
-            subtractHeld(*m_state.findWorker(it->worker), *it);
+            subtractHeld(worker, *it);
+            m_state.logDecision("reservation given up", *m_state.findTask(it->task),
+                                "on=" + worker.info.id.value() + " for=" + ref.job->id.value());
             m_entries.erase(it);
             isAnyRemoved = true;
         }
     }
+    FIREFLY_ASSERT(availableTo(ref, worker).fits(demand), "deferred reservations must suffice");
     return isAnyRemoved;
 }
 
@@ -59,7 +62,10 @@
         worker->held = {};
         worker->heldDeferred = {};
     }
-    for (const Entry &it : m_entries) {
+    for (Entry &it : m_entries) {
+        const bool hasEnded = it.kind == Kind::RunEnds
+                              && m_state.findTask(it.task)->task().state == TaskState::Pending;
+        it.kind = hasEnded ? Kind::Free : it.kind;
         addHeld(*m_state.findWorker(it.worker), it);
     }
 }
--- a/src/Cell/CapacityReservations.h
+++ b/src/Cell/CapacityReservations.h
@@ -19,7 +19,8 @@
         : m_state(state)
     {}
 
-    /// What the kept capacity depends on.
+    /// What the kept capacity depends on.  Reservations of tasks that can't start yet, BatchEnds
+    /// and RunEnds, are deferred: displaced tasks may take their capacity.
     enum class Kind {
         Free,      ///< It is free now.
         BatchEnds, ///< It becomes free as batch tasks end.
@@ -31,8 +32,9 @@
     void add(const TaskRef &ref, CellWorker &worker, Kind kind, TimePoint now,
              Duration timeout = Timeout);
     /// Drops as many deferred reservations on \a worker as \a ref needs to start there, those of
-    /// tasks that still run first.  Returns true if some were dropped.
-    bool removeDeferred(const TaskRef &ref, const CellWorker &worker);
+    /// tasks that still run first.  \a ref must fit by availableWithDeferred().  Returns true if
+    /// some were dropped.
+    bool removeDeferred(const TaskRef &ref, CellWorker &worker);
     /// Drops the reservations whose task no longer needs one, whose worker takes no tasks any more,
     /// or whose time is up.  O(workers).
     void removeObsolete(TimePoint now);
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -49,8 +49,9 @@
     std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
     /// When the worker accepted the start, on its clock; unset while that isn't known.
     std::optional<std::int64_t> acceptedMs;
-    TimePoint startedAt{}; ///< Acceptance of the start, or first report that lists the run.
-    TimePoint stopSentAt{};
+    TimePoint startedAt{};     ///< Acceptance of the start, or first report that lists the run.
+    TimePoint stopSentAt{};    ///< Latest stop order.
+    TimePoint stopOrderedAt{}; ///< First stop order of this run.
     TimePoint paceChangedAt{}; ///< Latest change of pace.
     /// Latest sign of progress, on the worker's clock; a change of pace counts as one.
     std::int64_t progressMs = 0;
--- a/src/Cell/Defragmenter.cpp
+++ b/src/Cell/Defragmenter.cpp
@@ -32,12 +32,22 @@
 /// Progress of a long-running task that has started up, and of a batch task at its end.
 constexpr int StartedPercent = 100;
 
+/// Order of the searches: tasks that are down, those that still run on a worker that they have to
+/// leave, and those that have never run.
+int searchRank(const TaskRef &ref)
+{
+    if (!ref.hasRunBefore()) {
+        return 2;
+    }
+    return ref.task().state == TaskState::Stopping ? 1 : 0;
+}
+
 } // namespace
 
 void Defragmenter::makeRoom(std::vector<TaskRef> waiting, TimePoint now)
 {
     std::ranges::sort(waiting, {}, [](const TaskRef &it) {
-        return std::tuple(!it.hasRunBefore(), it.task().waitingSince);
+        return std::tuple(searchRank(it), it.task().waitingSince);
     });
     std::erase_if(m_failedSearches, [now](const FailedSearch &it) { return now >= it.retryAt; });
     int searchesLeft = MaxSearchesPerPass;
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -12,9 +12,7 @@
 constexpr Duration RenewalDelay = std::chrono::milliseconds(25);
 /// The same while ended runs aren't durable yet, since the worker then answers without a long poll.
 constexpr Duration UnflushedRenewalDelay = std::chrono::milliseconds(700);
-/// The same while a stopped run is about to leave capacity that a waiting task may use.
-constexpr Duration AwaitedEndRenewalDelay = std::chrono::milliseconds(25);
-/// Time after a stop order for which its end is awaited in this way; later the worker is silent.
+/// Time after the first stop order for which a worker is asked often; it may never end the run.
 constexpr Duration AwaitedEndTime = std::chrono::milliseconds(2000);
 /// Delay before a failed long-running task is started again.
 constexpr Duration RestartDelay = std::chrono::milliseconds(200);
@@ -25,7 +23,7 @@
     return worker.isUsable() && std::ranges::any_of(worker.tasks, [now](const TaskRef &it) {
                const CellTask &task = it.task();
                return it.spec().isLongRunning && task.state == TaskState::Stopping
-                      && now - task.stopSentAt < AwaitedEndTime;
+                      && now - task.stopOrderedAt < AwaitedEndTime;
            });
 }
 
@@ -292,7 +290,7 @@
         return;
     }
     worker.nextRenewal =
-        now + (awaitsEnd(worker, now) ? AwaitedEndRenewalDelay : UnflushedRenewalDelay);
+        now + (awaitsEnd(worker, now) ? TaskLedger::AwaitedEndDelay : UnflushedRenewalDelay);
     if (worker.journaledEndNumber == worker.processedEndNumber) {
         return;
     }
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -92,8 +92,8 @@
                                const CellWorker *excluded = nullptr,
                                const std::string *rack = nullptr) const;
     /// As chooseWorker() for a long-running task that has run before.  Where nothing else fits it
-    /// takes capacity that is kept for tasks that can't start yet, which gives up these
-    /// reservations.
+    /// takes capacity that is kept for tasks that can't start yet, and gives up as many of these
+    /// reservations as it needs.
     CellWorker *chooseWorkerForDisplaced(const TaskRef &ref, TimePoint now);
     /// Logs at intervals why the long-running task \a ref still waits; O(workers) per log line.
     void reportWait(const TaskRef &ref, TimePoint now) const;
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -91,6 +91,13 @@
 {
     CellTask &task = ref.task();
     FIREFLY_ASSERT(isPlaced(task.state), "only a placed task can be stopped");
+    CellWorker &worker = *task.worker;
+    if (task.state != TaskState::Stopping) {
+        task.stopOrderedAt = now;
+    }
+    if (ref.spec().isLongRunning && worker.isUsable() && worker.renewFailures == 0) {
+        worker.nextRenewal = std::min(worker.nextRenewal, now + AwaitedEndDelay);
+    }
     if (task.state != TaskState::Unsettled && task.state != TaskState::Starting) {
         task.state = TaskState::Stopping;
     }
--- a/src/Cell/TaskLedger.h
+++ b/src/Cell/TaskLedger.h
@@ -9,6 +9,10 @@
 /// Each function is O(tasks on the worker).
 namespace TaskLedger {
 
+/// Delay of the next report of a worker that stops a long-running task: others may wait for the
+/// capacity.
+constexpr Duration AwaitedEndDelay = std::chrono::milliseconds(25);
+
 /// Assigns \a ref to \a worker and reserves its capacity there; \a state must satisfy isPlaced().
 void place(const TaskRef &ref, CellWorker &worker, TaskState state, std::uint32_t run);
 /// Queues a stop order for a placed task; its worker's reports decide when it is released.
