Let no VM claim a cell before it has read the directory

Cause: FleetDirectory::rankOf put a VM that it didn't know first if it knew up to 32 VMs. A process knows no VM before the first read of the directory, and knew itself only when its own announcement had been stored and read back. The same rank decides who proposes a layout.

Change: FleetDirectory::setSelf makes the VM of the process known from its settings, so that it is ranked among those it knows. Records of an earlier process of the VM neither replace nor remove it. isCandidate, which CellSet and LayoutLoader now share, is false until the directory has been read once. In a fleet of more than 32 VMs a process still waits until its own announcement has been read.

Tests: AWeakVmThatHasJustStartedGoesAfterStrongOnes, NoVmIsACandidateBeforeTheDirectoryHasBeenRead, ALoneVmIsTheFirstCandidateOnceItHasReadAnEmptyDirectory and RecordsOfAnEarlierProcessOfTheVmDoNotReplaceItsOwn fail on the code before, with setSelf and onRead as empty functions and isCandidate as the comparison that CellSet made. The check that a VM which nobody knows comes first in a small fleet stated the fault; two new tests state that a VM which joins a small fleet is a candidate at once, in the order of its resources.

--- a/src/CellLease/FleetDirectory.cpp
+++ b/src/CellLease/FleetDirectory.cpp
@@ -32,14 +32,32 @@
 
 } // namespace
 
+void FleetDirectory::setSelf(const std::string &node, const VmAnnouncement &announcement)
+{
+    m_self = node;
+    m_vms[node] = {announcement, std::nullopt};
+}
+
 void FleetDirectory::onVm(const std::string &node, const VmAnnouncement &announcement,
                           TimePoint now)
 {
-    m_vms[node] = {announcement, now};
+    Vm &vm = m_vms[node];
+    if (node == m_self && announcement.startedAtUnixMs != vm.announcement.startedAtUnixMs) {
+        return; // By an earlier process of this VM.
+    }
+    vm = {announcement, now};
     m_firstVmAt = m_firstVmAt.value_or(now);
     m_latestVmAt = std::max(m_latestVmAt, now);
 }
 
+void FleetDirectory::onVmGone(const std::string &node)
+{
+    // The record of this VM is by an earlier process, or this one is about to end.
+    if (node != m_self) {
+        m_vms.erase(node);
+    }
+}
+
 void FleetDirectory::onCell(int cell, const OwnershipClaim &claim, TimePoint now)
 {
     const auto [it, isNew] = m_cells.try_emplace(cell);
@@ -114,9 +132,9 @@
 int FleetDirectory::rankOf(const std::string &node, int cell, int otherCells) const
 {
     const auto self = m_vms.find(node);
-    if (self == m_vms.end()) {
-        const std::size_t known = vmCount();
-        return known <= LostCellStandbyCount ? 0 : static_cast<int>(known);
+    const int known = static_cast<int>(vmCount());
+    if (self == m_vms.end() || (!self->second.seenAt && known > LostCellStandbyCount)) {
+        return known;
     }
     const auto otherCounts = countOtherCells(cell);
     const OwnershipClaim *last = findCell(cell);
@@ -137,6 +155,12 @@
     return rank;
 }
 
+bool FleetDirectory::isCandidate(const std::string &node, int cell, int otherCells,
+                                 TimePoint now) const
+{
+    return m_isRead && rankOf(node, cell, otherCells) < standbyCount(cell, now);
+}
+
 bool FleetDirectory::hasMuchBetterOwner(const std::string &node, int cell, int ownedCells) const
 {
     const auto self = m_vms.find(node);
--- a/src/CellLease/FleetDirectory.h
+++ b/src/CellLease/FleetDirectory.h
@@ -42,9 +42,13 @@
 
     // Inputs
 
+    /// Sets what the VM of this process, \a node, announces: it is known without being read back.
+    void setSelf(const std::string &node, const VmAnnouncement &announcement);
+    /// All records of the directory were read once.
+    void onRead() { m_isRead = true; }
     void onVm(const std::string &node, const VmAnnouncement &announcement, TimePoint now);
     /// A VM has withdrawn its announcement.
-    void onVmGone(const std::string &node) { m_vms.erase(node); }
+    void onVmGone(const std::string &node);
     /// A publication of an owner of \a cell, whose renewal counts its publications.  One that is
     /// older than the latest known is ignored: the store may carry out an append late.
     void onCell(int cell, const OwnershipClaim &claim, TimePoint now);
@@ -64,9 +68,13 @@
     std::vector<VmCapacity> capacities() const;
     /// Number of VMs that can give \a cell more resources than \a node, which owns or claims
     /// \a otherCells other cells, or as many but started later: a rolling restart comes to them
-    /// last.  The last owner of the cell isn't counted.  A \a node that isn't known yet comes first
-    /// in a fleet of up to LostCellStandbyCount VMs and last in a larger one.  O(VMs + cells).
+    /// last.  The last owner of the cell isn't counted.  A \a node that isn't known comes last, and
+    /// so does one of more than LostCellStandbyCount VMs until its announcement has been read.
+    /// O(VMs + cells).
     int rankOf(const std::string &node, int cell, int otherCells) const;
+    /// True if \a node, which owns or claims \a otherCells other cells, should follow the claims of
+    /// \a cell to replace its owner; no VM should before the directory has been read.
+    bool isCandidate(const std::string &node, int cell, int otherCells, TimePoint now) const;
     /// True if some VM other than \a node, which owns \a ownedCells cells with \a cell, has
     /// HandoverRatio times its resources for the cell.  O(VMs + cells).
     bool hasMuchBetterOwner(const std::string &node, int cell, int ownedCells) const;
@@ -75,7 +83,7 @@
     struct Vm
     {
         VmAnnouncement announcement;
-        TimePoint seenAt{};
+        std::optional<TimePoint> seenAt; ///< Unset until the announcement has been read.
     };
     struct Cell
     {
@@ -85,12 +93,14 @@
 
     bool isSeenWithin(Duration span, const Vm &vm) const
     {
-        return vm.seenAt + span >= m_latestVmAt;
+        return !vm.seenAt || *vm.seenAt + span >= m_latestVmAt;
     }
     /// Number of cells other than \a cell that each VM owns.
     std::map<std::string, int> countOtherCells(int cell) const;
 
     std::map<std::string, Vm> m_vms; ///< By name.
+    std::string m_self;              ///< Name of the VM of this process; empty if not set.
+    bool m_isRead = false;
     std::map<int, Cell> m_cells;
     TimePoint m_latestVmAt{};
     std::optional<TimePoint> m_firstVmAt; ///< When the first VM became known.
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -92,12 +92,9 @@
 
 bool CellSet::isCandidate(int cell) const
 {
-    const FleetDirectory &directory = m_directory.directory();
-    if (m_isResigning) {
-        return false;
-    }
-    return directory.rankOf(m_settings.node, cell, otherClaimCount(cell))
-           < directory.standbyCount(cell, Clock::now());
+    return !m_isResigning
+           && m_directory.directory().isCandidate(m_settings.node, cell, otherClaimCount(cell),
+                                                  Clock::now());
 }
 
 const OwnershipClaim *CellSet::claimOf(int cell) const
--- a/src/Node/DirectoryClient.cpp
+++ b/src/Node/DirectoryClient.cpp
@@ -56,6 +56,7 @@
         callbacks.onSnapshot = [](const std::set<std::string> &) {};
         callbacks.onRead = [this](std::uint64_t) {
             lastReadAt = Clock::now();
+            directory.onRead();
             updateFleetSize();
             updatePause();
         };
@@ -67,6 +68,7 @@
                                              ReadWait, FrontPause};
         follower =
             std::make_unique<TopicFollower>(context, store, retries, options, std::move(callbacks));
+        directory.setSelf(settings.node, announcement);
         announce();
     }
 
@@ -125,7 +127,7 @@
 
     void announce()
     {
-        put(vmRecordKey(settings.node), encodeAnnouncement({settings.capacity, startedAtUnixMs}));
+        put(vmRecordKey(settings.node), encodeAnnouncement(announcement));
         announceTimer.expires_after(FleetDirectory::VmInterval);
         announceTimer.async_wait([weak = weak_from_this()](asio::error_code ec) {
             const auto self = weak.lock();
@@ -202,7 +204,7 @@
     bool isOwner = false;
     TimePoint fastUntil{};
     TimePoint startedAt = Clock::now();
-    std::int64_t startedAtUnixMs = unixMs();
+    VmAnnouncement announcement{settings.capacity, unixMs()}; ///< Of this VM.
     TimePoint lastReadAt{};
 };
 
--- a/src/Node/LayoutLoader.cpp
+++ b/src/Node/LayoutLoader.cpp
@@ -81,7 +81,7 @@
     bool isProposer() const
     {
         // Any cell will do: before there is a layout, none has an owner.
-        return directory.rankOf(settings.node, 0, 0) < directory.standbyCount(0, Clock::now());
+        return directory.isCandidate(settings.node, 0, 0, Clock::now());
     }
 
     /// Starts to follow the workers if there is no layout, to make one for them.
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -246,9 +246,77 @@
 
 TEST(FleetDirectory, AVmThatJoinsALargeFleetWaitsUntilItsAnnouncementIsRead)
 {
-    const FleetDirectory fleet = makeFleet(0, 300);
+    const VmAnnouncement joined{Weak.capacity, 1'765'000'000'123};
+    FleetDirectory fleet = makeFleet(0, 300);
     EXPECT_GE(fleet.rankOf("new-vm", 0, 0), fleet.standbyCount(0, Start));
-    EXPECT_EQ(makeFleet(0, 30).rankOf("new-vm", 0, 0), 0);
+    fleet.setSelf("new-vm", joined);
+    EXPECT_GE(fleet.rankOf("new-vm", 0, 0), fleet.standbyCount(0, Start));
+    fleet.onVm("new-vm", joined, Start);
+    EXPECT_EQ(fleet.rankOf("new-vm", 0, 0), 0);
+}
+
+TEST(FleetDirectory, AVmThatJoinsASmallFleetIsACandidateBeforeItsAnnouncementIsRead)
+{
+    FleetDirectory fleet = makeFleet(0, 30);
+    fleet.setSelf("new-vm", {Weak.capacity, 1'765'000'000'123});
+    fleet.onRead();
+    EXPECT_EQ(fleet.rankOf("new-vm", 0, 0), 0);
+    EXPECT_TRUE(fleet.isCandidate("new-vm", 0, 0, Start));
+}
+
+// On kayal-roster-grown a VM of 0.069 core claimed the cell of a stopped owner 0.3 s after its own
+// start, before VMs of 0.5 core: it came first until its announcement had been stored and read.
+TEST(FleetDirectory, AWeakVmThatHasJustStartedGoesAfterStrongOnes)
+{
+    FleetDirectory fleet = makeFleet(2, 0);
+    fleet.setSelf("new-vm", {Weak.capacity, 1'765'000'000'123});
+    fleet.onRead();
+    EXPECT_EQ(fleet.rankOf("new-vm", 0, 0), 2);
+    EXPECT_TRUE(fleet.hasMuchBetterOwner("new-vm", 0, 1));
+}
+
+// On kayal-roster-grown a VM that had just started claimed all three cells within 25 ms, since it
+// knew no other VM yet.
+TEST(FleetDirectory, NoVmIsACandidateBeforeTheDirectoryHasBeenRead)
+{
+    FleetDirectory fleet;
+    fleet.setSelf("new-vm", Weak);
+    for (int cell = 0; cell < 3; ++cell) {
+        EXPECT_FALSE(fleet.isCandidate("new-vm", cell, 0, Start));
+    }
+    fleet.onVm(strongVm(0), Strong, Start);
+    EXPECT_FALSE(fleet.isCandidate("new-vm", 0, 0, Start));
+}
+
+TEST(FleetDirectory, ALoneVmIsTheFirstCandidateOnceItHasReadAnEmptyDirectory)
+{
+    FleetDirectory fleet;
+    fleet.setSelf("new-vm", Weak);
+    fleet.onRead();
+    EXPECT_EQ(fleet.vmCount(), 1U);
+    EXPECT_EQ(fleet.rankOf("new-vm", 0, 0), 0);
+    EXPECT_TRUE(fleet.isCandidate("new-vm", 0, 0, Start));
+}
+
+// A store that refuses appends, but not reads, must not leave the cells without owners.
+TEST(FleetDirectory, AVmWhoseAnnouncementsAreRefusedStaysACandidate)
+{
+    FleetDirectory fleet = makeFleet(0, 3);
+    fleet.setSelf("new-vm", Weak);
+    fleet.onRead();
+    EXPECT_TRUE(fleet.isCandidate("new-vm", 0, 0, Start + 60s));
+}
+
+// The records that a process reads first may be those of its own VM before a restart.
+TEST(FleetDirectory, RecordsOfAnEarlierProcessOfTheVmDoNotReplaceItsOwn)
+{
+    FleetDirectory fleet = makeFleet(1, 0);
+    fleet.setSelf("new-vm", {Strong.capacity, 1'765'000'009'000});
+    fleet.onVm("new-vm", {Weak.capacity, 1'765'000'000'000}, Start);
+    EXPECT_EQ(fleet.rankOf("new-vm", 0, 0), 0);
+    fleet.onVmGone("new-vm");
+    EXPECT_EQ(fleet.rankOf("new-vm", 0, 0), 0);
+    EXPECT_EQ(fleet.capacities().size(), 2U);
 }
 
 /// Six equal VMs with three cells that are restarted in turn.
