Let a weak VM claim a cell last while a strong one is up

Cause: each candidate waits 30 ms for every better one, which is less than a VM that serves two cells may take to notice the release. HandoverRatio doesn't apply there: a third of 0.5 core is 2.4 times 0.069 core.

Change: FleetDirectory::claimRankOf makes a VM wait for CellElection::MaxClaimDelay, 600 ms, while another has DeferenceRatio times its resources for the cell. The share of the other VM is divided by its cells and that of the claimer isn't, so that VMs of equal resources never wait for each other. The last owner of the cell, a VM that withdrew and one that is silent for 6 s delay nobody.

Tests: AWeakVmClaimsLastWhileAStrongOneIsUp fails on the code before, with claimRankOf as rankOf: 30 ms instead of 600.

--- a/src/CellLease/FleetDirectory.cpp
+++ b/src/CellLease/FleetDirectory.cpp
@@ -161,20 +161,38 @@
     return m_isRead && rankOf(node, cell, otherCells) < standbyCount(cell, now);
 }
 
+int FleetDirectory::claimRankOf(const std::string &node, int cell, int otherCells) const
+{
+    constexpr int LastRank = CellElection::MaxClaimDelay / CellElection::ClaimDelayPerRank;
+    const int rank = rankOf(node, cell, otherCells);
+    const auto self = m_vms.find(node);
+    if (self == m_vms.end()) {
+        return rank;
+    }
+    const double needed = DeferenceRatio * shareForCell(self->second.announcement.capacity, 1);
+    return hasOwnerWithShare(needed, node, cell) ? std::max(rank, LastRank) : rank;
+}
+
 bool FleetDirectory::hasMuchBetterOwner(const std::string &node, int cell, int ownedCells) const
 {
     const auto self = m_vms.find(node);
     if (self == m_vms.end()) {
         return false;
     }
+    const VmCapacity &capacity = self->second.announcement.capacity;
+    return hasOwnerWithShare(HandoverRatio * shareForCell(capacity, ownedCells), node, cell);
+}
+
+bool FleetDirectory::hasOwnerWithShare(double share, const std::string &node, int cell) const
+{
+    const OwnershipClaim *last = findCell(cell);
     const auto otherCounts = countOtherCells(cell);
-    const double needed =
-        HandoverRatio * shareForCell(self->second.announcement.capacity, ownedCells);
     return std::ranges::any_of(m_vms, [&](const auto &it) {
         const auto count = otherCounts.find(it.first);
         const int others = count == otherCounts.end() ? 0 : count->second;
-        return it.first != node && isSeenWithin(HandoverFreshness, it.second)
-               && shareForCell(it.second.announcement.capacity, others + 1) >= needed;
+        return it.first != node && !(last && last->node == it.first)
+               && isSeenWithin(HandoverFreshness, it.second)
+               && shareForCell(it.second.announcement.capacity, others + 1) >= share;
     });
 }
 
--- a/src/CellLease/FleetDirectory.h
+++ b/src/CellLease/FleetDirectory.h
@@ -39,6 +39,9 @@
     /// An owner gives a cell up to a VM that has this many times more resources for it.  A move
     /// multiplies the resources of the cell by more than 1, so moves can't alternate.
     static constexpr double HandoverRatio = 3.0;
+    /// A VM claims a cell last if, without other cells, it had this many times less resources for
+    /// it than another VM has beside the cells that it owns.
+    static constexpr double DeferenceRatio = 2.0;
 
     // Inputs
 
@@ -72,6 +75,10 @@
     /// so does one of more than LostCellStandbyCount VMs until its announcement has been read.
     /// O(VMs + cells).
     int rankOf(const std::string &node, int cell, int otherCells) const;
+    /// Number of candidates that should claim \a cell before \a node: its rank, or as many as make
+    /// it wait for CellElection::MaxClaimDelay while a VM is up that is much stronger, which may be
+    /// late because it serves other cells.  O(VMs + cells).
+    int claimRankOf(const std::string &node, int cell, int otherCells) const;
     /// True if \a node, which owns or claims \a otherCells other cells, should follow the claims of
     /// \a cell to replace its owner; no VM should before the directory has been read.
     bool isCandidate(const std::string &node, int cell, int otherCells, TimePoint now) const;
@@ -95,6 +102,9 @@
     {
         return !vm.seenAt || *vm.seenAt + span >= m_latestVmAt;
     }
+    /// True if some VM that is worth a hand-over, other than \a node and the last owner of \a cell,
+    /// has at least \a share for the cell.
+    bool hasOwnerWithShare(double share, const std::string &node, int cell) const;
     /// Number of cells other than \a cell that each VM owns.
     std::map<std::string, int> countOtherCells(int cell) const;
 
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -33,7 +33,8 @@
         options.cell = cell;
         options.layout = layout;
         options.claimRank = [this, cell] {
-            return m_directory.directory().rankOf(m_settings.node, cell, otherClaimCount(cell));
+            return m_directory.directory().claimRankOf(m_settings.node, cell,
+                                                       otherClaimCount(cell));
         };
         options.shouldWatch = [this, cell] { return isCandidate(cell); };
         options.shouldRelease = [this, cell] {
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -1,5 +1,6 @@
 #include "CellLease/FleetDirectory.h"
 
+#include "CellLease/CellElection.h"
 #include "CellLease/ClaimRecord.h"
 #include "CellLease/DirectoryRecord.h"
 
@@ -275,6 +276,46 @@
     EXPECT_TRUE(fleet.hasMuchBetterOwner("new-vm", 0, 1));
 }
 
+// On kayal-roster-grown a VM of 0.069 core, 30 ms behind, claimed a cell before the only VM of 0.5
+// core that was up, which was busy with its two other cells.
+TEST(FleetDirectory, AWeakVmClaimsLastWhileAStrongOneIsUp)
+{
+    FleetDirectory fleet = makeFleet(1, 1);
+    fleet.onCell(0, makeClaim(strongVm(0), 1, 1), Start);
+    fleet.onCell(1, makeClaim(strongVm(0), 1, 1), Start);
+    EXPECT_GE(fleet.claimRankOf(weakVm(0), 2, 0) * CellElection::ClaimDelayPerRank,
+              CellElection::MaxClaimDelay);
+    EXPECT_EQ(fleet.claimRankOf(strongVm(0), 2, 2), 0);
+    fleet.onVmGone(strongVm(0));
+    EXPECT_EQ(fleet.claimRankOf(weakVm(0), 2, 0), 0);
+}
+
+TEST(FleetDirectory, VmsOfEqualResourcesClaimInTheOrderOfTheirRanks)
+{
+    FleetDirectory fleet = makeFleet(6, 0);
+    fleet.onCell(0, makeClaim(strongVm(0), 1, 1), Start);
+    fleet.onCell(1, makeClaim(strongVm(0), 1, 1), Start);
+    for (int i = 0; i < 6; ++i) {
+        const int others = i == 0 ? 2 : 0;
+        EXPECT_EQ(fleet.claimRankOf(strongVm(i), 2, others), fleet.rankOf(strongVm(i), 2, others));
+    }
+}
+
+// A killed owner is followed by the VMs that are up, whatever their resources.
+TEST(FleetDirectory, AWeakVmDoesNotWaitForTheOwnerThatItReplaces)
+{
+    FleetDirectory fleet = makeFleet(1, 1);
+    fleet.onCell(0, makeClaim(strongVm(0), 1, 1), Start);
+    EXPECT_EQ(fleet.claimRankOf(weakVm(0), 0, 0), 0);
+}
+
+TEST(FleetDirectory, AWeakVmDoesNotWaitForAVmThatFellSilent)
+{
+    FleetDirectory fleet = makeFleet(1, 1);
+    fleet.onVm(weakVm(0), Weak, Start + FleetDirectory::HandoverFreshness + 1s);
+    EXPECT_EQ(fleet.claimRankOf(weakVm(0), 0, 0), 1);
+}
+
 // On kayal-roster-grown a VM that had just started claimed all three cells within 25 ms, since it
 // knew no other VM yet.
 TEST(FleetDirectory, NoVmIsACandidateBeforeTheDirectoryHasBeenRead)
