Don't search for a stronger VM where a claim is last already

claimRankOf runs at each tick for each cell that a VM doesn't own. Its second search over the VMs and cells can't change a rank that is the last one or later, as most weak VMs of a fleet have; it is skipped there. The result is the same for all inputs (the larger of rank and LastRank).

Its processor time wasn't measured.

--- a/src/CellLease/FleetDirectory.cpp
+++ b/src/CellLease/FleetDirectory.cpp
@@ -166,11 +166,11 @@
     constexpr int LastRank = CellElection::MaxClaimDelay / CellElection::ClaimDelayPerRank;
     const int rank = rankOf(node, cell, otherCells);
     const auto self = m_vms.find(node);
-    if (self == m_vms.end()) {
+    if (rank >= LastRank || self == m_vms.end()) {
         return rank;
     }
     const double needed = DeferenceRatio * shareForCell(self->second.announcement.capacity, 1);
-    return hasOwnerWithShare(needed, node, cell) ? std::max(rank, LastRank) : rank;
+    return hasOwnerWithShare(needed, node, cell) ? LastRank : rank;
 }
 
 bool FleetDirectory::hasMuchBetterOwner(const std::string &node, int cell, int ownedCells) const
