--- a/test/CapacityKeptForRunningTasks.cpp
+++ b/test/CapacityKeptForRunningTasks.cpp
@@ -1,5 +1,5 @@
-#include "fakes/LongRunningTasks.h"
 #include "fakes/RoomAudit.h"
+#include "fakes/SingleTaskJobs.h"
 
 #include <gtest/gtest.h>
 
@@ -18,17 +18,6 @@
 constexpr int LeavingCount = 2;
 constexpr Duration StopTime = 900ms;
 
-TaskName taskOf(const std::string &job)
-{
-    return {JobId(job), 0, 0, 0};
-}
-
-std::string workerOf(const CellWorld &world, const std::string &job)
-{
-    const auto it = world.audit.runningOn.find(taskOf(job));
-    return it != world.audit.runningOn.end() && !it->second.empty() ? *it->second.begin() : "";
-}
-
 /// A cell of workers with one task each: "down", and \a count tasks "leaving0" and so on, and as
 /// many "blocker0" and so on.
 void fill(CellWorld &world, int count)
@@ -46,11 +35,6 @@
     world.run(1s);
 }
 
-void cancel(CellWorld &world, const std::string &job)
-{
-    world.owner->cancel(JobId(job), world.now, world.unixMs(), [](CellScheduler::Verdict) {});
-}
-
 /// Frees the worker of the blocker \a number, while the worker of the leaving task \a number drains
 /// and takes a while to end its run.
 void freeOneAndDrainOne(CellWorld &world, const std::string &number)
@@ -68,7 +52,7 @@
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         CellWorld world(seed, 1 + 2 * LeavingCount);
         fill(world, LeavingCount);
-        drain(world, workerOf(world, "down"));
+        displace(world, "down");
         world.run(3s);
         ASSERT_FALSE(isRunning(world, taskOf("down"))) << "seed " << seed;
         for (int i = 0; i < LeavingCount; ++i) {
@@ -90,7 +74,7 @@
         CellWorld world(seed, 1 + 2 * PiecesPerRound * RoundCount);
         const std::array<const CellWorld *, 1> cells{&world};
         fill(world, PiecesPerRound * RoundCount);
-        drain(world, workerOf(world, "down"));
+        displace(world, "down");
         world.run(1s);
         RoomAudit audit;
         for (int round = 0; round < RoundCount; ++round) {
--- a/test/IdleRoomBesideWaitingTasks.cpp
+++ b/test/IdleRoomBesideWaitingTasks.cpp
@@ -1,5 +1,5 @@
-#include "fakes/LongRunningTasks.h"
 #include "fakes/RoomAudit.h"
+#include "fakes/SingleTaskJobs.h"
 
 #include <gtest/gtest.h>
 
@@ -15,13 +15,6 @@
 constexpr std::uint32_t SeedCount = 5;
 constexpr Duration Slice = 20ms;
 
-void drainWorkerOf(CellWorld &world, const std::string &job)
-{
-    const auto it = world.audit.runningOn.find({JobId(job), 0, 0, 0});
-    ASSERT_TRUE(it != world.audit.runningOn.end() && !it->second.empty()) << job;
-    drain(world, *it->second.begin());
-}
-
 /// Leaves 3000 free on each of w0 and w1, beside a long-running task of 3000 and a batch task of
 /// 2000 that takes longer than its estimate; "large0", "large1" and "small" run on workers of their
 /// own.
@@ -60,10 +53,10 @@
         CellWorld world(seed, 5);
         const std::array<const CellWorld *, 1> cells{&world};
         fill(world);
-        drainWorkerOf(world, "large0");
-        drainWorkerOf(world, "large1");
+        displace(world, "large0");
+        displace(world, "large1");
         world.run(200ms);
-        drainWorkerOf(world, "small");
+        displace(world, "small");
         RoomAudit audit;
         for (const TimePoint end = world.now + 5s; world.now < end;) {
             world.run(Slice);
@@ -80,8 +73,8 @@
 {
     CellWorld world(1, 5);
     fill(world);
-    drainWorkerOf(world, "large0");
-    drainWorkerOf(world, "large1");
+    displace(world, "large0");
+    displace(world, "large1");
     world.run(200ms);
     EXPECT_LT(world.owner->roomByService().at("svc").largestFree.milliCpu, 3000);
 }
--- a/test/LongRunningTaskOrder.cpp
+++ b/test/LongRunningTaskOrder.cpp
@@ -1,4 +1,5 @@
 #include "fakes/FleetWorld.h"
+#include "fakes/SingleTaskJobs.h"
 
 #include <gtest/gtest.h>
 
@@ -19,24 +20,6 @@
     cell.submit(JobId(id), makeLongRunning(1, Demand));
 }
 
-void cancel(CellWorld &cell, const std::string &id)
-{
-    cell.owner->cancel(JobId(id), cell.now, cell.unixMs(), [](CellScheduler::Verdict) {});
-}
-
-TaskName taskOf(const std::string &id)
-{
-    return {JobId(id), 0, 0, 0};
-}
-
-/// Drains the worker that runs the task of the job \a id.
-void displace(CellWorld &cell, const std::string &id)
-{
-    const auto it = cell.audit.runningOn.find(taskOf(id));
-    ASSERT_TRUE(it != cell.audit.runningOn.end() && !it->second.empty()) << id;
-    drain(cell, *it->second.begin());
-}
-
 /// A cell of three workers with a task each, of which two are displaced: \a second, whose job was
 /// submitted first, three seconds after \a first.
 void displaceTwo(CellWorld &cell, const std::string &first, const std::string &second)
--- a/test/LongRunningWaitOverOwners.cpp
+++ b/test/LongRunningWaitOverOwners.cpp
@@ -1,4 +1,5 @@
 #include "fakes/FleetWorld.h"
+#include "fakes/SingleTaskJobs.h"
 #include "Workload/JobRecords.h"
 
 #include <gtest/gtest.h>
@@ -22,24 +23,6 @@
     cell.submit(JobId(id), makeLongRunning(1, Demand));
 }
 
-void cancel(CellWorld &cell, const std::string &id)
-{
-    cell.owner->cancel(JobId(id), cell.now, cell.unixMs(), [](CellScheduler::Verdict) {});
-}
-
-TaskName taskOf(const std::string &id)
-{
-    return {JobId(id), 0, 0, 0};
-}
-
-/// Drains the worker that runs the task of the job \a id.
-void displace(CellWorld &cell, const std::string &id)
-{
-    const auto it = cell.audit.runningOn.find(taskOf(id));
-    ASSERT_TRUE(it != cell.audit.runningOn.end() && !it->second.empty()) << id;
-    drain(cell, *it->second.begin());
-}
-
 /// The wait, in ms, that the log tells of the latest start of the task of the job \a id; none if
 /// the log tells of none.
 std::optional<int> reportedWait(const CellWorld &cell, const std::string &id)
--- a/test/StoppedRunBesideUnstoredEnds.cpp
+++ b/test/StoppedRunBesideUnstoredEnds.cpp
@@ -1,5 +1,5 @@
 #include "Cell/TaskLedger.h"
-#include "fakes/LongRunningTasks.h"
+#include "fakes/SingleTaskJobs.h"
 
 #include <gtest/gtest.h>
 
@@ -18,11 +18,6 @@
 /// four messages of 15 ms, the check of the fake worker, and the pass that places the task.
 constexpr Duration MaxFreeTime = TaskLedger::AwaitedEndDelay + 4 * 15ms + 20ms + 10ms;
 
-TaskName taskOf(const std::string &job)
-{
-    return {JobId(job), 0, 0, 0};
-}
-
 /// A cell of two workers, of which the one that "down" ran on drains; on the other one "blocker"
 /// runs beside batch tasks that have just ended.
 class StoppedRunBesideUnstoredEnds : public ::testing::TestWithParam<std::uint32_t>
@@ -40,7 +35,7 @@
         world.submit(JobId("down"), makeLongRunning(1, 5000));
         world.submit(JobId("blocker"), makeLongRunning(1, 5000));
         world.run(1s);
-        drain(world, *world.audit.runningOn.at(taskOf("down")).begin());
+        displace(world, "down");
         world.run(1s);
         JobSpec batch = makeChain(1, 2);
         batch.steps.front().demand.milliCpu = 1000;
@@ -52,11 +47,6 @@
         EXPECT_FALSE(isRunning(world, taskOf("down")));
     }
 
-    void cancelBlocker()
-    {
-        world.owner->cancel(JobId("blocker"), world.now, world.unixMs(),
-                            [](CellScheduler::Verdict) {});
-    }
     void slowStoreDown()
     {
         world.storeFaults.minDelay = 600ms;
@@ -98,7 +88,7 @@
 // aren't stored yet and is asked less often; a displaced task stays down meanwhile.
 TEST_P(StoppedRunBesideUnstoredEnds, EndsReportedAfterTheStopOrderDoNotDelayItsEnd)
 {
-    cancelBlocker();
+    cancel(world, "blocker");
     world.run(50ms);
     slowStoreDown();
     EXPECT_LE(measureFreeTime(), MaxFreeTime);
