--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -3,9 +3,12 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <iterator>
 #include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -86,9 +89,50 @@
 namespace {
 
 constexpr std::size_t MaxLoggedPieces = 6;
+constexpr std::size_t MaxLoggedWaits = 6;
 
-/// The free capacity of \a worker, what reservations hold of it, and what keeps tasks away.
-std::string describePiece(const CellWorker &worker)
+std::int64_t waitedMs(const TaskRef &ref)
+{
+    const Duration waited = Clock::now() - ref.task().waitingSince;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(waited).count();
+}
+
+/// Long-running tasks that have run before and wait for a worker, longest wait first; O(tasks).
+std::vector<TaskRef> findDisplaced(const CellState &state)
+{
+    std::vector<TaskRef> displaced;
+    for (const auto &[id, job] : state.jobs) {
+        if (isFinal(job->state) || !job->isLongRunning()) {
+            continue;
+        }
+        for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
+            for (std::uint32_t s = 0; s < job->spec.steps.size(); ++s) {
+                for (std::uint32_t i = 0; i < job->occurrences[k].steps[s].tasks.size(); ++i) {
+                    const TaskRef ref{job.get(), k, s, i};
+                    const CellTask &task = ref.task();
+                    if (task.state == TaskState::Pending && task.waitingSince != TimePoint{}
+                        && ref.spec().isLongRunning && ref.hasRunBefore()) {
+                        displaced.push_back(ref);
+                    }
+                }
+            }
+        }
+    }
+    std::ranges::sort(displaced, {}, [](const TaskRef &it) { return it.task().waitingSince; });
+    return displaced;
+}
+
+std::string describeWait(const TaskRef &ref)
+{
+    const ResourceVector &demand = ref.spec().demand;
+    return ref.job->id.value() + "." + std::to_string(ref.step) + "." + std::to_string(ref.index)
+           + " " + std::to_string(demand.milliCpu) + "/" + std::to_string(demand.memoryMb) + " "
+           + std::to_string(waitedMs(ref)) + "ms";
+}
+
+/// The free capacity of \a worker, what reservations hold of it, what keeps tasks away, and the
+/// longest wait among \a displaced, which is sorted, of a task that the free capacity fits.
+std::string describePiece(const CellWorker &worker, std::span<const TaskRef> displaced)
 {
     const ResourceVector free = worker.freeRoom();
     std::string text = worker.info.id.value() + " " + std::to_string(free.milliCpu) + "/"
@@ -106,9 +150,33 @@
     if (worker.avoidUntil > Clock::now()) {
         text += " avoided";
     }
+    const auto it = std::ranges::find_if(displaced, [&](const TaskRef &ref) {
+        return ref.job->spec.policy.service == worker.info.service
+               && free.fits(ref.spec().reservation());
+    });
+    if (it != displaced.end()) {
+        text += " fits " + describeWait(*it);
+    }
     return text;
 }
 
+/// The longest waits among \a displaced, which is sorted, one for each demand.
+nlohmann::json describeLongestWaits(std::span<const TaskRef> displaced)
+{
+    std::set<std::pair<std::int64_t, std::int64_t>> demands;
+    nlohmann::json waits = nlohmann::json::array();
+    for (const TaskRef &it : displaced) {
+        const ResourceVector &demand = it.spec().demand;
+        if (waits.size() == MaxLoggedWaits) {
+            break;
+        }
+        if (demands.insert({demand.milliCpu, demand.memoryMb}).second) {
+            waits.push_back(describeWait(it));
+        }
+    }
+    return waits;
+}
+
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -234,10 +302,14 @@
         workers.begin() + static_cast<std::ptrdiff_t>(std::min(MaxLoggedPieces, workers.size()));
     std::ranges::partial_sort(workers, end, std::greater(),
                               [](const CellWorker *it) { return it->freeRoom().milliCpu; });
+    const std::vector<TaskRef> displaced = findDisplaced(state);
     nlohmann::json pieces = nlohmann::json::array();
     std::ranges::transform(workers.begin(), end, std::back_inserter(pieces),
-                           [](const CellWorker *it) { return describePiece(*it); });
-    return {{"pieces", std::move(pieces)}, {"unknown_workers", unknown}};
+                           [&](const CellWorker *it) { return describePiece(*it, displaced); });
+    return {{"pieces", std::move(pieces)},
+            {"unknown_workers", unknown},
+            {"displaced", displaced.size()},
+            {"longest_waits", describeLongestWaits(displaced)}};
 }
 
 nlohmann::json dumpCell(const CellElection &election, const CellScheduler &scheduler)
--- a/src/Node/CellDump.h
+++ b/src/Node/CellDump.h
@@ -16,7 +16,8 @@
 /// Totals of one cell for its periodic load log line; O(tasks).
 nlohmann::json summarizeLoad(const CellScheduler &scheduler);
 
-/// The largest pieces of free capacity on single workers of one cell, for a log line; O(workers).
+/// The largest pieces of free capacity on single workers of one cell and the longest waits of
+/// displaced tasks, for a log line; O(workers + tasks).
 nlohmann::json summarizeFreePieces(const CellScheduler &scheduler);
 
 /// State of one cell, shown to operators by /state; O(jobs + workers).
