Start the displaced tasks of a cell in the order of their waits

What callers saw: a long-running task that was stopped with its worker stays down, while tasks of the same cell that were stopped later take the room that it waits for.

Cause: Placement::run() went through the jobs by their objectives and started all displaced tasks of one job before those of the next; within a job the index decided. So the wait of a task had no part in who got a free piece.

Change: the displaced tasks of a cell start first within their priority, in the order of their waits, whatever their job. Gangs still start as a whole in the order of jobs.

Why it works: m_displaced is sorted by priority and begin of the wait, which owners and guests inherit, and each of its tasks is offered the free pieces before any other task of that priority.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -138,10 +138,17 @@
     const CellJob *resumed = nullptr;
     const CellJob *advanced = nullptr;
     bool isIdleTurnOver = m_startsSinceIdleTurn < MinStartsBetweenIdleTurns;
+    auto nextDisplaced = m_displaced.cbegin();
     forEachStartableStep(
         jobs, nowUnixMs, [&](CellJob &job, std::uint32_t occurrence, std::uint32_t step) {
+            const int priority = job.spec.policy.priority;
+            for (; nextDisplaced != m_displaced.cend()
+                   && nextDisplaced->job->spec.policy.priority <= priority;
+                 ++nextDisplaced) {
+                startDisplaced(*nextDisplaced, now);
+            }
             if (!job.isLongRunning() && !std::exchange(isIdleTurnOver, true)) {
-                advanced = startLongestIdle(jobs, job.spec.policy.priority, now, nowUnixMs);
+                advanced = startLongestIdle(jobs, priority, now, nowUnixMs);
             }
             if (&job == resumed || &job == advanced) {
                 return;
@@ -344,6 +351,9 @@
             m_displaced.push_back(ref);
         }
     });
+    std::ranges::stable_sort(m_displaced, {}, [](const TaskRef &it) {
+        return std::tuple(it.job->spec.policy.priority, it.task().waitingSince);
+    });
 }
 
 bool Placement::isHeldBack(const TaskRef &ref, TimePoint now) const
@@ -364,6 +374,29 @@
     });
 }
 
+void Placement::startDisplaced(const TaskRef &ref, TimePoint now)
+{
+    if (ref.spec().isGang || isKnownUnplaceable(ref)) {
+        return;
+    }
+    if (CellWorker *worker = chooseWorkerForDisplaced(ref, now)) {
+        startOrAwaitRack(ref, *worker, now);
+    } else if (!CrashDetector::isSuspect(ref.task())) {
+        recordUnplaceable(ref);
+    }
+}
+
+bool Placement::startOrAwaitRack(const TaskRef &ref, CellWorker &worker, TimePoint now)
+{
+    const bool isNear = worker.info.rack == ref.spec().dataRack;
+    if (!isNear && m_placeWaits.isEligible(ref) && m_placeWaits.shouldWait(ref, now)) {
+        return false;
+    }
+    m_placeWaits.onStart(ref, isNear, now);
+    start(ref, worker, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
+    return true;
+}
+
 void Placement::startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step,
                           std::uint32_t maxStarts, TimePoint now)
 {
@@ -401,13 +434,7 @@
             onUnplaceable(ref, now);
             return;
         }
-        const bool isNear = worker->info.rack == ref.spec().dataRack;
-        if (!isNear && m_placeWaits.isEligible(ref) && m_placeWaits.shouldWait(ref, now)) {
-            continue;
-        }
-        m_placeWaits.onStart(ref, isNear, now);
-        start(ref, *worker, TaskLedger::nextRun(task, m_state.epoch), now);
-        ++starts;
+        starts += startOrAwaitRack(ref, *worker, now) ? 1 : 0;
     }
 }
 
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -30,7 +30,8 @@
     Placement(const Placement &) = delete;
     Placement &operator=(const Placement &) = delete;
 
-    /// Starts pending tasks in the order of their jobs, as far as they fit.
+    /// Starts pending tasks in the order of their jobs, as far as they fit; within a priority
+    /// displaced tasks come first, in the order of their waits.
     /// O(pending tasks x workers).
     void run(TimePoint now, std::int64_t nowUnixMs);
     /// True if capacity is kept for \a ref.
@@ -50,9 +51,15 @@
     void sortJobs(std::vector<CellJob *> &jobs, TimePoint now) const;
     /// Adds to m_displaced the displaced tasks of \a jobs: long-running ones that have run before
     /// and have neither a worker nor a reservation.  Their wait begins now, unless it has begun.
+    /// Sorts m_displaced by priority and begin of the wait.
     void findDisplaced(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
     /// True for the first start of a long-running task while a displaced one may need the capacity.
     bool isHeldBack(const TaskRef &ref, TimePoint now) const;
+    /// Starts the displaced task \a ref if it fits; members of a gang start by startGang() only.
+    void startDisplaced(const TaskRef &ref, TimePoint now);
+    /// Starts \a ref on \a worker, unless it should wait for the rack of its data.  Returns
+    /// whether it starts.
+    bool startOrAwaitRack(const TaskRef &ref, CellWorker &worker, TimePoint now);
     void startStep(CellJob &job, std::uint32_t occurrence, std::uint32_t step,
                    std::uint32_t maxStarts, TimePoint now);
     void startGang(CellJob &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
