Hand a cell over to a process that has loaded its job records

Cause: a stopping owner released the cell at once. The next one claimed it (0.06 s), fenced the earlier owner and then read all pages of the job records one after the other: 0.39 s at the median, 0.7 s at most, growing with the records.

Change: - An owner that stops, or yields to a better one, announces in its claim that it leaves and goes on for up to 1.5 s; then it releases the cell as before. Not while the store fails. - LoadAhead: the two best candidates load the records while an owner leaves, or hasn't renewed its claim for 1.3 s; a candidate that is ready claims over a leaving owner. Nothing is read while owners renew. - JobRecordCopy reads the newest record of each key and follows the topic. JobPartition fences as before and reads only what was appended after the copy's position.

Why no record is missed: the store tells the end of the partition when it fences, and no earlier owner can append after that. The copy is used only if it was read exactly up to this end, whose records include removals; trimmed history makes the copy load all keys again. After a failed read, or with records of a newer owner, all pages are loaded as before.

Why no run starts twice: all orders of a leaving owner end maxLease after its first announcement was sent, as those of an owner that released the cell then. So the next owner may use the same expiry, and an owner after it too: with the longer expiry of a living owner, a next owner that releases at once would leave a third one that starts before the first one's orders have ended. Repeated announcements don't extend this. A leaving owner doesn't count as exclusive, so it neither denies jobs that it doesn't know nor judges workers by their silence.

An earlier yield that was overtaken by another claim ended the next ownership of the process at once; a newer epoch now drops it.

Older builds ignore the field and release, or wait for the release, as before.

--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -60,16 +60,30 @@
 {
     if (claim.holder == m_options.holder && claim.epoch > m_claim.epoch) {
         // A resigned owner sends no more orders, but its leases are still valid.
-        const Duration ordersAfter = hasOwner() ? OwnerTimeout : Duration{};
+        // Neither does one that hands the cell over: its orders end as if it had released it.
+        const bool isLiving = hasOwner() && !m_claim.isLeaving;
+        const Duration ordersAfter = isLiving ? OwnerTimeout : Duration{};
         m_earlierOrdersExpiry =
             m_claim.epoch == 0
                 ? now
                 : m_claimSeenAt + allowForClockDrift(m_options.maxLease + ordersAfter);
     }
+    if (claim.epoch > m_claim.epoch) {
+        m_isYielding = false;
+        m_handOverUntil.reset();
+        m_announcedAt.reset();
+    }
     m_claim = claim;
     m_claimSeenAt = now;
 }
 
+void CellElection::handOver(TimePoint until)
+{
+    if (isOwner() && !m_handOverUntil) {
+        m_handOverUntil = until;
+    }
+}
+
 void CellElection::onAppended(std::uint64_t end, TimePoint now)
 {
     m_isAppending = false;
@@ -103,15 +117,19 @@
 
 bool CellElection::isExclusiveOwner(TimePoint now) const
 {
-    return isOwner() && m_claim.epoch > m_releasedEpoch && now < m_renewedAt + OwnerTimeout;
+    return isOwner() && m_claim.epoch > m_releasedEpoch && !m_announcedAt
+           && now < m_renewedAt + OwnerTimeout;
 }
 
 TimePoint CellElection::ordersUntil() const
 {
-    // Others may already have read the resignation.
-    return isOwner() && m_claim.epoch > m_releasedEpoch
-               ? m_renewedAt + OwnerTimeout + m_options.maxLease
-               : TimePoint{};
+    if (!isOwner() || m_claim.epoch <= m_releasedEpoch) {
+        // Others may already have read the resignation.
+        return TimePoint{};
+    }
+    const TimePoint until = m_renewedAt + OwnerTimeout + m_options.maxLease;
+    // Others may claim as soon as they have read the announcement.
+    return m_announcedAt ? std::min(until, *m_announcedAt + m_options.maxLease) : until;
 }
 
 bool CellElection::mayClaim(TimePoint now) const
@@ -119,9 +137,12 @@
     const Duration claimDelay = std::min(m_claimRank * ClaimDelayPerRank, MaxClaimDelay);
     if (!hasOwner() || m_claim.node == m_options.node) {
         // The owner has resigned, there was none, or it was an earlier incarnation of this process.
-        return now >= std::max(m_claimSeenAt, m_connectedSince) + claimDelay;
+        return now >= silentSince() + claimDelay;
+    }
+    if (m_claim.isLeaving && m_readySince && now >= *m_readySince + claimDelay) {
+        return true;
     }
-    return now >= std::max(m_claimSeenAt, m_connectedSince) + OwnerTimeout + claimDelay;
+    return now >= silentSince() + OwnerTimeout + claimDelay;
 }
 
 bool CellElection::isRenewalDue(TimePoint now) const
@@ -142,14 +163,21 @@
     if (isOwner()) {
         // A release that was sent may have been stored even if its append failed: it is repeated,
         // never followed by a renewal.
-        const bool isReleasing = m_isResigning || m_isYielding || m_releasedEpoch == m_claim.epoch;
-        if (!isReleasing && !isRenewalDue(now)) {
+        const bool isHandingOver = m_handOverUntil && now < *m_handOverUntil;
+        const bool isGivingUp = m_isResigning || m_isYielding || m_handOverUntil;
+        const bool isReleasing = (isGivingUp && !isHandingOver) || m_releasedEpoch == m_claim.epoch;
+        const bool isAnnouncementDue = isHandingOver && !m_claim.isLeaving;
+        if (!isReleasing && !isAnnouncementDue && !isRenewalDue(now)) {
             return std::nullopt;
         }
         if (isReleasing) {
             m_releasedEpoch = m_claim.epoch;
             m_isYielding = false;
             append.claim.holder.clear();
+        } else if (isHandingOver) {
+            // A repeated announcement must not extend the orders: the first may have been read.
+            m_announcedAt = m_announcedAt.value_or(now);
+            append.claim.isLeaving = true;
         }
     } else {
         if (m_isResigning || !m_isConnected || !mayClaim(now)) {
@@ -159,6 +187,7 @@
         append.claim.holder = m_options.holder;
         append.claim.node = m_options.node;
         append.claim.endpoint = m_options.endpoint;
+        append.claim.isLeaving = false;
         // The previous owner's counts apply until this one has loaded the jobs.
         m_pending = m_claim.pendingByQueue;
         append.claim.pendingByQueue = m_pending;
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -3,6 +3,7 @@
 #include "Cell/CellMessages.h"
 #include "Core/Clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -23,6 +24,7 @@
     std::map<std::string, ServiceRoom> rooms; ///< By service; only in the directory.
     /// Jobs of other cells whose tasks were given up here; only in the directory.
     std::vector<JobId> givenUpJobs;
+    bool isLeaving = false; ///< The holder goes on until a process that is ready claims the cell.
 };
 
 /// Leader election for a cell by conditional appends to its ownership topic.
@@ -32,6 +34,10 @@
 /// owner renews its claim; others may claim the cell after OwnerTimeout without a renewal.  The new
 /// owner's higher epoch fences the earlier owner at the store and at each worker that it reaches;
 /// no order of the earlier owner takes effect after the ordersUntil() of its last renewal.
+///
+/// An owner that stops or yields may announce this first.  A process that has loaded the cell's
+/// jobs then claims without waiting for the release or the timeout.  As after a release, no order
+/// of the owner takes effect later than maxLease after its first announcement.
 class CellElection
 {
 public:
@@ -77,11 +83,18 @@
     };
     /// The append that is due now, if any.
     std::optional<Append> next(TimePoint now);
-    /// Releases the cell with the next append and makes no further claims.
+    /// Releases the cell with the next append, if it is owned, and makes no further claims.
     void resign() { m_isResigning = true; }
     bool isResigning() const { return m_isResigning; }
     /// Releases the cell with the next append; this process may claim it again.
     void yield() { m_isYielding = isOwner(); }
+    /// Announces with the next append that this owner leaves, and releases the cell with the first
+    /// append from \a until on, unless another process has claimed it.  Delays the release of
+    /// resign().  The first call under an epoch counts.
+    void handOver(TimePoint until);
+    /// Sets since when this process could serve the cell at once; unset if it would have to load
+    /// the jobs first.
+    void setReadySince(std::optional<TimePoint> since) { m_readySince = since; }
     /// Ends the ownership of this process until it wins a new claim.
     void giveUp() { m_givenUpEpoch = m_claim.epoch; }
     /// Sets the number of candidates that should claim the cell before this one.
@@ -99,6 +112,8 @@
     bool isOwner() const;
     /// True while no other process can have become the owner.
     bool isExclusiveOwner(TimePoint now) const;
+    /// True if the topic is being read.
+    bool isConnected() const { return m_isConnected; }
     Epoch epoch() const { return m_claim.epoch; }
     /// Latest deadline that orders of this process may have; zero when it may give none.
     TimePoint ordersUntil() const;
@@ -107,6 +122,8 @@
     const OwnershipClaim &claim() const { return m_claim; }
     bool hasOwner() const { return !m_claim.holder.empty(); }
     TimePoint claimSeenAt() const { return m_claimSeenAt; }
+    /// Since when no renewal has been read though the topic is; the owner's timeout begins here.
+    TimePoint silentSince() const { return std::max(m_claimSeenAt, m_connectedSince); }
     /// True if the topic is known to have claims that were not read; none is sent until they are.
     bool hasUnreadClaims() const { return m_knownEnd < m_topicEnd; }
     /// Highest known end of the topic.
@@ -128,6 +145,9 @@
     bool m_isAppending = false;
     bool m_isResigning = false;
     bool m_isYielding = false;
+    std::optional<TimePoint> m_handOverUntil; ///< Set while the latest claim is to be handed over.
+    std::optional<TimePoint> m_announcedAt;   ///< When the first announcement of that was sent.
+    std::optional<TimePoint> m_readySince;
     /// Epoch whose release this process has sent; it gives no more orders under this epoch.
     Epoch m_releasedEpoch = 0;
     int m_claimRank = 0;
--- a/src/CellLease/ClaimRecord.cpp
+++ b/src/CellLease/ClaimRecord.cpp
@@ -43,7 +43,8 @@
                 {"pending", claim.pendingByQueue},
                 {"load", {load.reserved, load.fillers, load.longRunning, load.milliCpu}},
                 {"rooms", std::move(rooms)},
-                {"given_up", std::move(givenUp)}}
+                {"given_up", std::move(givenUp)},
+                {"leaving", claim.isLeaving}}
         .dump();
 }
 
@@ -72,6 +73,7 @@
         for (const json &it : object.value("given_up", json::array())) {
             claim.givenUpJobs.emplace_back(it.get<std::string>());
         }
+        claim.isLeaving = object.value("leaving", false);
         return claim;
     } catch (const json::exception &e) {
         throw ClaimRecordError(std::string("ownership claim: ") + e.what());
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -9,6 +9,7 @@
 #include "Node/CellDump.h"
 #include "Node/DelegationSender.h"
 #include "Node/JobPartition.h"
+#include "Node/LoadAhead.h"
 #include "Node/OrderSender.h"
 #include "Node/TopicFollower.h"
 #include "Node/WorkerDirectory.h"
@@ -46,6 +47,8 @@
 constexpr double SignificantLoadChange = 0.05;
 /// Time for which a process that is no longer a candidate goes on following the claims.
 constexpr Duration WatchLinger = std::chrono::seconds(3);
+/// Time that an owner which stops or yields leaves to the next one to load the jobs.
+constexpr Duration MaxHandOverTime = std::chrono::milliseconds(1500);
 /// Time for which a better owner must be known before the cell is released to it.
 constexpr Duration ReleaseDelay = std::chrono::seconds(5);
 
@@ -79,6 +82,7 @@
         , metrics(metricsIn)
         , election(electionOptions(settings, options))
         , scheduler(settings.bounds)
+        , loadAhead(contextIn, storeIn, retriesIn, logIn, options.cell, [this] { postStep(); })
         , timer(contextIn)
     {
         scheduler.suspendStarts();
@@ -252,10 +256,22 @@
             log.write(LogLevel::Info, "cell", "released to a better owner",
                       {{"cell", options.cell}, {"epoch", epoch}});
             betterOwnerSince.reset();
+            handOver(now);
             election.yield();
         }
     }
 
+    /// Lets another process prepare to claim the cell before it is released.
+    void handOver(TimePoint now)
+    {
+        if (!isServing || !election.isOwner() || !hasStoreContact || partition->isFailing()) {
+            return;
+        }
+        election.handOver(now + MaxHandOverTime);
+        log.write(LogLevel::Info, "cell", "owner leaves",
+                  {{"cell", options.cell}, {"epoch", epoch}});
+    }
+
     /// Wraps \a callback so that it does nothing once this ownership has ended.
     template <typename F>
     auto guarded(F callback)
@@ -360,12 +376,17 @@
     void sendClaim(TimePoint now)
     {
         if (!isOwning) {
-            election.setClaimRank(options.claimRank());
+            const int rank = options.claimRank();
+            election.setClaimRank(rank);
+            loadAhead.update(election, rank, now);
+            election.setReadySince(loadAhead.readySince());
         }
         const auto append = election.next(now);
         if (!append) {
             return;
         }
+        // An announcement that the owner leaves limits all orders from now on.
+        scheduler.setOrdersUntil(election.ordersUntil());
         const bool isNew = append->claim.epoch != election.epoch();
         if (isNew) {
             claimSentAt = now;
@@ -430,8 +451,9 @@
         callbacks.onLoaded = guarded([](Private &self) { self.beginServing(); });
         callbacks.onFenced = guarded([](Private &self) { self.endOwnership(); });
         callbacks.onReadyToAppend = guarded([](Private &self) { self.postStep(); });
-        partition = std::make_unique<JobPartition>(context, store, scheduler, log, metrics,
-                                                   options.cell, epoch, std::move(callbacks));
+        partition =
+            std::make_unique<JobPartition>(context, store, scheduler, log, metrics, options.cell,
+                                           epoch, std::move(callbacks), loadAhead.take());
     }
 
     void beginServing()
@@ -704,6 +726,7 @@
     Metrics &metrics;
     CellElection election;
     CellScheduler scheduler;
+    LoadAhead loadAhead;
     std::unique_ptr<DelegationSender> delegations; ///< Set while owning.
     std::unique_ptr<OrderSender> orders;           ///< Set while owning.
     std::unique_ptr<JobPartition> partition;       ///< Set while owning.
@@ -767,6 +790,7 @@
 
 void CellHost::resign()
 {
+    m_private->handOver(Clock::now());
     m_private->election.resign();
     m_private->postStep();
 }
--- a/src/Node/JobPartition.cpp
+++ b/src/Node/JobPartition.cpp
@@ -3,6 +3,7 @@
 #include "Core/UnixTime.h"
 
 #include <asio/basic_waitable_timer.hpp>
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -28,7 +29,8 @@
 struct JobPartition::Private : std::enable_shared_from_this<Private>
 {
     Private(asio::io_context &context, platform::StoreClient &storeIn, CellScheduler &schedulerIn,
-            EventLog &logIn, Metrics &metricsIn, int cellIn, Epoch epochIn, Callbacks callbacksIn)
+            EventLog &logIn, Metrics &metricsIn, int cellIn, Epoch epochIn, Callbacks callbacksIn,
+            std::unique_ptr<JobRecordCopy> copyIn)
         : store(storeIn)
         , scheduler(schedulerIn)
         , log(logIn)
@@ -36,6 +38,7 @@
         , cell(cellIn)
         , epoch(epochIn)
         , callbacks(std::move(callbacksIn))
+        , copy(std::move(copyIn))
         , timer(context)
     {}
 
@@ -67,7 +70,7 @@
         store.append(platform::jobTopic(cell), writerGuard(0), {}, MaxAppendTimeout,
                      guarded([](Private &self, const platform::AppendResult &result) {
                          if (result.outcome == AppendOutcome::Stored) {
-                             self.loadJobs({});
+                             self.onPartitionFenced(result.end);
                              return;
                          }
                          self.reportAppendFailure(result);
@@ -75,6 +78,65 @@
                      }));
     }
 
+    /// No earlier owner can append after \a end.
+    void onPartitionFenced(std::uint64_t end)
+    {
+        fencedAt = Clock::now();
+        const bool isEndKnown = end > 0;
+        if (!copy || !isEndKnown) {
+            loadJobs({});
+            return;
+        }
+        copy->readTo(end,
+                     guarded([](Private &self, bool isComplete) { self.onCopyRead(isComplete); }));
+    }
+
+    void onCopyRead(bool isComplete)
+    {
+        // This may run inside a callback of the copy, which is destroyed later.
+        const std::shared_ptr<JobRecordCopy> ended = std::move(copy);
+        asio::post(timer.get_executor(), [ended] {});
+        if (!isComplete) {
+            log.write(LogLevel::Warning, "cell", "load ahead unusable", {{"cell", cell}});
+            loadJobs({});
+            return;
+        }
+        const TimePoint readAt = Clock::now();
+        for (const auto &[key, value] : ended->records()) {
+            restore(key, value);
+        }
+        finishLoad(readAt, true);
+    }
+
+    void restore(const std::string &key, const std::string &value)
+    {
+        ++recordCount;
+        try {
+            scheduler.restore(key, value);
+        } catch (const std::exception &e) {
+            log.write(LogLevel::Error, "cell", "unreadable record",
+                      {{"key", key}, {"error", e.what()}});
+        }
+    }
+
+    /// Ends the load, whose last record was read at \a readAt.
+    void finishLoad(TimePoint readAt, bool isAhead)
+    {
+        scheduler.finishRestore(Clock::now(), unixMs());
+        const auto toMs = [](Duration it) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+        };
+        log.write(LogLevel::Info, "cell", "jobs loaded",
+                  {{"cell", cell},
+                   {"epoch", epoch},
+                   {"records", recordCount},
+                   {"ahead", isAhead},
+                   {"fence_ms", toMs(fencedAt - begunAt)},
+                   {"read_ms", toMs(readAt - fencedAt)},
+                   {"restore_ms", toMs(Clock::now() - readAt)}});
+        callbacks.onLoaded();
+    }
+
     void loadJobs(const std::string &afterKey)
     {
         store.newest(platform::jobTopic(cell), afterKey,
@@ -92,20 +154,15 @@
                 guarded([afterKey](Private &self, asio::error_code) { self.loadJobs(afterKey); }));
             return;
         }
+        const TimePoint readAt = Clock::now();
         for (const KeyedRecord &it : page.records) {
-            try {
-                scheduler.restore(it.key, it.value.value_or(std::string()));
-            } catch (const std::exception &e) {
-                log.write(LogLevel::Error, "cell", "unreadable record",
-                          {{"key", it.key}, {"error", e.what()}});
-            }
+            restore(it.key, it.value.value_or(std::string()));
         }
         if (page.hasMore && !page.records.empty()) {
             loadJobs(page.records.back().key);
             return;
         }
-        scheduler.finishRestore(Clock::now(), unixMs());
-        callbacks.onLoaded();
+        finishLoad(readAt, false);
     }
 
     void retryLater(void (Private::*next)())
@@ -212,7 +269,11 @@
     int cell;
     Epoch epoch;
     Callbacks callbacks;
+    std::unique_ptr<JobRecordCopy> copy; ///< Set until the partition is loaded, if there is one.
     asio::basic_waitable_timer<Clock> timer;
+    TimePoint begunAt = Clock::now();
+    TimePoint fencedAt{};
+    std::size_t recordCount = 0; ///< Records that were restored.
     bool isClosed = false;
     bool isAppending = false;
     bool isAwaitingNextAppend = false; ///< While no append is in flight.
@@ -223,9 +284,9 @@
 
 JobPartition::JobPartition(asio::io_context &context, platform::StoreClient &store,
                            CellScheduler &scheduler, EventLog &log, Metrics &metrics, int cell,
-                           Epoch epoch, Callbacks callbacks)
+                           Epoch epoch, Callbacks callbacks, std::unique_ptr<JobRecordCopy> copy)
     : m_private(std::make_shared<Private>(context, store, scheduler, log, metrics, cell, epoch,
-                                          std::move(callbacks)))
+                                          std::move(callbacks), std::move(copy)))
 {
     m_private->fencePartition();
 }
--- a/src/Node/JobPartition.h
+++ b/src/Node/JobPartition.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellScheduler.h"
+#include "Node/JobRecordCopy.h"
 #include "Ops/EventLog.h"
 #include "Ops/Metrics.h"
 #include "platform/StoreClient.h"
@@ -23,9 +24,10 @@
         std::function<void()> onReadyToAppend; ///< The next batch may be appended.
     };
 
-    /// Starts to fence and load the partition at once.
+    /// Starts to fence and load the partition at once; what \a copy holds isn't read again.
     JobPartition(asio::io_context &context, platform::StoreClient &store, CellScheduler &scheduler,
-                 EventLog &log, Metrics &metrics, int cell, Epoch epoch, Callbacks callbacks);
+                 EventLog &log, Metrics &metrics, int cell, Epoch epoch, Callbacks callbacks,
+                 std::unique_ptr<JobRecordCopy> copy = nullptr);
     ~JobPartition();
     JobPartition(const JobPartition &) = delete;
     JobPartition &operator=(const JobPartition &) = delete;
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -373,6 +373,110 @@
     EXPECT_EQ(election.claim().holder, "b.1");
 }
 
+// Guards against a cell that nobody schedules while its next owner loads the jobs.
+TEST(CellElection, AnOwnerThatHandsOverGoesOnUntilAnotherProcessIsReady)
+{
+    CellElection owner = makeElection("a");
+    CellElection candidate = makeElection("b");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    owner.onRead(end, now);
+    ASSERT_TRUE(claimOnce(owner, now, end));
+    owner.handOver(now + 1s);
+    owner.resign();
+    now += 10ms;
+    const auto announcement = owner.next(now);
+    ASSERT_TRUE(announcement.has_value());
+    EXPECT_TRUE(decodeClaim(encodeClaim(announcement->claim)).isLeaving);
+    owner.onAppended(++end, now);
+    EXPECT_TRUE(owner.isOwner());
+    EXPECT_GT(owner.ordersUntil(), now + 5s);
+    EXPECT_FALSE(owner.isExclusiveOwner(now)) << "others may claim";
+    EXPECT_FALSE(owner.next(now + 10ms).has_value()) << "announced once";
+
+    candidate.onClaim(announcement->claim, now);
+    candidate.onRead(end, now);
+    EXPECT_FALSE(candidate.next(now + 300ms).has_value()) << "the jobs aren't loaded";
+    now += 400ms;
+    candidate.setReadySince(now);
+    const auto claim = candidate.next(now);
+    ASSERT_TRUE(claim.has_value());
+    EXPECT_EQ(claim->claim.epoch, 2U);
+    EXPECT_FALSE(claim->claim.isLeaving);
+    candidate.onAppended(++end, now);
+    EXPECT_LE(owner.ordersUntil(), candidate.earlierOrdersExpiry());
+    owner.onClaim(claim->claim, now);
+    owner.onRead(end, now);
+    EXPECT_FALSE(owner.isOwner());
+    EXPECT_FALSE(owner.next(now + 10s).has_value()) << "it makes no further claims";
+}
+
+// Guards against a process that can't stop, or a better owner that never gets the cell, as nobody
+// prepares to take it over.
+TEST(CellElection, AnOwnerThatNobodyReplacesReleasesTheCellInTime)
+{
+    CellElection election = makeElection("a");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    election.onRead(end, now);
+    ASSERT_TRUE(claimOnce(election, now, end));
+    election.handOver(now + 1s);
+    ASSERT_TRUE(election.next(now + 10ms).has_value());
+    election.onAppended(++end, now + 20ms);
+    election.handOver(now + 9s);
+    const auto release = election.next(now + 1s);
+    ASSERT_TRUE(release.has_value());
+    EXPECT_TRUE(release->claim.holder.empty());
+    EXPECT_LE(election.ordersUntil(), now + 1s);
+}
+
+// Guards against orders of an owner that hands over which outlive what the next owner, or one after
+// it, takes for their end: a task would run twice.
+TEST(CellElection, RepeatedAnnouncementsDoNotExtendTheOrders)
+{
+    CellElection election = makeElection("a");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    election.onRead(end, now);
+    ASSERT_TRUE(claimOnce(election, now, end));
+    election.handOver(now + 9s);
+    now += 10ms;
+    ASSERT_TRUE(election.next(now).has_value());
+    const TimePoint until = election.ordersUntil();
+    EXPECT_EQ(until, now + 6s);
+    election.onAppendFailed(now); // May be stored.
+    ASSERT_TRUE(election.next(now + 400ms).has_value());
+    election.onAppended(++end, now + 500ms);
+    ASSERT_TRUE(election.next(now + 2s).has_value());
+    EXPECT_EQ(election.ordersUntil(), until);
+}
+
+// Guards against an ownership that ends as soon as it begins, as the process once yielded the cell
+// and another process claimed it before the release was sent.
+TEST(CellElection, AnEarlierHandOverHasNoEffectOnALaterOwnership)
+{
+    CellElection election = makeElection("a");
+    TimePoint now{10s};
+    std::uint64_t end = 0;
+    election.onRead(end, now);
+    ASSERT_TRUE(claimOnce(election, now, end));
+    election.handOver(now + 1s);
+    election.yield();
+    election.onClaim({2, "b.1", "b", {}, 1, {}}, now);
+    election.onClaim({2, "", "b", {}, 2, {}}, now);
+    end = 3;
+    election.onRead(end, now);
+    now += 10ms;
+    ASSERT_TRUE(claimOnce(election, now, end));
+    EXPECT_EQ(election.epoch(), 3U);
+    EXPECT_TRUE(election.isExclusiveOwner(now));
+    EXPECT_FALSE(election.next(now + 10ms).has_value());
+    const auto renewal = election.next(now + CellElection::RenewInterval);
+    ASSERT_TRUE(renewal.has_value());
+    EXPECT_FALSE(renewal->claim.isLeaving);
+    EXPECT_FALSE(renewal->claim.holder.empty());
+}
+
 // Guards against an append without an answer that is stored late: it counts once it is read.
 TEST(CellElection, AClaimStoredAfterItsTimeoutCountsWhenItIsRead)
 {
@@ -409,8 +513,9 @@
 class RandomElections
 {
 public:
-    explicit RandomElections(std::uint32_t seed)
+    explicit RandomElections(std::uint32_t seed, bool hasHandOvers = false)
         : m_random(seed)
+        , m_hasHandOvers(hasHandOvers)
     {
         for (int i = 0; i < CandidateCount; ++i) {
             m_candidates.push_back(std::make_unique<Candidate>());
@@ -433,6 +538,8 @@
 
     int ownerships() const { return m_ownerships; }
     int lateRecords() const { return m_lateRecords; }
+    /// Claims over an owner that announced that it leaves.
+    int takeOvers() const { return m_takeOvers; }
 
 private:
     static constexpr int CandidateCount = 4;
@@ -516,6 +623,9 @@
         if (it.election->isOwner() && occurs(10s)) {
             it.election->giveUp();
         }
+        if (m_hasHandOvers) {
+            disturbHandOvers(*it.election);
+        }
         if (occurs(10s)) {
             it.pausedUntil = m_now + randomDelay(4s);
         }
@@ -525,6 +635,20 @@
         }
     }
 
+    void disturbHandOvers(CellElection &election)
+    {
+        if (occurs(500ms)) {
+            const bool isReady = m_random() % 2 == 0;
+            election.setReadySince(isReady ? std::optional(m_now) : std::nullopt);
+        }
+        if (occurs(2s) && election.isOwner()) {
+            election.handOver(m_now + randomDelay(1500ms));
+            if (m_random() % 8 == 0) {
+                election.resign();
+            }
+        }
+    }
+
     void finishRead(Candidate &it)
     {
         if (it.read && m_now >= it.read->answeredAt) {
@@ -600,6 +724,8 @@
         if (append->claim.holder.empty()) {
             it.releasedEpoch = append->claim.epoch;
         }
+        const bool isNew = append->claim.epoch != it.election->epoch();
+        m_takeOvers += isNew && it.election->hasOwner() && it.election->claim().isLeaving ? 1 : 0;
         SentAppend sent;
         sent.append = *append;
         sent.processedAt = m_now + randomDelay(100ms);
@@ -642,11 +768,13 @@
     }
 
     std::mt19937 m_random;
+    bool m_hasHandOvers;
     TimePoint m_now{10s};
     std::vector<OwnershipClaim> m_topic;
     std::vector<std::unique_ptr<Candidate>> m_candidates;
     int m_ownerships = 0;
     int m_lateRecords = 0;
+    int m_takeOvers = 0;
 };
 
 // Guards against two owners of one epoch, and against a stored claim that counts late, whatever the
@@ -669,5 +797,22 @@
     EXPECT_GT(lateRecords, 200) << "the schedules read no records late";
 }
 
+// Guards against orders of an owner that hands its cell over which outlive what a later owner takes
+// for their end, whatever the order in which reads and answers arrive.
+TEST(CellElection, RandomHandOversKeepTheOrdersOfOwnersApart)
+{
+    int takeOvers = 0;
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        RandomElections elections(seed, true);
+        elections.run(60s);
+        takeOvers += elections.takeOvers();
+        if (HasFailure()) {
+            return;
+        }
+    }
+    EXPECT_GT(takeOvers, 500) << "the schedules claim over no leaving owner";
+}
+
 } // namespace
 } // namespace firefly
--- a/test/CellHandOver.cpp
+++ b/test/CellHandOver.cpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace firefly {
 namespace {
@@ -84,7 +85,7 @@
         Clock::pause(TimePoint(1h));
         putJobs("a", 2500);
         store.delay = StoreDelay;
-        owner = std::make_unique<Process>(context, endpoint, "owner");
+        owner = std::make_unique<Process>(context, ownerEndpoint, "owner");
         EXPECT_TRUE(runUntil([this] { return owner->host->isServing(); }, 5s));
         candidate = std::make_unique<Process>(context, endpoint, "candidate");
         run(1s);
@@ -161,6 +162,17 @@
                       [this](const HttpRequest &request, HttpServer::Respond respond) {
                           store.handle(request, std::move(respond));
                       }};
+    Endpoint ownerEndpoint{"127.0.0.1", 18742};
+    HttpServer ownerServer{context, ownerEndpoint, HttpLimits{},
+                           [this](const HttpRequest &request, HttpServer::Respond respond) {
+                               if (request.path == "/log-read" && isOwnerBlind) {
+                                   heldReads.push_back(std::move(respond));
+                               } else {
+                                   store.handle(request, std::move(respond));
+                               }
+                           }};
+    bool isOwnerBlind = false; ///< The owner's reads get no answer.
+    std::vector<HttpServer::Respond> heldReads;
     std::unique_ptr<Process> owner;
     std::unique_ptr<Process> candidate;
 };
@@ -171,6 +183,86 @@
 {
     owner->host->resign();
     EXPECT_LE(timeWithoutOwner(), MaxGap);
+    EXPECT_TRUE(owner->host->hasResigned());
+}
+
+TEST_F(CellHandOver, AnOwnerThatYieldsLeavesNoLongGap)
+{
+    owner->hasBetterOwner = true;
+    EXPECT_LE(timeWithoutOwner(), MaxGap);
+}
+
+// Guards against a load of the records that begins only once the cell of a killed owner is claimed.
+TEST_F(CellHandOver, TheCellOfAKilledOwnerIsServedSoonAfterItsClaim)
+{
+    owner.reset();
+    ASSERT_TRUE(runUntil([this] { return candidate->host->election().isOwner(); },
+                         CellElection::OwnerTimeout + 1s));
+    EXPECT_TRUE(runUntil([this] { return candidate->host->isServing(); }, MaxGap));
+}
+
+// Guards against a process that isn't done by the end of its grace period.
+TEST_F(CellHandOver, AStoppingOwnerWithoutACandidateReleasesTheCellInTime)
+{
+    candidate.reset();
+    owner->host->resign();
+    EXPECT_TRUE(runUntil([this] { return owner->host->hasResigned(); }, 2s));
+}
+
+// Guards against a stop that takes longer because the store fails.
+TEST_F(CellHandOver, AStoppingOwnerWhoseStoreFailsIsTakenOverOnceItIsBack)
+{
+    store.isUnavailable = true;
+    run(1s);
+    owner->host->resign();
+    run(3s);
+    store.isUnavailable = false;
+    EXPECT_TRUE(runUntil([this] { return owner->host->hasResigned(); }, 1s));
+    EXPECT_TRUE(runUntil([this] { return candidate->host->isServing(); }, 5s));
+}
+
+// Guards against a load that is reported as complete to a process that has claimed the cell since.
+TEST_F(CellHandOver, ALoadThatIsIncompleteAtTheClaimIsContinued)
+{
+    store.delay = 500ms;
+    owner->host->resign();
+    EXPECT_TRUE(runUntil([this] { return candidate->host->election().isOwner(); }, 10s));
+    EXPECT_FALSE(candidate->host->isServing());
+    EXPECT_TRUE(runUntil([this] { return candidate->host->isServing(); }, 10s));
+    candidate->host->query(JobId("a2499"), [](const CallerReply &reply) {
+        EXPECT_EQ(reply.outcome, CallerOutcome::Done);
+    });
+}
+
+// Guards against jobs that the next owner doesn't know, as they were stored after it had loaded the
+// records; here until it fences the earlier owner, which hasn't read its claim.
+TEST_F(CellHandOver, JobsThatAreStoredDuringTheHandOverAreKnownToTheNextOwner)
+{
+    std::vector<JobId> stored;
+    int count = 0;
+    isOwnerBlind = true;
+    owner->host->resign();
+    const bool hasChanged = runUntil(
+        [&] {
+            if (owner->host->isServing()) {
+                const JobId id("b" + std::to_string(count++));
+                owner->host->submit(id, makeJob(), true, [&stored, id](const CallerReply &reply) {
+                    if (reply.outcome == CallerOutcome::Done) {
+                        stored.push_back(id);
+                    }
+                });
+            }
+            return candidate->host->isServing();
+        },
+        10s);
+    ASSERT_TRUE(hasChanged);
+    EXPECT_GT(stored.size(), 10U);
+    EXPECT_TRUE(runUntil([this] { return owner->host->hasResigned(); }, 1s));
+    for (const JobId &it : stored) {
+        candidate->host->query(it, [&it](const CallerReply &reply) {
+            EXPECT_EQ(reply.outcome, CallerOutcome::Done) << it.value();
+        });
+    }
 }
 
 } // namespace
