Read the list of workers while a new owner loads its jobs

Cause: WorkerDirectory was created when the jobs were loaded.

Change: it is created when the ownership begins, reads meanwhile, and passes on what it has read, in its order, once the scheduler has restored its records; the scheduler sees the same inputs in the same order as before.

--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -441,12 +441,19 @@
         publishedGivenUp.clear();
         publish(now);
         scheduler.beginOwnership(epoch, now, election.earlierOrdersExpiry());
+        hasReadWorkers = false;
         const auto afterReply = guarded([](Private &self) { self.postStep(); });
         delegations = std::make_unique<DelegationSender>(context, scheduler, log, metrics,
                                                          options.sendDelegation, afterReply);
         orders = std::make_unique<OrderSender>(
             scheduler, workers, log, metrics, options.cell, epoch, afterReply,
             [this](const DelegationRequest &request) { delegations->send(request); });
+        directory = std::make_unique<WorkerDirectory>(context, store, retries, scheduler, log,
+                                                      options.layout, options.cell,
+                                                      guarded([](Private &self) {
+                                                          self.hasReadWorkers = true;
+                                                          self.postStep();
+                                                      }));
         JobPartition::Callbacks callbacks;
         callbacks.onLoaded = guarded([](Private &self) { self.beginServing(); });
         callbacks.onFenced = guarded([](Private &self) { self.endOwnership(); });
@@ -459,7 +466,6 @@
     void beginServing()
     {
         isServing = true;
-        hasReadWorkers = false;
         log.write(LogLevel::Info, "cell", "owner serves",
                   {{"cell", options.cell},
                    {"epoch", epoch},
@@ -467,12 +473,7 @@
                    {"workers", scheduler.state().workers.size()},
                    {"evacuated_zones", scheduler.state().evacuatedZones},
                    {"starts_suspended", scheduler.state().areStartsSuspended}});
-        directory = std::make_unique<WorkerDirectory>(context, store, retries, scheduler, log,
-                                                      options.layout, options.cell,
-                                                      guarded([](Private &self) {
-                                                          self.hasReadWorkers = true;
-                                                          self.postStep();
-                                                      }));
+        directory->begin();
         postStep();
     }
 
@@ -731,7 +732,7 @@
     std::unique_ptr<OrderSender> orders;           ///< Set while owning.
     std::unique_ptr<JobPartition> partition;       ///< Set while owning.
     std::unique_ptr<TopicFollower> claims;
-    std::unique_ptr<WorkerDirectory> directory; ///< Set while serving.
+    std::unique_ptr<WorkerDirectory> directory; ///< Set while owning.
     Timer timer;
     std::deque<HeldJob> held; ///< In the order of their decisions.
     TimePoint lastLoadLogAt{};
--- a/src/Node/WorkerDirectory.cpp
+++ b/src/Node/WorkerDirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -14,19 +15,6 @@
 constexpr Duration ReadPause = std::chrono::milliseconds(400);
 constexpr Duration ReadWait = std::chrono::milliseconds(1000);
 
-template <typename OnRecord, typename OnSnapshot>
-TopicFollower::Callbacks makeCallbacks(OnRecord onRecord, OnSnapshot onSnapshot,
-                                       std::function<void()> onRead)
-{
-    TopicFollower::Callbacks callbacks;
-    callbacks.onRecord = std::move(onRecord);
-    callbacks.onSnapshot = std::move(onSnapshot);
-    callbacks.onRead = [onRead = std::move(onRead)](std::uint64_t) { onRead(); };
-    // The follower of the claims already logs that the store is lost or regained.
-    callbacks.onFailed = [](const std::string &) {};
-    return callbacks;
-}
-
 } // namespace
 
 WorkerDirectory::WorkerDirectory(asio::io_context &context, platform::StoreClient &store,
@@ -38,11 +26,39 @@
     , m_cell(cell)
     , m_follower(context, store, retries,
                  {platform::workerTopic(), StoreReadKind::Ownership, ReadWait, ReadPause},
-                 makeCallbacks([this](const KeyedRecord &it) { onRecord(it); },
-                               [this](const std::set<std::string> &keys) { onSnapshot(keys); },
-                               std::move(onRead)))
+                 makeCallbacks(std::move(onRead)))
 {}
 
+TopicFollower::Callbacks WorkerDirectory::makeCallbacks(std::function<void()> onRead)
+{
+    TopicFollower::Callbacks callbacks;
+    callbacks.onRecord = [this](const KeyedRecord &it) { deliver([this, it] { onRecord(it); }); };
+    callbacks.onSnapshot = [this](const std::set<std::string> &keys) {
+        deliver([this, keys] { onSnapshot(keys); });
+    };
+    callbacks.onRead = [this, onRead = std::move(onRead)](std::uint64_t) { deliver(onRead); };
+    // The follower of the claims already logs that the store is lost or regained.
+    callbacks.onFailed = [](const std::string &) {};
+    return callbacks;
+}
+
+void WorkerDirectory::deliver(std::function<void()> event)
+{
+    if (m_hasBegun) {
+        event();
+    } else {
+        m_deferred.push_back(std::move(event));
+    }
+}
+
+void WorkerDirectory::begin()
+{
+    m_hasBegun = true;
+    for (const auto &it : std::exchange(m_deferred, {})) {
+        it();
+    }
+}
+
 void WorkerDirectory::onSnapshot(const std::set<std::string> &keys)
 {
     std::erase_if(m_workersOfOtherCells, [&keys](const auto &it) { return !keys.contains(it); });
--- a/test/CellHandOver.cpp
+++ b/test/CellHandOver.cpp
@@ -154,6 +154,18 @@
         return Clock::now() - servedAt;
     }
 
+    /// True if \a process serves the cell and knows its workers.
+    static bool takesNewJobs(const Process &process)
+    {
+        if (!process.host->isServing()) {
+            return false;
+        }
+        const auto reply = std::make_shared<std::optional<CallerOutcome>>();
+        process.host->submit(JobId("new"), makeJob(), true,
+                             [reply](const CallerReply &it) { *reply = it.outcome; });
+        return *reply != CallerOutcome::NotRun;
+    }
+
     asio::io_context context{1};
     asio::steady_timer poke{context};
     platform::StoreStandin store{context};
@@ -201,6 +213,24 @@
     EXPECT_TRUE(runUntil([this] { return candidate->host->isServing(); }, MaxGap));
 }
 
+// Guards against an owner that has restored the jobs and only then begins to read the list of the
+// workers, so that all of them count as unavailable meanwhile.
+TEST_F(CellHandOver, ANewOwnerSoonKnowsTheWorkers)
+{
+    store.delay = 50ms;
+    owner->host->resign();
+    TimePoint knownAt = Clock::now();
+    EXPECT_TRUE(runUntil(
+        [&] {
+            if (owner->host->isServing()) {
+                knownAt = Clock::now();
+            }
+            return takesNewJobs(*candidate);
+        },
+        10s));
+    EXPECT_LE(Clock::now() - knownAt, MaxGap);
+}
+
 // Guards against a process that isn't done by the end of its grace period.
 TEST_F(CellHandOver, AStoppingOwnerWithoutACandidateReleasesTheCellInTime)
 {
