Pause a worker only for failures of different jobs

Cause: recordFailure() blamed the worker whatever the task, counted one task's failures again and again, and remembered them until a batch task succeeded there, however long ago. Class: the fault of one is charged to all that share its place.

Change: a task keeps its failures by worker (FailureHistory). It prefers workers where it hasn't failed, and doesn't start again where it has for 0.2 s, then 1, 2, 4 and 8 s; nobody else waits. A worker is paused, as long as before, by the failures of different jobs, or of different tasks of a step of which others have succeeded. Tasks that fail on other workers too don't count, and a pause that rested on them ends at once. Failures more than 20 s apart aren't added up. Two log lines.

Pauses after refused or unanswered starts are unchanged: they tell of the worker, but `Invalid` (HTTP 400 or 404) may tell of the task; not seen in a log.

CellRandomFaults, CrashingTasks, SilentWorkerLoss and 24 other tests of the cell pass.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cell/CellMessages.h"
+#include "Cell/FailureHistory.h"
 #include "Locality/DelayScheduling.h"
 #include "Workload/JobRecords.h"
 
@@ -43,6 +44,7 @@
     CellWorker *worker = nullptr;          ///< Set exactly while isPlaced(state).
     std::uint32_t run = 0;                 ///< Number of the latest run.
     std::vector<std::uint32_t> failedRuns; ///< Numbers of the runs that failed.
+    FailureHistory failures;               ///< Of a gang at its first task.
     CrashHistory crashes;
     TimePoint suspectSince{};         ///< Latest crash that it may have caused; zero if none.
     std::string crashAddress;         ///< Of the worker of that crash; not recorded.
@@ -166,6 +168,9 @@
     StepRun &stepRun() const { return job->occurrences[occurrence].steps[step]; }
     CellTask &task() const { return stepRun().tasks[index]; }
     TaskName name() const { return {job->id, occurrence, step, index}; }
+    /// The task that counts its failures: of a gang, whose tasks fail together, the first one.
+    TaskRef failureCounter() const { return {job, occurrence, step, spec().isGang ? 0 : index}; }
+    const FailureHistory &failures() const { return failureCounter().task().failures; }
     /// True for a task that has run before, so that its clients miss it while it doesn't run.
     bool hasRunBefore() const { return task().run > 0 || job->isFromEarlierOwner; }
     bool operator==(const TaskRef &) const = default;
@@ -222,8 +227,11 @@
     std::int64_t fillerCpu = 0;      ///< Demand of the placed fillers, in thousandths of a core.
     std::int64_t longRunningCpu = 0; ///< CPU reserved by long-running tasks, same unit.
     std::vector<TaskRef> tasks;      ///< Placed tasks.
-    TimePoint avoidUntil{};          ///< No placements before this time.
-    std::uint32_t consecutiveFailures = 0; ///< Failed or stuck runs since the last success.
+    TimePoint avoidUntil{};          ///< No placements before this time, after a failed start.
+    /// No placements before this time, as it seems to fail whatever it runs.
+    TimePoint failurePauseUntil{};
+    std::vector<TaskName> failedTasks; ///< Tasks with failed or stuck runs since its last success.
+    TimePoint lastFailure{};           ///< Latest failed or stuck run.
     /// No placements before this time but of the job whose suspect is observed here.
     TimePoint observedUntil{};
     JobId observedJob;
@@ -258,6 +266,8 @@
     }
     /// Log text on the end of the run of \a task here, which the worker hasn't reported.
     std::string describeLoss(const CellTask &task, TimePoint now) const;
+    /// True while it takes no tasks after failures.
+    bool isPaused(TimePoint now) const { return std::max(avoidUntil, failurePauseUntil) > now; }
     /// False while it should only finish what runs.
     bool acceptsTasks() const { return !info.isDraining && !isEvacuated; }
     /// True if new tasks may start here, as far as it has room for them.
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -257,7 +257,13 @@
     /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
     /// convicted ones.
     void applySuspicions(std::span<const TaskRef> suspects, std::int64_t nowUnixMs);
-    void recordFailure(CellWorker &worker, TimePoint now);
+    /// Records that the \a run of \a ref failed or got stuck on \a worker.  Pauses the worker if
+    /// that tells of it, and ends the pauses of others if it tells that the task is at fault.
+    void recordFailure(const TaskRef &ref, CellWorker &worker, std::uint32_t run);
+    /// Number of independent failures on \a worker since its last success, without those of tasks
+    /// that fail on other workers too.  The tasks of one job count as one, except those of a step
+    /// of which others have succeeded.
+    std::size_t countIndependentFailures(const CellWorker &worker);
     void resendStops(CellWorker &worker, TimePoint now);
     /// Stops the tasks without progress, and pauses those that an earlier owner may have paused.
     void restartStuckTasks(CellWorker &worker, TimePoint now);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -167,7 +167,7 @@
     m_state.wantsPlacement = true;
     if (row.reason == RunEndReason::Done && !isLongRunning) {
         if (isCurrent || isUnplaced) {
-            worker.consecutiveFailures = 0;
+            worker.failedTasks.clear();
             completeTask(*ref, nowUnixMs);
         }
         return;
@@ -181,7 +181,7 @@
     }
     if (row.reason == RunEndReason::Failed) {
         task.crashes = {};
-        recordFailure(worker, now);
+        recordFailure(*ref, worker, row.run);
         task.notBefore = isLongRunning ? now + RestartDelay : now;
         // The failure of an earlier run counts even if a later run was reported first.
         if (!isLongRunning && !isFinal(ref->job->state)) {
@@ -214,10 +214,7 @@
 void CellScheduler::recordTaskFailure(const TaskRef &ref, const CellWorker &worker,
                                       std::uint32_t run, std::int64_t nowUnixMs)
 {
-    // The members of a gang fail together, so that failures are counted at the first member only.
-    TaskRef counter = ref;
-    counter.index = ref.spec().isGang ? 0 : ref.index;
-    CellTask &task = counter.task();
+    CellTask &task = ref.failureCounter().task();
     if (std::ranges::find(task.failedRuns, run) != task.failedRuns.end()) {
         return;
     }
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -23,6 +23,8 @@
 constexpr double DataRackBonus = 10.0;
 /// Score lost at the address of the latest crash under the task.
 constexpr double CrashAddressPenalty = 100.0;
+/// Score lost on a worker where the task has failed; exceeds all differences but those of racks.
+constexpr double FailedWorkerPenalty = 4.0;
 /// Score lost on a rack that other tasks wait for; exceeds all differences by free room.
 constexpr double ContestedRackPenalty = 2.0;
 /// Score of a serving task on a worker with serving tasks of its own image, and of another image.
@@ -391,8 +393,8 @@
         }
         CellWorker *worker =
             isDisplaced(ref) ? chooseWorkerForDisplaced(ref, now) : chooseWorker(ref, now);
-        if (!worker && CrashDetector::isSuspect(task)) {
-            // The others of the step don't need a worker without fresh tasks.
+        if (!worker && (CrashDetector::isSuspect(task) || task.failures.isPaused(now))) {
+            // The others of the step may start beside fresh tasks, and where this one has failed.
             onUnplaceable(ref, now);
             continue;
         }
@@ -650,6 +652,9 @@
     } else if (m_placeWaits.isContested(worker.info.rack)) {
         value -= ContestedRackPenalty;
     }
+    if (ref.failures().hasFailedOn(worker.info.id)) {
+        value -= FailedWorkerPenalty;
+    }
     if (CrashDetector::isAtCrashAddress(ref.task(), worker)) {
         value -= CrashAddressPenalty;
     }
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -45,7 +45,7 @@
     if (worker.renewFailures > 0) {
         return Obstacle::Unresponsive;
     }
-    if (worker.avoidUntil > now) {
+    if (worker.isPaused(now) || ref.failures().isPausedOn(worker.info.id, now)) {
         return Obstacle::Avoided;
     }
     if (!CrashDetector::isSeparable(ref, worker, now)) {
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -15,7 +15,7 @@
     Unrecorded,   ///< Its record isn't stored yet: a next owner wouldn't ask it for its runs.
     Evacuated,    ///< Its zone is evacuated.
     Unresponsive, ///< Its last renewal failed.
-    Avoided,      ///< It refused a start or failed runs a short time ago.
+    Avoided,      ///< It refused a start, or failed runs of this task or of several jobs lately.
     Capacity,
     MissedTarget, ///< A serving task missed its target there a short time ago: no fillers.
     IdleCpu,      ///< It has too little idle processor time for this filler.
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -38,10 +38,8 @@
 constexpr Duration NoRoomBackoff = std::chrono::milliseconds(200);
 constexpr Duration UnhealthyBackoff = std::chrono::milliseconds(1500);
 constexpr Duration UnreachableBackoff = std::chrono::milliseconds(500);
-/// Upper limit of the backoff after consecutive failed runs.
-constexpr Duration MaxFailureBackoff = std::chrono::seconds(8);
-/// Consecutive failed runs without a backoff.
-constexpr std::uint32_t ToleratedFailures = 1;
+/// Number of failed tasks that are remembered of a worker.
+constexpr std::size_t MaxFailedTasks = 16;
 
 std::int64_t toMs(Duration duration)
 {
@@ -429,16 +427,58 @@
     m_state.wantsPlacement = true;
 }
 
-void CellScheduler::recordFailure(CellWorker &worker, TimePoint now)
+void CellScheduler::recordFailure(const TaskRef &ref, CellWorker &worker, std::uint32_t run)
 {
-    ++worker.consecutiveFailures;
-    if (worker.consecutiveFailures > ToleratedFailures) {
-        const auto shift =
-            std::min<std::uint32_t>(worker.consecutiveFailures - ToleratedFailures, 4) - 1;
-        const Duration pause =
-            std::min<Duration>(MaxFailureBackoff, std::chrono::seconds(1 << shift));
-        worker.avoidUntil = std::max(worker.avoidUntil, now + pause);
+    FailureHistory &history = ref.failureCounter().task().failures;
+    history.record(worker.info.id, run, m_now);
+    if (m_now - std::max(worker.lastFailure, worker.failurePauseUntil) > FailureHistory::Memory) {
+        worker.failedTasks.clear();
+    }
+    worker.lastFailure = m_now;
+    const TaskName name = ref.failureCounter().name();
+    if (std::ranges::find(worker.failedTasks, name) == worker.failedTasks.end()) {
+        if (worker.failedTasks.size() == MaxFailedTasks) {
+            worker.failedTasks.erase(worker.failedTasks.begin());
+        }
+        worker.failedTasks.push_back(name);
+    }
+    const std::size_t failures = countIndependentFailures(worker);
+    const TimePoint pausedUntil = m_now + FailureHistory::pauseAfter(failures);
+    if (pausedUntil > std::max(worker.failurePauseUntil, m_now)) {
+        worker.failurePauseUntil = pausedUntil;
+        m_state.logDecision("worker paused", worker,
+                            "failures=" + std::to_string(failures)
+                                + " ms=" + std::to_string(toMs(pausedUntil - m_now)));
+    }
+    for (const WorkerId &id : history.workers()) {
+        CellWorker *other = m_state.findWorker(id);
+        if (other && other->failurePauseUntil > m_now
+            && FailureHistory::pauseAfter(countIndependentFailures(*other)) == Duration{}) {
+            m_state.logDecision("worker pause ended", *other,
+                                "left_ms=" + std::to_string(toMs(other->failurePauseUntil - m_now))
+                                    + " failed_elsewhere=" + name.job.value());
+            other->failurePauseUntil = m_now;
+            m_state.wantsPlacement = true;
+        }
+    }
+}
+
+std::size_t CellScheduler::countIndependentFailures(const CellWorker &worker)
+{
+    std::set<TaskName> sources;
+    for (const TaskName &it : worker.failedTasks) {
+        const auto ref = m_state.findTask(it);
+        if (!ref) {
+            continue;
+        }
+        const CellTask &task = ref->task();
+        if (task.state != TaskState::Done && task.failures.hasFailedWithout(worker.info.id)) {
+            continue;
+        }
+        const bool isStepSound = ref->stepRun().doneCount > 0;
+        sources.insert(isStepSound ? it : TaskName{it.job, 0, 0, 0});
     }
+    return sources.size();
 }
 
 void CellScheduler::resendStops(CellWorker &worker, TimePoint now)
@@ -480,7 +520,7 @@
             setPace(it, 0, now);
             continue;
         }
-        recordFailure(worker, now);
+        recordFailure(it, worker, task.run);
         m_state.logDecision("task stuck", it, "percent=" + std::to_string(task.percent));
         sendStop(it);
     }
--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -103,7 +103,7 @@
     if (worker.renewFailures > 0) {
         text += " unresponsive";
     }
-    if (worker.avoidUntil > Clock::now()) {
+    if (worker.isPaused(Clock::now())) {
         text += " avoided";
     }
     return text;
@@ -245,12 +245,12 @@
     const CellState &state = scheduler.state();
     nlohmann::json workers = nlohmann::json::object();
     for (const auto &[id, it] : state.workers) {
-        workers[id] = {{"registered", it->isRegistered},     {"contacted", it->isContacted},
-                       {"recorded", it->isRecorded},         {"draining", it->info.isDraining},
-                       {"service", it->info.service},        {"cpu", it->info.capacity.milliCpu},
-                       {"cpu_used", it->reserved.milliCpu},  {"filler_cpu", it->fillerCpu},
-                       {"tasks", it->tasks.size()},          {"evacuated", it->isEvacuated},
-                       {"strikes", it->consecutiveFailures}, {"renew_failures", it->renewFailures}};
+        workers[id] = {{"registered", it->isRegistered},    {"contacted", it->isContacted},
+                       {"recorded", it->isRecorded},        {"draining", it->info.isDraining},
+                       {"service", it->info.service},       {"cpu", it->info.capacity.milliCpu},
+                       {"cpu_used", it->reserved.milliCpu}, {"filler_cpu", it->fillerCpu},
+                       {"tasks", it->tasks.size()},         {"evacuated", it->isEvacuated},
+                       {"strikes", it->failedTasks.size()}, {"renew_failures", it->renewFailures}};
     }
     std::map<std::string, int> jobs;
     std::map<std::string, int> tasks;
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,7 +65,7 @@
         run.run = order.run;
         run.startedAt = now;
         run.endsAt = isWaiting ? TimePoint::max() : now + workTime;
-        run.fails = hasFailingRuns;
+        run.fails = hasFailingRuns || failingJobs.contains(order.task.job.value());
         run.checkpoint = order.checkpoint;
         return OrderOutcome::Accepted;
     }
@@ -293,7 +294,8 @@
     Duration stopTime{};                                ///< From a stop order until its run ends.
     bool holdsGangMembers = false; ///< Members of gangs started from now on wait for beginWork().
     bool hasFailingRuns = false;   ///< Runs started from now on end with a failure.
-    double clockRate = 1.0;        ///< Relative to simulated time.
+    std::set<std::string> failingJobs; ///< So do the runs of these jobs.
+    double clockRate = 1.0;            ///< Relative to simulated time.
     Duration maxLease = std::chrono::seconds(6);
     ResourceVector capacity{8000, 64000, 0};
     Endpoint endpoint{"10.0.0.1", 80};
