--- a/src/Node/CellDump.cpp
+++ b/src/Node/CellDump.cpp
@@ -147,7 +147,7 @@
     if (worker.renewFailures > 0) {
         text += " unresponsive";
     }
-    if (worker.avoidUntil > Clock::now()) {
+    if (worker.isPaused(Clock::now())) {
         text += " avoided";
     }
     const auto it = std::ranges::find_if(displaced, [&](const TaskRef &ref) {
@@ -317,12 +317,12 @@
     const CellState &state = scheduler.state();
     nlohmann::json workers = nlohmann::json::object();
     for (const auto &[id, it] : state.workers) {
-        workers[id] = {{"registered", it->isRegistered},     {"contacted", it->isContacted},
-                       {"recorded", it->isRecorded},         {"draining", it->info.isDraining},
-                       {"service", it->info.service},        {"cpu", it->info.capacity.milliCpu},
-                       {"cpu_used", it->reserved.milliCpu},  {"filler_cpu", it->fillerCpu},
-                       {"tasks", it->tasks.size()},          {"evacuated", it->isEvacuated},
-                       {"strikes", it->consecutiveFailures}, {"renew_failures", it->renewFailures}};
+        workers[id] = {{"registered", it->isRegistered},    {"contacted", it->isContacted},
+                       {"recorded", it->isRecorded},        {"draining", it->info.isDraining},
+                       {"service", it->info.service},       {"cpu", it->info.capacity.milliCpu},
+                       {"cpu_used", it->reserved.milliCpu}, {"filler_cpu", it->fillerCpu},
+                       {"tasks", it->tasks.size()},         {"evacuated", it->isEvacuated},
+                       {"strikes", it->failedTasks.size()}, {"renew_failures", it->renewFailures}};
     }
     std::map<std::string, int> jobs;
     std::map<std::string, int> tasks;
