--- a/test/CellHandOver.cpp
+++ b/test/CellHandOver.cpp
@@ -172,8 +172,11 @@
     Endpoint endpoint{"127.0.0.1", 18741};
     HttpServer server{context, endpoint, HttpLimits{},
                       [this](const HttpRequest &request, HttpServer::Respond respond) {
+                          const bool isJobs = request.query.starts_with("topic=keyed.jobs");
+                          candidateJobReads += isJobs ? 1 : 0;
                           store.handle(request, std::move(respond));
                       }};
+    int candidateJobReads = 0;
     Endpoint ownerEndpoint{"127.0.0.1", 18742};
     HttpServer ownerServer{context, ownerEndpoint, HttpLimits{},
                            [this](const HttpRequest &request, HttpServer::Respond respond) {
@@ -231,6 +234,17 @@
     EXPECT_LE(Clock::now() - knownAt, MaxGap);
 }
 
+// Guards against calls to the store, which are priced, while the owner renews its claim.
+TEST_F(CellHandOver, NothingIsLoadedAheadOfAnOwnerThatStays)
+{
+    run(10s);
+    EXPECT_TRUE(owner->host->isServing());
+    EXPECT_EQ(candidateJobReads, 0);
+    owner->host->resign();
+    EXPECT_TRUE(runUntil([this] { return candidate->host->isServing(); }, 2s));
+    EXPECT_GT(candidateJobReads, 0);
+}
+
 // Guards against a process that isn't done by the end of its grace period.
 TEST_F(CellHandOver, AStoppingOwnerWithoutACandidateReleasesTheCellInTime)
 {
