--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -88,22 +88,23 @@
                                   std::span<const std::optional<GuestOffer>> cells, TimePoint now)
 {
     m_now = now;
-    const double milliCpu = usableMilliCpu();
-    double homeDemand = 0.0;
-    for (const auto &[id, job] : m_state.jobs) {
-        homeDemand += isFinal(job->state) ? 0.0 : job->outstandingDemand(1.0).longRunning;
-    }
+    CellLoad home = outstandingLoad();
     std::map<CellJob *, std::vector<TaskName>> delegated;
     for (const DelegationCandidate &it : delegationCandidates(now)) {
         if (it.task.job->spec.policy.service != service) {
             continue;
         }
         const ResourceVector demand = it.task.spec().reservation();
-        const auto guest = m_guests.choose(demand, homeDemand / milliCpu, cells, now);
+        auto guest = m_guests.choose(demand, home.longRunning, cells, now);
+        if (!guest && it.task.hasRunBefore()) {
+            guest = m_guests.chooseShorterQueue(demand, home, cells, now);
+        }
         if (!guest) {
             continue;
         }
-        homeDemand -= static_cast<double>(demand.milliCpu);
+        const double share = static_cast<double>(demand.milliCpu) / home.milliCpu;
+        home.longRunning -= share;
+        home.displaced -= it.task.hasRunBefore() ? share : 0.0;
         CellTask &task = it.task.task();
         const auto waited =
             std::chrono::duration_cast<std::chrono::milliseconds>(now - it.waitingSince);
@@ -147,6 +148,7 @@
         const auto keepLarger = [](ResourceVector &largest, const ResourceVector &it) {
             largest = it.milliCpu > largest.milliCpu ? it : largest;
         };
+        keepLarger(room.largestWorker, worker->info.capacity);
         keepLarger(room.largestFree, free);
         for (const TaskRef &it : worker->tasks) {
             free.add(it.spec().isLongRunning ? ResourceVector{} : it.spec().reservation());
--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -81,7 +81,17 @@
                 static_cast<double>(run.tasks.size() - run.doneCount - run.elsewhereCount);
             const double share = count * static_cast<double>(step.demand.milliCpu) / milliCpu;
             (step.isFiller ? demand.fillers : demand.reserved) += share;
-            demand.longRunning += step.isLongRunning && !step.isFiller ? share : 0.0;
+            if (!step.isLongRunning || step.isFiller) {
+                continue;
+            }
+            demand.longRunning += share;
+            if (run.pendingCount > 0) {
+                const auto waiting = std::ranges::count_if(run.tasks, [this](const CellTask &it) {
+                    return it.state == TaskState::Pending && (it.run > 0 || isFromEarlierOwner);
+                });
+                demand.displaced += static_cast<double>(waiting)
+                                    * static_cast<double>(step.demand.milliCpu) / milliCpu;
+            }
         }
     }
     return demand;
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -26,12 +26,16 @@
     /// Capacity that the fractions refer to, in thousandths of a core; 0 if unknown.
     double milliCpu = 0.0;
 
+    /// Part of \a longRunning whose tasks have run before and wait for a worker.
+    double displaced = 0.0;
+
     /// Adds the demand of \a other, a fraction of the same capacity.
     CellLoad &operator+=(const CellLoad &other)
     {
         reserved += other.reserved;
         fillers += other.fillers;
         longRunning += other.longRunning;
+        displaced += other.displaced;
         return *this;
     }
 };
@@ -42,6 +46,7 @@
     ResourceVector largestFree; ///< Free capacity of the worker with the most free processor time.
     /// The same if all batch tasks had ended.
     ResourceVector largestAfterBatch;
+    ResourceVector largestWorker; ///< Capacity of the largest worker.
 };
 
 /// What a cell publishes of itself for the choice of a guest.
--- a/src/Cell/CellReferrals.cpp
+++ b/src/Cell/CellReferrals.cpp
@@ -60,9 +60,11 @@
 
 CellLoad CellScheduler::load() const
 {
-    if (!hasUsableWorkers()) {
-        return {1.0, 1.0, 1.0};
-    }
+    return hasUsableWorkers() ? outstandingLoad() : CellLoad{1.0, 1.0, 1.0};
+}
+
+CellLoad CellScheduler::outstandingLoad() const
+{
     const double milliCpu = usableMilliCpu();
     CellLoad sum;
     sum.milliCpu = milliCpu;
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -71,7 +71,8 @@
     /// The cell that the job \a id was referred to, if the referral is durable.
     std::optional<int> referralOf(const JobId &id) const;
     bool isReferred(const JobId &id) const { return m_state.referrals.contains(id.value()); }
-    /// Outstanding processor demand; full for a cell without workers.  O(jobs + workers).
+    /// Outstanding processor demand; full for a cell without workers.  O(jobs + workers + tasks of
+    /// jobs with a waiting long-running task).
     CellLoad load() const;
     /// True if only evacuations keep all workers of \a service from new tasks.  O(workers).
     bool isEvacuated(const std::string &service) const;
@@ -155,6 +156,8 @@
     double usableMilliCpu() const;
     bool hasUsableWorkers() const;
     double evacuatedMilliCpu() const;
+    /// As load(), also without workers.
+    CellLoad outstandingLoad() const;
     static CellJournal::OnLost verdictOnLoss(OnVerdict onVerdict);
     void recordProgress(CellJob &job);
     std::vector<TaskProgress> progressOf(const CellJob &job) const;
--- a/src/Cell/GuestSelection.cpp
+++ b/src/Cell/GuestSelection.cpp
@@ -11,6 +11,9 @@
 constexpr Duration MaxLoadDelay = std::chrono::milliseconds(1500);
 /// Long-running demand above which a cell has too little room left for its own lost tasks.
 constexpr double MaxGuestLoad = 0.97;
+/// Smallest difference of displaced demand, as a fraction of the capacity, that moves a task to
+/// another queue.
+constexpr double MinQueueDifference = 0.02;
 
 } // namespace
 
@@ -25,13 +28,18 @@
     return sum;
 }
 
-std::optional<int> GuestSelection::choose(const ResourceVector &demand, double homeLoad,
-                                          std::span<const std::optional<GuestOffer>> cells,
-                                          TimePoint now)
+void GuestSelection::forgetOldTasks(TimePoint now)
 {
     while (!m_recent.empty() && now - m_recent.front().at > MaxLoadDelay) {
         m_recent.pop_front();
     }
+}
+
+std::optional<int> GuestSelection::choose(const ResourceVector &demand, double homeLoad,
+                                          std::span<const std::optional<GuestOffer>> cells,
+                                          TimePoint now)
+{
+    forgetOldTasks(now);
     std::optional<int> best;
     std::pair bestKey(true, 0.0);
     for (int i = 0; i < static_cast<int>(cells.size()); ++i) {
@@ -59,4 +67,34 @@
     return best;
 }
 
+std::optional<int>
+GuestSelection::chooseShorterQueue(const ResourceVector &demand, const CellLoad &home,
+                                   std::span<const std::optional<GuestOffer>> cells, TimePoint now)
+{
+    forgetOldTasks(now);
+    const auto otherCount = static_cast<double>(
+        std::ranges::count_if(cells, [](const auto &it) { return it.has_value(); }));
+    const auto taskCpu = static_cast<double>(demand.milliCpu);
+    std::optional<int> best;
+    double leastQueue = home.displaced - taskCpu / home.milliCpu - MinQueueDifference;
+    for (int i = 0; i < static_cast<int>(cells.size()); ++i) {
+        const auto &offer = cells[static_cast<std::size_t>(i)];
+        if (!offer || offer->load.milliCpu <= 0.0 || !offer->room.largestWorker.fits(demand)) {
+            continue;
+        }
+        const double added =
+            (static_cast<double>(recentDemand(i).milliCpu) + taskCpu) / offer->load.milliCpu;
+        // Each of the others may move as much there without knowing of this home's tasks.
+        const double queue = offer->load.displaced + otherCount * added;
+        if (queue < leastQueue) {
+            best = i;
+            leastQueue = queue;
+        }
+    }
+    if (best) {
+        m_recent.push_back({now, *best, demand});
+    }
+    return best;
+}
+
 } // namespace firefly
--- a/src/CellLease/ClaimRecord.cpp
+++ b/src/CellLease/ClaimRecord.cpp
@@ -27,23 +27,25 @@
 {
     json rooms = json::object();
     for (const auto &[service, room] : claim.rooms) {
-        rooms[service] = json::array({toJson(room.largestFree), toJson(room.largestAfterBatch)});
+        rooms[service] = json::array(
+            {toJson(room.largestFree), toJson(room.largestAfterBatch), toJson(room.largestWorker)});
     }
     const CellLoad &load = claim.load;
     json givenUp = json::array();
     for (const JobId &it : claim.givenUpJobs) {
         givenUp.push_back(it.value());
     }
-    return json{{"epoch", claim.epoch},
-                {"holder", claim.holder},
-                {"node", claim.node},
-                {"address", claim.endpoint.address},
-                {"port", claim.endpoint.port},
-                {"renewal", claim.renewal},
-                {"pending", claim.pendingByQueue},
-                {"load", {load.reserved, load.fillers, load.longRunning, load.milliCpu}},
-                {"rooms", std::move(rooms)},
-                {"given_up", std::move(givenUp)}}
+    return json{
+        {"epoch", claim.epoch},
+        {"holder", claim.holder},
+        {"node", claim.node},
+        {"address", claim.endpoint.address},
+        {"port", claim.endpoint.port},
+        {"renewal", claim.renewal},
+        {"pending", claim.pendingByQueue},
+        {"load", {load.reserved, load.fillers, load.longRunning, load.milliCpu, load.displaced}},
+        {"rooms", std::move(rooms)},
+        {"given_up", std::move(givenUp)}}
         .dump();
 }
 
@@ -65,9 +67,11 @@
         // Older builds publish two numbers; their long-running demand must not look like none.
         claim.load.longRunning = load.size() > 2 ? load.at(2).get<double>() : claim.load.reserved;
         claim.load.milliCpu = load.size() > 3 ? load.at(3).get<double>() : 0.0;
+        claim.load.displaced = load.size() > 4 ? load.at(4).get<double>() : claim.load.longRunning;
         const json rooms = object.value("rooms", json::object());
         for (const auto &[service, room] : rooms.items()) {
-            claim.rooms[service] = {toAmount(room.at(0)), toAmount(room.at(1))};
+            claim.rooms[service] = {toAmount(room.at(0)), toAmount(room.at(1)),
+                                    room.size() > 2 ? toAmount(room.at(2)) : ResourceVector{}};
         }
         for (const json &it : object.value("given_up", json::array())) {
             claim.givenUpJobs.emplace_back(it.get<std::string>());
--- a/test/FleetDirectory.cpp
+++ b/test/FleetDirectory.cpp
@@ -547,12 +547,13 @@
 TEST(FleetDirectory, AClaimCarriesThePublishedLoad)
 {
     OwnershipClaim claim = makeClaim("a", 3, 9);
-    claim.load = {0.75, 0.25, 0.5, 32000.0};
+    claim.load = {0.75, 0.25, 0.5, 32000.0, 0.125};
     const CellLoad load = decodeClaim(encodeClaim(claim)).load;
     EXPECT_EQ(load.reserved, 0.75);
     EXPECT_EQ(load.fillers, 0.25);
     EXPECT_EQ(load.longRunning, 0.5);
     EXPECT_EQ(load.milliCpu, 32000.0);
+    EXPECT_EQ(load.displaced, 0.125);
 }
 
 // An owner of an older build must not look as if it had no long-running tasks.
@@ -562,6 +563,7 @@
         "port":7720,"renewal":9,"pending":{},"load":[0.75,0.25]})";
     EXPECT_EQ(decodeClaim(bytes).load.longRunning, 0.75);
     EXPECT_EQ(decodeClaim(bytes).load.milliCpu, 0.0);
+    EXPECT_EQ(decodeClaim(bytes).load.displaced, 0.75);
 }
 
 TEST(FleetDirectory, AClaimWithAMalformedLoadIsRefused)
