--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -73,8 +73,10 @@
     std::string checkpoint;
     std::optional<int> guest;         ///< Cell that this cell delegated the task to.
     bool isDelegationDurable = false; ///< The store holds \a guest.
-    std::uint32_t firstRun =
-        0; ///< In a guest's part: no run before the delegation has a higher number.
+    /// In a guest's part: no run before the delegation has a higher number.  Of a task that guests
+    /// have given back: no run there has.
+    std::uint32_t firstRun = 0;
+    TimePoint acceptedAt{}; ///< In a guest's part: when this owner took the task over; else zero.
 };
 
 /// The tasks of one step in one occurrence.
@@ -102,11 +104,29 @@
 {
     bool isRequestOpen = false;
     bool isRevoking = false;        ///< The open request revokes the delegation.
+    bool isDue = true;              ///< The guest may lack tasks of this delegation.
     std::size_t requestedCount = 0; ///< Tasks in the open request.
-    std::size_t acceptedCount = 0;  ///< Tasks that the guest has taken over.
+    std::size_t acceptedCount = 0;  ///< Tasks in the latest request that the guest has accepted.
     TimePoint nextRequest{};        ///< Earliest time of the next request.
 };
 
+/// A task of a guest's part that was given back and that its home may not have taken yet.
+struct TaskReturn
+{
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    bool isDurable = false;   ///< The store holds the return.
+    bool isRequested = false; ///< Part of the open request.
+};
+
+/// Requests of a guest to the home of a job to take tasks back.
+struct ReturnStatus
+{
+    bool isRequestOpen = false;
+    TimePoint nextRequest{}; ///< Earliest time of the next request.
+    std::vector<TaskReturn> tasks;
+};
+
 /// A job of the cell with its progress, or the part of another cell's job that was delegated here.
 struct CellJob
 {
@@ -134,6 +154,8 @@
     /// and all tasks but those in acceptedTasks are Elsewhere.
     bool isGuestPart = false;
     std::vector<TaskProgress> acceptedTasks; ///< As in the record of the delegation.
+    std::optional<int> home;                 ///< Of a guest's part: the cell of the job, if known.
+    ReturnStatus returns;
 
     std::uint32_t occurrenceCount() const { return std::max<std::uint32_t>(1, spec.repetitions); }
     /// True for a job with due times.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -192,7 +192,16 @@
     JobId job;
 };
 
+/// Request of a guest to the owner of a job's home to take delegated tasks back; answered by
+/// CellScheduler::onReturnReply().
+struct ReturnTasks
+{
+    int home = 0; ///< The cell of the job.
+    JobId job;
+    std::string record; ///< As encoded by JobRecords::encodeDelegation().
+};
+
 using CellAction = std::variant<StartTask, StopTask, RenewLease, PaceTask, LogDecision,
-                                DelegateTasks, RevokeDelegation>;
+                                DelegateTasks, RevokeDelegation, ReturnTasks>;
 
 } // namespace firefly
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -43,7 +43,8 @@
 
 } // namespace
 
-CellScheduler::CellScheduler(const CellBounds &bounds)
+CellScheduler::CellScheduler(const CellBounds &bounds, int cell)
+    : m_cell(cell)
 {
     m_state.bounds = bounds;
 }
@@ -79,6 +80,7 @@
     m_crashDetector.reset();
     m_admission.clear();
     m_delegatingJobs.clear();
+    m_returningJobs.clear();
 }
 
 void CellScheduler::restore(std::string_view key, std::string_view value)
@@ -133,6 +135,7 @@
         job->spec = std::move(delegation.spec);
         job->submittedAtUnixMs = delegation.submittedAtUnixMs;
         job->acceptedTasks = std::move(delegation.tasks);
+        job->home = delegation.home;
         job->isGuestPart = true;
         job->isDurable = true;
         job->isFromEarlierOwner = true;
@@ -186,6 +189,10 @@
         CellTask &task = ref->task();
         task.failedRuns = it.failedRuns;
         task.run = it.failedRuns.empty() ? 0 : std::ranges::max(it.failedRuns);
+        if (!job.isGuestPart) {
+            task.firstRun = it.firstRun;
+            task.run = std::max(task.run, it.firstRun);
+        }
         task.checkpoint = it.checkpoint;
         task.crashes = it.crashes;
         if (it.isDone && task.state != TaskState::Done) {
@@ -197,11 +204,16 @@
             task.run = it.run;
             task.isDelegationDurable = true;
             job.delegations[*it.guest];
-            m_delegatingJobs.insert(job.id.value());
         }
         task.waitingSince = beginOfWait(it.waitingSinceUnixMs);
         task.recordedWait = task.waitingSince;
     }
+    for (const int guest : progress.guests) {
+        job.delegations[guest];
+    }
+    if (!job.delegations.empty()) {
+        m_delegatingJobs.insert(job.id.value());
+    }
 }
 
 void CellScheduler::submit(const JobId &id, JobSpec spec, TimePoint now, std::int64_t nowUnixMs,
@@ -342,6 +354,9 @@
     progress.finalAtUnixMs = job.finalAtUnixMs;
     progress.isStarted = job.isStarted;
     progress.tasks = progressOf(job);
+    for (const auto &[guest, status] : job.delegations) {
+        progress.guests.push_back(guest);
+    }
     if (isFinal(job.state)) {
         // The guests have yet to be told.
         std::erase_if(progress.tasks, [](const TaskProgress &it) { return !it.guest; });
@@ -424,12 +439,14 @@
                 const bool isDone = task.state == TaskState::Done;
                 const TimePoint wait = waitToRecord(job, task);
                 const bool isWaiting = wait != TimePoint{};
+                const bool isReturned = !job.isGuestPart && task.firstRun > 0;
                 if (isDone || !task.failedRuns.empty() || !task.checkpoint.empty() || task.guest
-                    || !task.crashes.isEmpty() || isWaiting) {
+                    || !task.crashes.isEmpty() || isWaiting || isReturned) {
                     rows.push_back(
                         {k, s, i, isDone, task.failedRuns, isDone ? std::string() : task.checkpoint,
                          task.guest, task.guest ? task.run : 0,
-                         isDone ? CrashHistory() : task.crashes, isWaiting ? toUnixMs(wait) : 0});
+                         isDone ? CrashHistory() : task.crashes, isWaiting ? toUnixMs(wait) : 0,
+                         isReturned ? task.firstRun : 0, false});
                 }
             }
         }
@@ -536,6 +553,7 @@
     }
     recordWaits(now);
     sendDelegations(now);
+    sendReturns(now);
     renewLeases(now);
 }
 
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -28,7 +28,8 @@
 class CellScheduler
 {
 public:
-    explicit CellScheduler(const CellBounds &bounds);
+    /// \param cell number of the cell, which guests need to know.
+    explicit CellScheduler(const CellBounds &bounds, int cell = 0);
 
     // Ownership
 
@@ -94,7 +95,8 @@
 
     /// Services with tasks that wait here long enough to run in another cell.  O(jobs).
     std::set<std::string> servicesToDelegate(TimePoint now) const;
-    /// Delegates such tasks of \a service, as far as other cells have room.
+    /// Delegates such tasks of \a service, as far as other cells have room.  As guest, gives tasks
+    /// back to their homes that could go to another cell.
     ///
     /// \param cells what each cell publishes; unset for this one and for those that can't take
     /// tasks of \a service.
@@ -105,6 +107,15 @@
     /// Handles the answer to a DelegateTasks or RevokeDelegation for \a job; \a isAccepted is false
     /// if the request may not have taken effect.
     void onDelegationReply(const JobId &job, int guest, bool isAccepted, TimePoint now);
+    /// Takes back the tasks in \a record that the guest has given back, as encoded by
+    /// JobRecords::encodeDelegation().  The verdict is Accepted once that is durable, and also if
+    /// there is nothing left to take.
+    /// \throws JobRecordError
+    void takeBackTasks(const JobId &job, std::string_view record, TimePoint now,
+                       std::int64_t nowUnixMs, const OnVerdict &onVerdict);
+    /// As guest: handles the answer to a ReturnTasks for \a job; \a isAccepted is false if the
+    /// request may not have taken effect.
+    void onReturnReply(const JobId &job, bool isAccepted, TimePoint now);
     /// Cells that have tasks of jobs of this cell.  O(jobs with delegations).
     std::set<int> guests() const;
     /// The cell \a guest has given up its tasks of \a jobs, which thereby fail.
@@ -221,6 +232,8 @@
         TimePoint waitingSince{};
     };
     static bool isDelegable(const CellJob &job, std::uint32_t step);
+    /// True if this cell, as guest, may give the pending task \a ref back.
+    static bool isReturnable(const TaskRef &ref, TimePoint now);
     /// Tasks that wait here long enough, those that have run before first.  O(jobs + tasks of jobs
     /// with a waiting task).
     std::vector<DelegationCandidate> delegationCandidates(TimePoint now) const;
@@ -229,6 +242,14 @@
     void sendDelegations(TimePoint now);
     void sendDelegation(CellJob &job, int guest, DelegationStatus &status);
     void endDelegation(CellJob &job, int guest);
+    void delegateTask(const DelegationCandidate &candidate, int guest, TimePoint now);
+    /// Starts to give back \a tasks of the guest's part \a job.
+    void giveBackTasks(CellJob &job, std::span<const TaskRef> tasks);
+    void sendReturns(TimePoint now);
+    void sendReturns(CellJob &job);
+    void takeBackTask(CellJob &job, const TaskProgress &returned);
+    /// Makes a task pending whose return is durable, unless it was delegated again.
+    void beginReturnedTask(const TaskName &name);
     CellJob &addGuestPart(const JobId &id, const TaskDelegation &delegation, TimePoint now,
                           std::int64_t nowUnixMs);
     void recordGuestPart(const CellJob &job);
@@ -295,7 +316,9 @@
     GuestSelection m_guests;
     CrashDetector m_crashDetector{m_state};
     std::map<WorkQueue, BacklogAdmission> m_admission;
+    int m_cell;
     std::set<std::string> m_delegatingJobs; ///< Jobs with delegations, by id.
+    std::set<std::string> m_returningJobs;  ///< Guests' parts with unconfirmed returns, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{};               ///< Time of the latest input.
     std::int64_t m_unixMsAtZero = 0; ///< Wall-clock time at the zero of the steady clock.
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -78,7 +78,7 @@
         , log(logIn)
         , metrics(metricsIn)
         , election(electionOptions(settings, options))
-        , scheduler(settings.bounds)
+        , scheduler(settings.bounds, options.cell)
         , timer(contextIn)
     {
         scheduler.suspendStarts();
@@ -674,7 +674,7 @@
         }
     }
 
-    /// Answers a request of another cell as its guest.
+    /// Answers a request of another cell about delegated tasks.
     void answerDelegation(const DelegationRequest &request, const OnCallerReply &done)
     {
         if (!hasReadWorkers) {
--- a/src/Node/CellSet.cpp
+++ b/src/Node/CellSet.cpp
@@ -152,23 +152,23 @@
 
 void CellSet::answerDelegation(const DelegationRequest &request, const OnCallerReply &done)
 {
-    CellHost *guest = find(request.guest);
-    if (!guest || !guest->isServing()) {
+    CellHost *receiver = find(request.cell);
+    if (!receiver || !receiver->isServing()) {
         done({CallerOutcome::NotRun, JobState::Queued, 0, "not the owner"});
         return;
     }
-    guest->answerDelegation(request, done);
+    receiver->answerDelegation(request, done);
 }
 
 void CellSet::sendDelegation(const DelegationRequest &request, const OnCallerReply &done)
 {
-    CellHost *guest = find(request.guest);
-    if (guest && guest->isServing()) {
-        guest->answerDelegation(request, done);
+    CellHost *receiver = find(request.cell);
+    if (receiver && receiver->isServing()) {
+        receiver->answerDelegation(request, done);
         return;
     }
-    const OwnershipClaim *claim = guest ? claimOf(request.guest) : nullptr;
-    if (!claim || claim->holder.empty() || guest->election().isOwner() || !m_forwardDelegation) {
+    const OwnershipClaim *claim = receiver ? claimOf(request.cell) : nullptr;
+    if (!claim || claim->holder.empty() || receiver->election().isOwner() || !m_forwardDelegation) {
         done({CallerOutcome::NotRun, JobState::Queued, 0, "no owner"});
         return;
     }
--- a/src/Node/CellSet.h
+++ b/src/Node/CellSet.h
@@ -40,7 +40,7 @@
     /// Looks for a newer claim of a cell soon, since the known one has proved wrong.
     void refreshClaims();
 
-    /// Sends a delegation request to another process, the owner of the guest cell.
+    /// Sends a delegation request to another process, the owner of the receiving cell.
     using ForwardDelegation = std::function<void(
         const Endpoint &owner, const DelegationRequest &request, OnCallerReply done)>;
     /// Until \a forward is set, requests reach only cells that this process serves.
--- a/src/Node/DelegationRequest.cpp
+++ b/src/Node/DelegationRequest.cpp
@@ -17,16 +17,20 @@
     return {CallerOutcome::Unknown, JobState::Queued, 0, "owner changed"};
 }
 
-void answerDelegation(CellScheduler &guest, const DelegationRequest &request, TimePoint now,
+void answerDelegation(CellScheduler &receiver, const DelegationRequest &request, TimePoint now,
                       std::int64_t nowUnixMs, const OnCallerReply &done)
 {
     const auto onVerdict = [done](CellScheduler::Verdict verdict) { done(toReply(verdict)); };
     if (!request.record) {
-        guest.revokeTasks(request.job, now, nowUnixMs, onVerdict);
+        receiver.revokeTasks(request.job, now, nowUnixMs, onVerdict);
         return;
     }
     try {
-        guest.acceptTasks(request.job, *request.record, now, nowUnixMs, onVerdict);
+        if (request.isReturn) {
+            receiver.takeBackTasks(request.job, *request.record, now, nowUnixMs, onVerdict);
+        } else {
+            receiver.acceptTasks(request.job, *request.record, now, nowUnixMs, onVerdict);
+        }
     } catch (const JobRecordError &e) {
         done({CallerOutcome::Malformed, JobState::Queued, 0, e.what()});
     }
--- a/src/Node/DelegationSender.cpp
+++ b/src/Node/DelegationSender.cpp
@@ -21,32 +21,46 @@
 
     void send(const DelegationRequest &request)
     {
-        metrics.add(request.record ? "firefly_delegations_total{request=\"delegate\"}"
-                                   : "firefly_delegations_total{request=\"revoke\"}");
-        // A guest in this process may answer at once.
-        transport(request, [weak = weak_from_this(), &context = context, guest = request.guest,
-                            job = request.job](const CallerReply &reply) {
-            asio::post(context, [weak, guest, job, reply] {
-                if (const auto self = weak.lock()) {
-                    self->handleReply(guest, job, reply);
-                }
-            });
-        });
+        metrics.add(metricOf(request));
+        // A receiver in this process may answer at once.
+        transport(request,
+                  [weak = weak_from_this(), &context = context, cell = request.cell,
+                   job = request.job, isReturn = request.isReturn](const CallerReply &reply) {
+                      asio::post(context, [weak, cell, job, isReturn, reply] {
+                          if (const auto self = weak.lock()) {
+                              self->handleReply(cell, job, isReturn, reply);
+                          }
+                      });
+                  });
     }
 
-    void handleReply(int guest, const JobId &job, const CallerReply &reply)
+    static const char *metricOf(const DelegationRequest &request)
+    {
+        if (request.isReturn) {
+            return "firefly_delegations_total{request=\"return\"}";
+        }
+        return request.record ? "firefly_delegations_total{request=\"delegate\"}"
+                              : "firefly_delegations_total{request=\"revoke\"}";
+    }
+
+    void handleReply(int cell, const JobId &job, bool isReturn, const CallerReply &reply)
     {
         const bool isAccepted = reply.outcome == CallerOutcome::Done;
         if (!isAccepted) {
             metrics.add("firefly_delegations_failed_total");
-            log.write(LogLevel::Warning, "cell", "delegation failed", [&] {
-                return nlohmann::json{{"guest", guest},
-                                      {"job", job.value()},
-                                      {"outcome", toString(reply.outcome)},
-                                      {"detail", reply.detail}};
-            });
+            log.write(LogLevel::Warning, "cell", isReturn ? "return failed" : "delegation failed",
+                      [&] {
+                          return nlohmann::json{{isReturn ? "home" : "guest", cell},
+                                                {"job", job.value()},
+                                                {"outcome", toString(reply.outcome)},
+                                                {"detail", reply.detail}};
+                      });
+        }
+        if (isReturn) {
+            scheduler.onReturnReply(job, isAccepted, Clock::now());
+        } else {
+            scheduler.onDelegationReply(job, cell, isAccepted, Clock::now());
         }
-        scheduler.onDelegationReply(job, guest, isAccepted, Clock::now());
         afterReply();
     }
 
--- a/src/Node/OrderSender.cpp
+++ b/src/Node/OrderSender.cpp
@@ -147,6 +147,11 @@
         onDelegation({action.guest, action.job, std::nullopt});
     }
 
+    void send(const ReturnTasks &action)
+    {
+        onDelegation({action.home, action.job, action.record, true});
+    }
+
     void logRefusal(const char *kind, const OrderedRun &order, OrderOutcome outcome)
     {
         if (outcome == OrderOutcome::Accepted) {
--- a/src/Node/RequestForwarder.cpp
+++ b/src/Node/RequestForwarder.cpp
@@ -17,6 +17,8 @@
 constexpr const char *JobsPath = "jobs";
 /// Path of delegation requests: delegations/CELL/JOB.
 constexpr const char *DelegationsPath = "delegations";
+/// Path of requests to take delegated tasks back: returns/CELL/JOB.
+constexpr const char *ReturnsPath = "returns";
 constexpr Duration DelegationTimeout = std::chrono::milliseconds(1200);
 constexpr const char *PolicyHeader = "Firefly-Policy";
 constexpr const char *ReferredHeader = "Firefly-Referred";
@@ -177,7 +179,8 @@
 {
     HttpExchange exchange;
     exchange.method = request.record ? "POST" : "DELETE";
-    exchange.url = urlOf(owner, DelegationsPath, request.guest, request.job);
+    exchange.url =
+        urlOf(owner, request.isReturn ? ReturnsPath : DelegationsPath, request.cell, request.job);
     exchange.body = request.record.value_or("");
     exchange.timeout = DelegationTimeout;
     m_loop.start(std::move(exchange),
@@ -214,7 +217,7 @@
         respond(toResponse(it));
     };
     const auto segments = request.segments();
-    if (!segments.empty() && segments[0] == DelegationsPath) {
+    if (!segments.empty() && (segments[0] == DelegationsPath || segments[0] == ReturnsPath)) {
         handleDelegation(request, reply);
     } else {
         handleJob(request, reply);
@@ -227,14 +230,16 @@
     const auto cell = segments.size() == 3 ? parseNumber(segments[1]) : std::nullopt;
     if (!cell) {
         reply({CallerOutcome::Malformed, JobState::Queued, 0,
-               "the path must be delegations/CELL/JOB"});
+               "the path must be delegations/CELL/JOB or returns/CELL/JOB"});
         return;
     }
-    DelegationRequest delegation{*cell, JobId(segments[2]), std::nullopt};
+    const bool isReturn = segments[0] == ReturnsPath;
+    DelegationRequest delegation{*cell, JobId(segments[2]), std::nullopt, isReturn};
     if (request.method == "POST") {
         delegation.record = request.body;
-    } else if (request.method != "DELETE") {
-        reply({CallerOutcome::Malformed, JobState::Queued, 0, "the method must be POST or DELETE"});
+    } else if (request.method != "DELETE" || isReturn) {
+        reply({CallerOutcome::Malformed, JobState::Queued, 0,
+               isReturn ? "the method must be POST" : "the method must be POST or DELETE"});
         return;
     }
     m_cells.answerDelegation(delegation, reply);
--- a/src/Node/RequestForwarder.h
+++ b/src/Node/RequestForwarder.h
@@ -48,7 +48,7 @@
     static HttpResponse toResponse(const CallerReply &reply);
     /// Decodes the body of such an answer; one that is malformed has an unknown outcome.
     static CallerReply decodeReply(std::string_view body);
-    /// Sends \a request to \a owner, the owner of its guest cell.
+    /// Sends \a request to \a owner, the owner of its cell.
     ///
     /// The outcome is Unknown when no valid answer came in time.
     void forwardDelegation(const Endpoint &owner, const DelegationRequest &request,
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace firefly::JobRecords {
 namespace {
@@ -229,6 +230,8 @@
 
 namespace {
 
+constexpr int UnknownHome = -1;
+
 json toJson(const std::vector<TaskProgress> &tasks)
 {
     json rows = json::array();
@@ -289,6 +292,17 @@
     return rows;
 }
 
+json firstRunsToJson(const std::vector<TaskProgress> &tasks)
+{
+    json rows = json::array();
+    for (const TaskProgress &it : tasks) {
+        if (it.firstRun != 0) {
+            rows.push_back(json::array({it.occurrence, it.step, it.index, it.firstRun}));
+        }
+    }
+    return rows;
+}
+
 /// Calls \a read with each row of \a field and the task of \a tasks that the row is about.
 /// Records of earlier versions lack the field.
 template <typename Read>
@@ -324,13 +338,20 @@
     });
 }
 
+void readFirstRuns(const json &record, std::size_t field, std::vector<TaskProgress> &tasks)
+{
+    readTaskRows(record, field, tasks,
+                 [](const json &row, TaskProgress &task) { row.at(3).get_to(task.firstRun); });
+}
+
 } // namespace
 
 std::string encodeProgress(const JobProgress &progress)
 {
     return toBytes(json::array({static_cast<int>(progress.state), progress.finalAtUnixMs,
                                 progress.isStarted, toJson(progress.tasks),
-                                crashesToJson(progress.tasks), waitsToJson(progress.tasks)}));
+                                crashesToJson(progress.tasks), waitsToJson(progress.tasks),
+                                firstRunsToJson(progress.tasks), progress.guests}));
 }
 
 JobProgress decodeProgress(std::string_view bytes)
@@ -344,6 +365,10 @@
         progress.tasks = toTasks(row.at(3));
         readCrashes(row, 4, progress.tasks);
         readWaits(row, 5, progress.tasks);
+        readFirstRuns(row, 6, progress.tasks);
+        if (row.size() > 7) {
+            row.at(7).get_to(progress.guests);
+        }
         return progress;
     } catch (const json::exception &e) {
         throw JobRecordError(std::string("progress record: ") + e.what());
@@ -353,8 +378,14 @@
 std::string encodeDelegation(const TaskDelegation &delegation)
 {
     const std::string spec = encodeSpec(delegation.spec, delegation.submittedAtUnixMs);
-    return toBytes(json::array({json::binary({spec.begin(), spec.end()}), toJson(delegation.tasks),
-                                crashesToJson(delegation.tasks), waitsToJson(delegation.tasks)}));
+    // A process of an earlier version must not take returned tasks for its own.
+    std::vector<TaskProgress> kept;
+    std::vector<TaskProgress> returned;
+    std::ranges::partition_copy(delegation.tasks, std::back_inserter(returned),
+                                std::back_inserter(kept), &TaskProgress::isReturned);
+    return toBytes(json::array({json::binary({spec.begin(), spec.end()}), toJson(kept),
+                                crashesToJson(delegation.tasks), waitsToJson(delegation.tasks),
+                                delegation.home.value_or(UnknownHome), toJson(returned)}));
 }
 
 TaskDelegation decodeDelegation(std::string_view bytes)
@@ -366,6 +397,12 @@
         delegation.spec =
             decodeSpec(std::string(spec.begin(), spec.end()), delegation.submittedAtUnixMs);
         delegation.tasks = toTasks(row.at(1));
+        const int home = row.size() > 4 ? row.at(4).get<int>() : UnknownHome;
+        delegation.home = home == UnknownHome ? std::nullopt : std::optional(home);
+        for (TaskProgress &it : toTasks(row.size() > 5 ? row.at(5) : json::array())) {
+            it.isReturned = true;
+            delegation.tasks.push_back(std::move(it));
+        }
         readCrashes(row, 2, delegation.tasks);
         readWaits(row, 3, delegation.tasks);
         for (const TaskProgress &it : delegation.tasks) {
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -40,6 +40,11 @@
     /// Long-running task: when its wait for a worker began, of a delegated one its wait at home; 0
     /// if it doesn't wait.
     std::int64_t waitingSinceUnixMs = 0;
+    /// Of a task that guests have given back: no run there has a higher number.
+    std::uint32_t firstRun = 0;
+    /// In the record of a guest: it has given the task back; no run there has a higher number than
+    /// \a run.
+    bool isReturned = false;
 };
 
 /// Durable progress of one job.
@@ -49,6 +54,7 @@
     std::int64_t finalAtUnixMs = 0;  ///< When the state became final; 0 before.
     bool isStarted = false;          ///< At least one task has started.
     std::vector<TaskProgress> tasks; ///< Only tasks with progress to record.
+    std::vector<int> guests;         ///< Cells that tasks were delegated to, also earlier ones.
 };
 
 /// A durable record that can't be decoded.
@@ -72,6 +78,7 @@
     std::int64_t submittedAtUnixMs = 0; ///< Of the job.
     JobSpec spec;
     std::vector<TaskProgress> tasks;
+    std::optional<int> home; ///< Unset in records of earlier versions.
 };
 
 /// What the next owner of a cell may rely on about one of its workers.
--- a/test/TaskDelegationFaults.cpp
+++ b/test/TaskDelegationFaults.cpp
@@ -77,6 +77,7 @@
     }
 
     int countRevocations() const { return m_world.sentRevocations; }
+    int countReturns() const { return m_world.sentReturns; }
 
     /// Number of long-running tasks that should run at the end.
     std::size_t countRemainingTasks() const
@@ -276,6 +277,7 @@
     std::size_t guestRuns = 0;
     std::size_t remainingTasks = 0;
     int revocations = 0;
+    int returns = 0;
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         FaultSchedule schedule(seed);
         schedule.run();
@@ -283,11 +285,13 @@
         guestRuns += schedule.countGuestRuns();
         remainingTasks += schedule.countRemainingTasks();
         revocations += schedule.countRevocations();
+        returns += schedule.countReturns();
     }
     // Far below what the schedules cause, but enough that the checks above mean something.
     EXPECT_GT(guestRuns, 500U);
     EXPECT_GT(remainingTasks, 300U);
     EXPECT_GT(revocations, 300);
+    EXPECT_GT(returns, 100);
 }
 
 } // namespace
