Start fillers of idle jobs on trial where the least harm is expected

Cause: the expectation of an effect that has never been observed comes from the prior of the model. Where serving tasks are near their targets it keeps all fillers of an image off all workers, so that no observation ever corrects it.

Change: a job that has been idle for half of the tolerated time starts one filler on the worker with the fewest expected violations. Trials are limited to one per worker in 3 s, and to a quarter of the workers of the cell and of those that serve one image. The reports of the worker correct the model, and InterferenceGuard throttles or moves the filler if it does harm. A pass is due for idle jobs every 0.3 s even if nothing else changes.

IdleBatchJobs, InterferenceGuard, BatchJobIdleReport, OverdueJobs, BatchPlacement and CellRandomFaults pass.

Gangs of fillers get no trial.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -228,6 +228,7 @@
     TimePoint observedUntil{};
     JobId observedJob;
     TimePoint noFillersUntil{}; ///< No placements of fillers before this time.
+    TimePoint trialUntil{};     ///< No other trial of FillerTrials before this time.
     /// Predicted tail latency of one serving task.
     struct ServingForecast
     {
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -525,6 +525,7 @@
         m_lastModelRecord = now;
         m_state.journal.put({JobRecords::interferenceKey(), m_interference.encodeModel(now)});
     }
+    m_state.wantsPlacement = m_state.wantsPlacement || m_placement.isIdleTurnDue(now);
     if (m_state.wantsPlacement && !m_state.areStartsSuspended
         && now - m_lastPlacement >= placementInterval() && now < m_state.ordersUntil) {
         m_state.wantsPlacement = false;
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -43,6 +43,8 @@
 /// starts of other batch tasks between two such turns.
 constexpr Duration IdleTurnDelay = MaxIdleTime / 2;
 constexpr std::uint32_t MinStartsBetweenIdleTurns = 1;
+/// Interval of the attempts to start a filler of a job that has been idle for longer.
+constexpr Duration IdleTurnInterval = std::chrono::milliseconds(300);
 
 /// Time that the platform tolerates without a run of a task that has run before.  A displaced task
 /// that has waited longer may fit no worker at all and holds nothing back.
@@ -159,6 +161,7 @@
             }
         });
     reportIdleJobs(jobs, now, nowUnixMs);
+    startIdleFillers(jobs, now, nowUnixMs);
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
@@ -246,6 +249,48 @@
             + describeObstacles(longest->task, now));
 }
 
+void Placement::startIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
+                                 std::int64_t nowUnixMs)
+{
+    std::vector<TaskRef> fillers = findIdleFillers(jobs, now, nowUnixMs);
+    std::erase_if(fillers, [](const TaskRef &it) { return it.spec().isGang; });
+    if (const auto trial = m_fillerTrials.choose(fillers, now)) {
+        m_state.logDecision("filler on trial", trial->filler,
+                            "on=" + trial->worker->info.id.value() + " expected_violations="
+                                + std::to_string(trial->expectedViolations));
+        m_fillerTrials.onStart(*trial, now);
+        start(trial->filler, *trial->worker,
+              TaskLedger::nextRun(trial->filler.task(), m_state.epoch), now);
+    }
+}
+
+std::vector<TaskRef> Placement::findIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
+                                                std::int64_t nowUnixMs)
+{
+    m_nextIdleTurn.reset();
+    std::vector<TaskRef> fillers;
+    forEachStartableStep(jobs, nowUnixMs, [&](CellJob &job, std::uint32_t k, std::uint32_t s) {
+        const StepSpec &spec = job.spec.steps[s];
+        if (!spec.isFiller || job.placedCount > 0 || job.idleSince == TimePoint{}) {
+            return;
+        }
+        const TimePoint due = std::max(job.idleSince + IdleTurnDelay, now + IdleTurnInterval);
+        m_nextIdleTurn = std::min(m_nextIdleTurn.value_or(due), due);
+        const StepRun &run = job.occurrences[k].steps[s];
+        const auto task = std::ranges::find_if(run.tasks, [now](const CellTask &it) {
+            return it.state == TaskState::Pending && it.notBefore <= now;
+        });
+        const bool isListed = !fillers.empty() && fillers.back().job == &job;
+        if (now - job.idleSince < IdleTurnDelay || isListed || task == run.tasks.end()
+            || (spec.isGang && run.pendingCount < run.tasks.size())) {
+            return;
+        }
+        fillers.push_back({&job, k, s, static_cast<std::uint32_t>(task - run.tasks.begin())});
+    });
+    std::ranges::stable_sort(fillers, {}, [](const TaskRef &it) { return it.job->idleSince; });
+    return fillers;
+}
+
 void Placement::startReserved(TimePoint now)
 {
     for (const TaskRef &ref : m_reservations.pendingTasks()) {
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CapacityReservations.h"
 #include "Cell/Defragmenter.h"
+#include "Cell/FillerTrials.h"
 #include "Cell/InterferenceGuard.h"
 #include "Cell/PlaceWaits.h"
 
@@ -26,6 +27,7 @@
                          [this](const TaskRef &ref, TimePoint now, const CellWorker *excluded) {
                              return chooseWorker(ref, now, excluded);
                          })
+        , m_fillerTrials(state, interference, m_reservations)
     {}
     Placement(const Placement &) = delete;
     Placement &operator=(const Placement &) = delete;
@@ -35,10 +37,13 @@
     void run(TimePoint now, std::int64_t nowUnixMs);
     /// True if capacity is kept for \a ref.
     bool hasReservation(const TaskRef &ref) const { return m_reservations.contains(ref); }
+    /// True if a pass is due for jobs of fillers without a run, even if nothing has changed.
+    bool isIdleTurnDue(TimePoint now) const { return m_nextIdleTurn && now >= *m_nextIdleTurn; }
     /// Forgets what earlier passes left, since the state is another owner's.
     void reset()
     {
         m_reservations.clear();
+        m_nextIdleTurn.reset();
         m_state.placeWaits.clear();
     }
 
@@ -74,6 +79,12 @@
     /// Updates the idle times of \a jobs, in the order of this pass, and logs at intervals why the
     /// one that has been idle for longest isn't started.  O(jobs x steps).
     void reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
+    /// Starts a filler of an idle job of \a jobs on trial, if one is due.
+    void startIdleFillers(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
+    /// One filler, or gang of fillers, of each of \a jobs that has been idle for some time; the job
+    /// that has been idle for longest comes first.  Updates m_nextIdleTurn.
+    std::vector<TaskRef> findIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
+                                         std::int64_t nowUnixMs);
     void startReserved(TimePoint now);
     /// Reserves workers for the long-running tasks that draining workers are about to end.
     void reserveForEvacuated(TimePoint now);
@@ -122,11 +133,14 @@
     CapacityReservations m_reservations;
     PlaceWaits m_placeWaits;
     Defragmenter m_defragmenter;
+    FillerTrials m_fillerTrials;
     std::vector<UnplaceableDemand> m_unplaceable;
     TimePoint m_nextBatchWaitReport{}; ///< Earliest next log line about a batch task that waits.
     TimePoint m_nextIdleReport{};      ///< The same about idle batch jobs.
     std::uint32_t m_startsSinceIdleTurn = 0; ///< Of batch tasks.
-    std::vector<TaskRef> m_displaced;        ///< Displaced tasks before the starts of this pass.
+    /// Earliest next turn of an idle job of fillers; unset if there is none.
+    std::optional<TimePoint> m_nextIdleTurn;
+    std::vector<TaskRef> m_displaced; ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
 
