Refill capacity with the report that frees it

Cause: capacity is free from the moment in which a worker lists the end of a run, yet the owner started the next task only with its next placement pass, which a cell of 100 to 200 workers runs each 20 to 30 ms at most, as a pass visits all jobs and workers.

That this is all of it is suspected, not shown.

Change: when a pass isn't due yet, Placement::refill() looks only at the workers that a task has left and at the displaced tasks that precede all other pending ones, in the order of their waits.

Why it works: the order is that of a pass, as nothing else may precede these tasks; kept capacity stays kept.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -248,6 +248,7 @@
     ResourceVector heldDeferred;     ///< The part of \a held whose tasks can't start yet.
     std::int64_t fillerCpu = 0;      ///< Demand of the placed fillers, in thousandths of a core.
     std::int64_t longRunningCpu = 0; ///< CPU reserved by long-running tasks, same unit.
+    bool hasFreedCapacity = false;   ///< A task has left it since the last look for a next one.
     std::vector<TaskRef> tasks;      ///< Placed tasks.
     TimePoint avoidUntil{};          ///< No placements before this time, after a failed start.
     /// No placements before this time, as it seems to fail whatever it runs.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -543,14 +543,16 @@
         m_state.journal.put({JobRecords::interferenceKey(), m_interference.encodeModel(now)});
     }
     m_state.wantsPlacement = m_state.wantsPlacement || m_placement.isIdleTurnDue(now);
-    if (m_state.wantsPlacement && !m_state.areStartsSuspended
-        && now - m_lastPlacement >= placementInterval() && now < m_state.ordersUntil) {
+    const bool mayPlace = !m_state.areStartsSuspended && now < m_state.ordersUntil;
+    if (m_state.wantsPlacement && mayPlace && now - m_lastPlacement >= placementInterval()) {
         m_state.wantsPlacement = false;
         m_lastPlacement = now;
         m_placement.run(now, nowUnixMs);
         updateWaiting(now);
     } else if (!m_state.wantsPlacement) {
         updateWaiting(now);
+    } else if (mayPlace) {
+        m_placement.refill(now, nowUnixMs);
     }
     recordWaits(now);
     sendDelegations(now);
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -174,6 +174,55 @@
     if (!m_waiting.empty()) {
         m_defragmenter.makeRoom(m_waiting, now);
     }
+    for (const auto &[id, worker] : m_state.workers) {
+        worker->hasFreedCapacity = false;
+    }
+}
+
+void Placement::refill(TimePoint now, std::int64_t nowUnixMs)
+{
+    std::vector<CellWorker *> freed;
+    for (const auto &[id, worker] : m_state.workers) {
+        if (std::exchange(worker->hasFreedCapacity, false) && worker->isUsable()) {
+            freed.push_back(worker.get());
+        }
+    }
+    if (freed.empty()) {
+        return;
+    }
+    for (const TaskRef &ref : m_reservations.pendingTasks()) {
+        if (ref.task().notBefore <= now && startOnOneOf(freed, ref, now)) {
+            m_reservations.remove(ref);
+        }
+    }
+    const std::vector<CellJob *> jobs = pendingJobs();
+    m_displaced.clear();
+    findDisplaced(jobs, now, nowUnixMs);
+    for (const TaskRef &ref : m_displaced) {
+        const int priority = ref.job->spec.policy.priority;
+        const bool isFirst = std::ranges::all_of(
+            jobs, [priority](const CellJob *it) { return it->spec.policy.priority >= priority; });
+        if (!isFirst) {
+            return;
+        }
+        if (!ref.spec().isGang) {
+            startOnOneOf(freed, ref, now);
+        }
+    }
+}
+
+bool Placement::startOnOneOf(std::span<CellWorker *const> workers, const TaskRef &ref,
+                             TimePoint now)
+{
+    for (CellWorker *worker : workers) {
+        if (PlacementRules::findObstacle(*worker, m_reservations.availableTo(ref, *worker),
+                                         m_reservations.countOfStep(ref, *worker), ref, now)) {
+            continue;
+        }
+        start(ref, *worker, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
+        return true;
+    }
+    return false;
 }
 
 const CellJob *Placement::startLongestIdle(std::span<CellJob *const> jobs, int priority,
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -49,6 +49,7 @@
     const auto it = std::ranges::find(worker.tasks, ref);
     FIREFLY_ASSERT(it != worker.tasks.end(), "a placed task must be in its worker's list");
     worker.isForecastValid = false;
+    worker.hasFreedCapacity = true;
     *it = worker.tasks.back();
     worker.tasks.pop_back();
     task.worker = nullptr;
