--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -60,9 +60,9 @@
 {
     if (claim.holder == m_options.holder && claim.epoch > m_claim.epoch) {
         // A resigned owner sends no more orders, but its leases are still valid.
-        // Neither does one that hands the cell over: its orders end as if it had released it.
-        const bool isLiving = hasOwner() && !m_claim.isLeaving;
-        const Duration ordersAfter = isLiving ? OwnerTimeout : Duration{};
+        // The orders of an owner that leaves end as if it had resigned with its first announcement.
+        const bool mayRenew = hasOwner() && !m_claim.isLeaving;
+        const Duration ordersAfter = mayRenew ? OwnerTimeout : Duration{};
         m_earlierOrdersExpiry =
             m_claim.epoch == 0
                 ? now
