Offer capacity kept for tasks that still run, and no paused workers

Cause: roomByService() leaves out all kept capacity, so that other cells delegate nothing there, and counts workers that take no tasks for a pause. Besides, tasks that still run go to the Defragmenter, whose reservations for them aren't deferred: neither the own displaced tasks nor others may take these. Class: capacity promised to one is idle for all.

Change: offers count what is kept for tasks that still run as free, and leave out paused workers. Other tasks move for one that still runs only while no task of the service is down. The piece itself is still kept, as the task would be down beside batch tasks or first starts that take it meanwhile; displaced tasks, also delegated ones, may take it, so that it delays none of them. Capacity that is kept until batch tasks end is still not offered (IdleRoomBesideWaitingTasks).

--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -21,6 +21,9 @@
     if (isDeferred(entry.kind)) {
         worker.heldDeferred.add(entry.amount);
     }
+    if (entry.kind == Kind::RunEnds) {
+        worker.heldForRunning.add(entry.amount);
+    }
 }
 
 void CapacityReservations::subtractHeld(CellWorker &worker, const Entry &entry)
@@ -29,6 +32,9 @@
     if (isDeferred(entry.kind)) {
         worker.heldDeferred.subtract(entry.amount);
     }
+    if (entry.kind == Kind::RunEnds) {
+        worker.heldForRunning.subtract(entry.amount);
+    }
 }
 
 bool CapacityReservations::removeDeferred(const TaskRef &ref, CellWorker &worker)
@@ -61,6 +67,7 @@
     for (auto &[id, worker] : m_state.workers) {
         worker->held = {};
         worker->heldDeferred = {};
+        worker->heldForRunning = {};
     }
     for (Entry &it : m_entries) {
         const bool hasEnded = it.kind == Kind::RunEnds
--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -138,12 +138,14 @@
 {
     std::map<std::string, ServiceRoom> rooms;
     for (const auto &[id, worker] : m_state.workers) {
-        if (!worker->isUsable() || worker->renewFailures > 0) {
+        if (!worker->isUsable() || worker->renewFailures > 0 || worker->isPaused(m_now)) {
             continue;
         }
         ServiceRoom &room = rooms[worker->info.service];
         ResourceVector free = worker->freeRoom();
         free.subtract(worker->held);
+        // Displaced tasks of other cells may take it, as those of this one.
+        free.add(worker->heldForRunning);
         const auto keepLarger = [](ResourceVector &largest, const ResourceVector &it) {
             largest = it.milliCpu > largest.milliCpu ? it : largest;
         };
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -224,6 +224,7 @@
     ResourceVector reserved;         ///< Capacity reserved by placed tasks.
     ResourceVector held;             ///< Capacity kept for other tasks, by CapacityReservations.
     ResourceVector heldDeferred;     ///< The part of \a held whose tasks can't start yet.
+    ResourceVector heldForRunning;   ///< The part of \a held whose tasks still run elsewhere.
     std::int64_t fillerCpu = 0;      ///< Demand of the placed fillers, in thousandths of a core.
     std::int64_t longRunningCpu = 0; ///< CPU reserved by long-running tasks, same unit.
     std::vector<TaskRef> tasks;      ///< Placed tasks.
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <limits>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -133,9 +134,9 @@
     m_displaced.clear();
     m_waiting.clear();
     startReserved(now);
-    reserveForEvacuated(now);
     std::vector<CellJob *> jobs = pendingJobs();
     findDisplaced(jobs, now, nowUnixMs);
+    reserveForEvacuated(now);
     sortJobs(jobs, now);
     const CellJob *resumed = nullptr;
     const CellJob *advanced = nullptr;
@@ -267,6 +268,10 @@
 
 void Placement::reserveForEvacuated(TimePoint now)
 {
+    std::set<std::string> contestedServices;
+    for (const TaskRef &it : m_displaced) {
+        contestedServices.insert(it.job->spec.policy.service);
+    }
     for (const auto &[id, draining] : m_state.workers) {
         if (!draining->info.isDraining) {
             continue;
@@ -280,7 +285,7 @@
                 m_reservations.add(ref, *worker, CapacityReservations::Kind::RunEnds, now);
                 m_state.logDecision("capacity reserved", ref,
                                     "on=" + worker->info.id.value() + " still_running=1");
-            } else {
+            } else if (!contestedServices.contains(ref.job->spec.policy.service)) {
                 m_waiting.push_back(ref);
             }
         }
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -75,7 +75,8 @@
     /// one that has been idle for longest isn't started.  O(jobs x steps).
     void reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
     void startReserved(TimePoint now);
-    /// Reserves workers for the long-running tasks that draining workers are about to end.
+    /// Reserves free capacity for the long-running tasks that draining workers are about to end;
+    /// displaced tasks may take it.  Other tasks move for them only while no displaced one waits.
     void reserveForEvacuated(TimePoint now);
     void onUnplaceable(const TaskRef &ref, TimePoint now);
     /// The best worker with room for \a ref.
--- a/test/FailingTasks.cpp
+++ b/test/FailingTasks.cpp
@@ -156,5 +156,18 @@
     }
 }
 
+// Guards against tasks of other cells that are sent to a worker that takes none.
+TEST(FailingTasks, APausedWorkerIsNotOfferedToOtherCells)
+{
+    CellWorld world(1, 1);
+    setWorkTime(world, 30ms);
+    world.run(500ms);
+    ASSERT_TRUE(world.owner->roomByService().contains("svc"));
+    submitFailing(world, "failing0", 4);
+    submitFailing(world, "failing1", 4);
+    world.run(StartTime);
+    EXPECT_FALSE(world.owner->roomByService().contains("svc"));
+}
+
 } // namespace
 } // namespace firefly
