--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -99,7 +99,8 @@
     void startReserved(TimePoint now);
     /// Starts \a ref on the first of \a workers that can take it.  Returns whether it starts.
     bool startOnOneOf(std::span<CellWorker *const> workers, const TaskRef &ref, TimePoint now);
-    /// Reserves workers for the long-running tasks that draining workers are about to end.
+    /// Reserves free capacity for the long-running tasks that draining workers are about to end;
+    /// displaced tasks may take it.  Other tasks move for them only while no displaced one waits.
     void reserveForEvacuated(TimePoint now);
     void onUnplaceable(const TaskRef &ref, TimePoint now);
     /// The best worker with room for \a ref.
