Don't take a paused task for one that fits nowhere

startDisplaced() recorded the demand of a displaced task as unplaceable also when only the pause after its own failures keeps it off a worker, so that larger tasks weren't tried in that pass. Both places share one condition now.

By reading, no test of its own. CapacityKeptForRunningTasks, FailingTasks, LongRunningTaskOrder, CellRandomFaults and CrashingTasks pass.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -102,6 +102,12 @@
     return ref.spec().isLongRunning && ref.hasRunBefore();
 }
 
+/// True if workers that would take other tasks of its step may not take \a task.
+bool hasOwnObstacles(const CellTask &task, TimePoint now)
+{
+    return CrashDetector::isSuspect(task) || task.failures.isPaused(now);
+}
+
 void beginWait(CellTask &task, TimePoint now)
 {
     task.waitingSince = now;
@@ -388,7 +394,7 @@
     }
     if (CellWorker *worker = chooseWorkerForDisplaced(ref, now)) {
         startOrAwaitRack(ref, *worker, now);
-    } else if (!CrashDetector::isSuspect(ref.task())) {
+    } else if (!hasOwnObstacles(ref.task(), now)) {
         recordUnplaceable(ref);
     }
 }
@@ -431,8 +437,7 @@
         }
         CellWorker *worker =
             isDisplaced(ref) ? chooseWorkerForDisplaced(ref, now) : chooseWorker(ref, now);
-        if (!worker && (CrashDetector::isSuspect(task) || task.failures.isPaused(now))) {
-            // The others of the step may start beside fresh tasks, and where this one has failed.
+        if (!worker && hasOwnObstacles(task, now)) {
             onUnplaceable(ref, now);
             continue;
         }
