Share the places of fillers with idle jobs

Cause: any filler that fits takes each piece that becomes free, so that larger ones and gangs wait without bound; and nothing ends a run of a job that holds all places.

Change: FillerSharing keeps workers free of new fillers of other jobs for a job that has been idle for 1.5 s, a quarter of the workers at most and for at most 3 s, where its fillers are expected to do no harm. After 2 s of idle time, jobs with several placed fillers give up as many there as it needs, if these are enough; no job gives up its last one. Both, and the trials of FillerTrials, only while under 0.6 of the processors of the service in the cell are reserved: the platform tolerates idle jobs in fuller services. PlacementRules checks processor time for fillers last, so that IdleCpu means that nothing else is in the way.

InterferenceGuard, BatchJobIdleReport, OverdueJobs, BatchPlacement, CellRandomFaults, PausedFillerOwnerChange, BacklogAdmission, CellAdmission, CellOwnerChange, CellJoinFaults, TaskDelegationFaults and StandinWorker pass.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -229,6 +229,9 @@
     JobId observedJob;
     TimePoint noFillersUntil{}; ///< No placements of fillers before this time.
     TimePoint trialUntil{};     ///< No other trial of FillerTrials before this time.
+    /// No placements of fillers before this time but of the job that FillerSharing keeps it for.
+    TimePoint fillersKeptUntil{};
+    JobId fillersKeptFor;
     /// Predicted tail latency of one serving task.
     struct ServingForecast
     {
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -43,8 +43,14 @@
 /// starts of other batch tasks between two such turns.
 constexpr Duration IdleTurnDelay = MaxIdleTime / 2;
 constexpr std::uint32_t MinStartsBetweenIdleTurns = 1;
-/// Interval of the attempts to start a filler of a job that has been idle for longer.
-constexpr Duration IdleTurnInterval = std::chrono::milliseconds(300);
+/// Interval of the attempts to start a filler of a job that has been idle for longer: while nothing
+/// else calls for a pass, and at least.
+constexpr Duration IdleTurnInterval = std::chrono::milliseconds(200);
+constexpr Duration MinIdleTurnInterval = std::chrono::milliseconds(50);
+/// Share of the processors of a service in a cell, reserved by placed tasks, above which idle jobs
+/// of fillers wait for their turn.  The platform tolerates idle jobs from a half on, over all
+/// cells.
+constexpr double MaxReservedShare = 0.6;
 
 /// Time that the platform tolerates without a run of a task that has run before.  A displaced task
 /// that has waited longer may fit no worker at all and holds nothing back.
@@ -95,6 +101,20 @@
     }
 }
 
+/// Share of the processors of the workers of \a service that placed tasks reserve; O(workers).
+double reservedShare(const CellState &state, std::string_view service)
+{
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    for (const auto &[id, worker] : state.workers) {
+        if (worker->isRegistered && worker->info.service == service) {
+            capacity += worker->info.capacity.milliCpu;
+            reserved += worker->reserved.milliCpu;
+        }
+    }
+    return capacity > 0 ? static_cast<double>(reserved) / static_cast<double>(capacity) : 1.0;
+}
+
 /// True for a long-running task that its users have had before.
 bool isDisplaced(const TaskRef &ref)
 {
@@ -252,16 +272,24 @@
 void Placement::startIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
                                  std::int64_t nowUnixMs)
 {
+    if (now - m_lastIdleTurn < MinIdleTurnInterval) {
+        return;
+    }
+    m_lastIdleTurn = now;
     std::vector<TaskRef> fillers = findIdleFillers(jobs, now, nowUnixMs);
-    std::erase_if(fillers, [](const TaskRef &it) { return it.spec().isGang; });
-    if (const auto trial = m_fillerTrials.choose(fillers, now)) {
+    std::vector<TaskRef> singles;
+    std::ranges::copy_if(fillers, std::back_inserter(singles),
+                         [](const TaskRef &it) { return !it.spec().isGang; });
+    if (const auto trial = m_fillerTrials.choose(singles, now)) {
         m_state.logDecision("filler on trial", trial->filler,
                             "on=" + trial->worker->info.id.value() + " expected_violations="
                                 + std::to_string(trial->expectedViolations));
         m_fillerTrials.onStart(*trial, now);
         start(trial->filler, *trial->worker,
               TaskLedger::nextRun(trial->filler.task(), m_state.epoch), now);
+        std::erase(fillers, trial->filler);
     }
+    m_fillerSharing.update(fillers, now);
 }
 
 std::vector<TaskRef> Placement::findIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
@@ -269,11 +297,19 @@
 {
     m_nextIdleTurn.reset();
     std::vector<TaskRef> fillers;
+    std::map<std::string, bool> hasIdleCapacity; // By service.
     forEachStartableStep(jobs, nowUnixMs, [&](CellJob &job, std::uint32_t k, std::uint32_t s) {
         const StepSpec &spec = job.spec.steps[s];
         if (!spec.isFiller || job.placedCount > 0 || job.idleSince == TimePoint{}) {
             return;
         }
+        const std::string &service = job.spec.policy.service;
+        if (!hasIdleCapacity.contains(service)) {
+            hasIdleCapacity[service] = reservedShare(m_state, service) < MaxReservedShare;
+        }
+        if (!hasIdleCapacity[service]) {
+            return;
+        }
         const TimePoint due = std::max(job.idleSince + IdleTurnDelay, now + IdleTurnInterval);
         m_nextIdleTurn = std::min(m_nextIdleTurn.value_or(due), due);
         const StepRun &run = job.occurrences[k].steps[s];
@@ -430,7 +466,7 @@
             }
             continue;
         }
-        if (isKnownUnplaceable(ref)) {
+        if (isKnownUnplaceable(ref, now)) {
             onUnplaceable(ref, now);
             return;
         }
@@ -534,9 +570,12 @@
     return {};
 }
 
-bool Placement::isKnownUnplaceable(const TaskRef &ref) const
+bool Placement::isKnownUnplaceable(const TaskRef &ref, TimePoint now) const
 {
     const StepSpec &spec = ref.spec();
+    if (spec.isFiller && m_fillerSharing.hasWorker(*ref.job, now)) {
+        return false;
+    }
     return std::ranges::any_of(m_unplaceable, [&](const UnplaceableDemand &it) {
         return (it.isDisplaced || !isDisplaced(ref)) && it.isFiller == spec.isFiller
                && (!spec.isFiller || it.image == ref.image())
@@ -628,6 +667,7 @@
         {Obstacle::Capacity, "full"},
         {Obstacle::MissedTarget, "missed_target"},
         {Obstacle::IdleCpu, "idle_cpu"},
+        {Obstacle::FillersKept, "fillers_kept"},
         {Obstacle::Label, "label"},
         {Obstacle::Observed, "observed"},
         {Obstacle::TaskLimit, "task_limit"}};
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -2,6 +2,7 @@
 
 #include "Cell/CapacityReservations.h"
 #include "Cell/Defragmenter.h"
+#include "Cell/FillerSharing.h"
 #include "Cell/FillerTrials.h"
 #include "Cell/InterferenceGuard.h"
 #include "Cell/PlaceWaits.h"
@@ -28,6 +29,7 @@
                              return chooseWorker(ref, now, excluded);
                          })
         , m_fillerTrials(state, interference, m_reservations)
+        , m_fillerSharing(state, interference, m_reservations)
     {}
     Placement(const Placement &) = delete;
     Placement &operator=(const Placement &) = delete;
@@ -79,10 +81,12 @@
     /// Updates the idle times of \a jobs, in the order of this pass, and logs at intervals why the
     /// one that has been idle for longest isn't started.  O(jobs x steps).
     void reportIdleJobs(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
-    /// Starts a filler of an idle job of \a jobs on trial, if one is due.
+    /// Starts a filler of an idle job of \a jobs on trial, if one is due, and keeps workers for the
+    /// fillers of others.
     void startIdleFillers(std::span<CellJob *const> jobs, TimePoint now, std::int64_t nowUnixMs);
-    /// One filler, or gang of fillers, of each of \a jobs that has been idle for some time; the job
-    /// that has been idle for longest comes first.  Updates m_nextIdleTurn.
+    /// One filler, or gang of fillers, of each of \a jobs that has been idle for some time while
+    /// much of the capacity of its service isn't reserved; the job that has been idle for longest
+    /// comes first.  Updates m_nextIdleTurn.
     std::vector<TaskRef> findIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
                                          std::int64_t nowUnixMs);
     void startReserved(TimePoint now);
@@ -125,7 +129,7 @@
         ResourceVector demand;
         bool isDisplaced = false; ///< Kept capacity didn't help either.
     };
-    bool isKnownUnplaceable(const TaskRef &ref) const;
+    bool isKnownUnplaceable(const TaskRef &ref, TimePoint now) const;
     void recordUnplaceable(const TaskRef &ref);
 
     CellState &m_state;
@@ -134,12 +138,14 @@
     PlaceWaits m_placeWaits;
     Defragmenter m_defragmenter;
     FillerTrials m_fillerTrials;
+    FillerSharing m_fillerSharing;
     std::vector<UnplaceableDemand> m_unplaceable;
     TimePoint m_nextBatchWaitReport{}; ///< Earliest next log line about a batch task that waits.
     TimePoint m_nextIdleReport{};      ///< The same about idle batch jobs.
     std::uint32_t m_startsSinceIdleTurn = 0; ///< Of batch tasks.
     /// Earliest next turn of an idle job of fillers; unset if there is none.
     std::optional<TimePoint> m_nextIdleTurn;
+    TimePoint m_lastIdleTurn{};
     std::vector<TaskRef> m_displaced; ///< Displaced tasks before the starts of this pass.
     std::vector<TaskRef> m_waiting; ///< Long-running tasks that no worker could take in this pass.
 };
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -22,10 +22,14 @@
            - LongRunningUtilization * longRunning - static_cast<double>(worker.fillerCpu);
 }
 
+bool isEnoughUnusedCpu(double unusedCpu, const StepSpec &spec)
+{
+    return unusedCpu >= MinUnusedFillerShare * static_cast<double>(spec.demand.milliCpu);
+}
+
 bool hasUnusedCpuFor(const CellWorker &worker, const StepSpec &spec)
 {
-    return expectedUnusedCpu(worker)
-           >= MinUnusedFillerShare * static_cast<double>(spec.demand.milliCpu);
+    return isEnoughUnusedCpu(expectedUnusedCpu(worker), spec);
 }
 
 std::optional<Obstacle> findObstacle(const CellWorker &worker, const ResourceVector &available,
@@ -57,8 +61,8 @@
     if (spec.isFiller && worker.noFillersUntil > now) {
         return Obstacle::MissedTarget;
     }
-    if (spec.isFiller && !hasUnusedCpuFor(worker, spec)) {
-        return Obstacle::IdleCpu;
+    if (spec.isFiller && worker.fillersKeptUntil > now && worker.fillersKeptFor != ref.job->id) {
+        return Obstacle::FillersKept;
     }
     if (!spec.requiredLabel.empty()
         && std::ranges::find(worker.info.labels, spec.requiredLabel) == worker.info.labels.end()) {
@@ -72,6 +76,9 @@
             return Obstacle::TaskLimit;
         }
     }
+    if (spec.isFiller && !hasUnusedCpuFor(worker, spec)) {
+        return Obstacle::IdleCpu;
+    }
     return std::nullopt;
 }
 
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -19,6 +19,7 @@
     Capacity,
     MissedTarget, ///< A serving task missed its target there a short time ago: no fillers.
     IdleCpu,      ///< It has too little idle processor time for this filler.
+    FillersKept,  ///< FillerSharing keeps it for the fillers of another job.
     Label,
     Observed,  ///< A suspect of CrashDetector could not be told from the other fresh tasks there.
     TaskLimit, ///< It runs as many tasks of the step as the step allows.
@@ -30,6 +31,9 @@
 std::optional<Obstacle> findObstacle(const CellWorker &worker, const ResourceVector &available,
                                      std::size_t expectedOfStep, const TaskRef &ref, TimePoint now);
 
+/// True if \a unusedCpu, in thousandths of a core, is enough for a filler of \a spec.
+bool isEnoughUnusedCpu(double unusedCpu, const StepSpec &spec);
+
 /// True if enough of the processor time of \a worker is expected to stay unused for a filler of
 /// \a spec.
 bool hasUnusedCpuFor(const CellWorker &worker, const StepSpec &spec);
