Answer delegations and returns only as the exclusive owner

Since guests give tasks back, the home then believed that the guest had the task, and nobody started it. A request of an older build, which doesn't name its cell, no longer makes a guest forget the home of a job; a declaration without a definition is gone.

--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -366,7 +366,8 @@
     if (!job) {
         job = &addGuestPart(id, delegation, now, nowUnixMs);
     }
-    job->home = delegation.home;
+    // Requests of older builds don't name their cell.
+    job->home = delegation.home ? delegation.home : job->home;
     std::vector<TaskProgress> added;
     for (const TaskProgress &task : delegation.tasks) {
         const auto isSameTask = [&task](const auto &it) {
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -247,7 +247,6 @@
     void giveBackTasks(CellJob &job, std::span<const TaskRef> tasks);
     void sendReturns(TimePoint now);
     void sendReturns(CellJob &job);
-    void takeBackTask(CellJob &job, const TaskProgress &returned);
     /// Makes a task pending whose return is durable, unless it was delegated again.
     void beginReturnedTask(const TaskName &name);
     CellJob &addGuestPart(const JobId &id, const TaskDelegation &delegation, TimePoint now,
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -704,6 +704,12 @@
             done({CallerOutcome::NotRun, JobState::Queued, 0, "the workers aren't known yet"});
             return;
         }
+        // What is known already is acknowledged without a call to the store, which would tell that
+        // this owner is fenced.
+        if (!election.isExclusiveOwner(Clock::now())) {
+            done({CallerOutcome::NotRun, JobState::Queued, 0, "another owner may know the job"});
+            return;
+        }
         const auto onReply = [done, weak = weak_from_this()](const CallerReply &reply) {
             const auto self = weak.lock();
             if (self && reply.outcome == CallerOutcome::Done) {
