Refill with the best worker; let moves go on beside tasks that fit nowhere

Now the best freed worker is chosen, the first priority is found once, and only waits below MaxFirstStartDelay count, as for first starts. FreedCapacity and CapacityKeptForRunningTasks pass.

--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -223,13 +223,16 @@
         }
     }
     const std::vector<CellJob *> jobs = pendingJobs();
+    if (jobs.empty()) {
+        return;
+    }
+    const int firstPriority = std::ranges::min(jobs, {}, [](const CellJob *it) {
+                                  return it->spec.policy.priority;
+                              })->spec.policy.priority;
     m_displaced.clear();
     findDisplaced(jobs, now, nowUnixMs);
     for (const TaskRef &ref : m_displaced) {
-        const int priority = ref.job->spec.policy.priority;
-        const bool isFirst = std::ranges::all_of(
-            jobs, [priority](const CellJob *it) { return it->spec.policy.priority >= priority; });
-        if (!isFirst) {
+        if (ref.job->spec.policy.priority > firstPriority) {
             return;
         }
         if (!ref.spec().isGang) {
@@ -241,15 +244,23 @@
 bool Placement::startOnOneOf(std::span<CellWorker *const> workers, const TaskRef &ref,
                              TimePoint now)
 {
+    CellWorker *best = nullptr;
+    double bestScore = -std::numeric_limits<double>::infinity();
     for (CellWorker *worker : workers) {
         if (PlacementRules::findObstacle(*worker, m_reservations.availableTo(ref, *worker),
                                          m_reservations.countOfStep(ref, *worker), ref, now)) {
             continue;
         }
-        start(ref, *worker, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
-        return true;
+        const auto value = score(*worker, ref, now);
+        if (value && *value > bestScore) {
+            bestScore = *value;
+            best = worker;
+        }
     }
-    return false;
+    if (best) {
+        start(ref, *best, TaskLedger::nextRun(ref.task(), m_state.epoch), now);
+    }
+    return best != nullptr;
 }
 
 const CellJob *Placement::startLongestIdle(std::span<CellJob *const> jobs, int priority,
@@ -413,7 +424,9 @@
 {
     std::set<std::string> contestedServices;
     for (const TaskRef &it : m_displaced) {
-        contestedServices.insert(it.job->spec.policy.service);
+        if (now - it.task().waitingSince < MaxFirstStartDelay) {
+            contestedServices.insert(it.job->spec.policy.service);
+        }
     }
     for (const auto &[id, draining] : m_state.workers) {
         if (!draining->info.isDraining) {
@@ -519,7 +532,7 @@
 
 void Placement::startDisplaced(const TaskRef &ref, TimePoint now)
 {
-    if (ref.spec().isGang || isKnownUnplaceable(ref)) {
+    if (ref.spec().isGang || isKnownUnplaceable(ref, now)) {
         return;
     }
     if (CellWorker *worker = chooseWorkerForDisplaced(ref, now)) {
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -38,9 +38,9 @@
     /// displaced tasks come first, in the order of their waits.
     /// O(pending tasks x workers).
     void run(TimePoint now, std::int64_t nowUnixMs);
-    /// Starts displaced tasks on the workers that a task has left, without a pass over all jobs:
-    /// only tasks that precede all other pending ones, in the order of their waits.
-    /// O(tasks + displaced tasks x such workers).
+    /// Starts tasks on the workers that a task has left, without a pass over all jobs: those with
+    /// a reservation there, then the displaced tasks that precede all other pending ones, in the
+    /// order of their waits.  O(workers + tasks + displaced tasks x such workers).
     void refill(TimePoint now, std::int64_t nowUnixMs);
     /// True if capacity is kept for \a ref.
     bool hasReservation(const TaskRef &ref) const { return m_reservations.contains(ref); }
@@ -101,7 +101,7 @@
     std::vector<TaskRef> findIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
                                          std::int64_t nowUnixMs);
     void startReserved(TimePoint now);
-    /// Starts \a ref on the first of \a workers that can take it.  Returns whether it starts.
+    /// Starts \a ref on the best of \a workers that can take it.  Returns whether it starts.
     bool startOnOneOf(std::span<CellWorker *const> workers, const TaskRef &ref, TimePoint now);
     /// Reserves free capacity for the long-running tasks that draining workers are about to end;
     /// displaced tasks may take it.  Other tasks move for them only while no displaced one waits.
