Log unanswered starts, changes of a worker's incarnation and stray runs

New lines start unanswered, restart suspected, worker incarnation changed, stray run stopped; lease over and worker restarted name the incarnation and the age of the run, owner ends the unconfirmed starts. No change of logic.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -57,11 +57,16 @@
     const auto survived = survivedMs(task);
     const Duration silence = silentSince == TimePoint{} ? Duration{} : now - silentSince;
     const auto silentMs = std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+    const auto placedMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - task.startedAt).count();
     return "failed_renewals=" + std::to_string(renewFailures) + " silent_ms="
            + std::to_string(silentMs) + " replaced=" + std::to_string(static_cast<int>(isReplaced))
            + " refusing=" + std::to_string(static_cast<int>(isRefusing))
            + " draining=" + std::to_string(static_cast<int>(info.isDraining))
-           + " survived_ms=" + (survived ? std::to_string(*survived) : "unconfirmed");
+           + " survived_ms=" + (survived ? std::to_string(*survived) : "unconfirmed")
+           + " incarnation=" + std::to_string(incarnationStartUnixMs)
+           + " stopping=" + std::to_string(task.state == TaskState::Stopping ? 1 : 0)
+           + " placed_ms=" + std::to_string(placedMs);
 }
 
 CellLoad CellJob::outstandingDemand(double milliCpu) const
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -292,6 +292,12 @@
                    ? std::optional(std::max<std::int64_t>(0, lastSignMs - *task.acceptedMs))
                    : std::nullopt;
     }
+    /// Number of placed tasks whose start isn't confirmed.
+    std::size_t unconfirmedStarts() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            tasks, [](const TaskRef &it) { return !it.task().acceptedMs.has_value(); }));
+    }
     /// Log text on the end of the run of \a task here, which the worker hasn't reported.
     std::string describeLoss(const CellTask &task, TimePoint now) const;
     /// True while it takes no tasks after failures.
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -157,6 +157,9 @@
     /// Returns and clears the actions to carry out.
     std::vector<CellAction> takeActions();
     CellJournal &journal() { return m_state.journal; }
+    /// Number of starts that no answer or report has confirmed: they may still take effect.
+    /// O(tasks on workers).
+    std::size_t unconfirmedStarts() const;
     const CellState &state() const { return m_state; }
     const InterferenceGuard &interference() const { return m_interference; }
 
@@ -299,6 +302,8 @@
 
     void applyLeaseReport(CellWorker &worker, const LeaseReport &report, TimePoint sentAt,
                           TimePoint now, std::int64_t nowUnixMs);
+    /// Logs that \a report is the first one of another incarnation of \a worker.
+    void logIncarnation(const CellWorker &worker, const LeaseReport &report, TimePoint sentAt);
     void beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs, TimePoint sentAt,
                           std::int64_t nowUnixMs);
     void applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -33,6 +33,7 @@
                                      TimePoint sentAt, TimePoint now, std::int64_t nowUnixMs)
 {
     if (report.incarnationStartUnixMs != worker.incarnationStartUnixMs) {
+        logIncarnation(worker, report, sentAt);
         beginIncarnation(worker, report.incarnationStartUnixMs, sentAt, nowUnixMs);
     }
     applySuspicions(m_crashDetector.onAnswer(worker, now), nowUnixMs);
@@ -88,6 +89,23 @@
     }
 }
 
+void CellScheduler::logIncarnation(const CellWorker &worker, const LeaseReport &report,
+                                   TimePoint sentAt)
+{
+    if (worker.incarnationStartUnixMs == 0) {
+        return;
+    }
+    const auto sentMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - sentAt);
+    m_state.logDecision("worker incarnation changed", worker,
+                        "from=" + std::to_string(worker.incarnationStartUnixMs)
+                            + " to=" + std::to_string(report.incarnationStartUnixMs)
+                            + " sent_ms=" + std::to_string(sentMs.count())
+                            + " tasks=" + std::to_string(worker.tasks.size())
+                            + " unconfirmed=" + std::to_string(worker.unconfirmedStarts())
+                            + " running=" + std::to_string(report.running.size())
+                            + " ended=" + std::to_string(report.ended.size()));
+}
+
 void CellScheduler::beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs,
                                      TimePoint sentAt, std::int64_t nowUnixMs)
 {
@@ -121,6 +139,10 @@
         task.acceptedMs = worker.clockMs - CrashDetector::FreshMs;
     }
     if (task.worker != &worker || task.run != row.run) {
+        m_state.logDecision("stray run stopped", *ref,
+                            "on=" + worker.info.id.value()
+                                + " listed_run=" + std::to_string(row.run)
+                                + " incarnation=" + std::to_string(worker.incarnationStartUnixMs));
         worker.hasUntrackedRuns = true;
         sendStop(worker, row.task, row.run);
         return;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -75,6 +75,15 @@
 
 } // namespace
 
+std::size_t CellScheduler::unconfirmedStarts() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, worker] : m_state.workers) {
+        count += worker->unconfirmedStarts();
+    }
+    return count;
+}
+
 void CellScheduler::onWorkerListed(const WorkerDescription &info, TimePoint now)
 {
     m_now = now;
@@ -126,6 +135,10 @@
     if (*reply.clockMs < worker.clockAtLeast(now) - toMs(ClockTolerance)) {
         // A new incarnation numbers its ended runs from 1 again: acknowledging the old numbers
         // would make it discard ends that were never reported.
+        m_state.logDecision("restart suspected", worker,
+                            "clock_ms=" + std::to_string(*reply.clockMs)
+                                + " expected_ms=" + std::to_string(worker.clockAtLeast(now))
+                                + " incarnation=" + std::to_string(worker.incarnationStartUnixMs));
         worker.isRestartSuspected = true;
         worker.nextRenewal = now;
     }
@@ -165,6 +178,9 @@
         }
         return;
     case OrderOutcome::Unknown:
+        m_state.logDecision("start unanswered", *ref,
+                            "incarnation=" + std::to_string(worker->incarnationStartUnixMs)
+                                + " sent_ms=" + std::to_string(toMs(now - task.startedAt)));
         task.state = TaskState::Unsettled;
         worker->avoidUntil = std::max(worker->avoidUntil, now + UnreachableBackoff);
         sendStop(*ref);
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -490,6 +490,7 @@
                   {{"cell", options.cell},
                    {"epoch", epoch},
                    {"fenced", scheduler.isFenced()},
+                   {"unconfirmed_starts", scheduler.unconfirmedStarts()},
                    {"owner", election.claim().node},
                    {"owner_epoch", election.epoch()}});
         if (election.epoch() == epoch) {
