RestartedWorkerLateStart: a second restart, and a restart behind a cut

Callers saw one task run twice at the same time. A start without an answer outlives the restart of its worker under the same id: the owner takes the runs there for lost, starts the task elsewhere, and the new incarnation, which has forgotten stops and fences, carries out the first start. Two new cases: the worker restarts again after it has accepted the repeated stop, and it restarts behind a cut that outlasts its lease.

--- a/test/RestartedWorkerLateStart.cpp
+++ b/test/RestartedWorkerLateStart.cpp
@@ -60,5 +60,40 @@
     }
 }
 
+// A task ran twice at the same time as above: the worker restarted again after it had accepted the
+// repeated stop, and forgot that one too.
+TEST(RestartedWorkerLateStart, ATaskDoesNotRunTwiceAfterASecondRestart)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        for (const Duration gap : {5ms, 20ms, 35ms, 60ms}) {
+            CellWorld world(seed, 2);
+            const std::string id = startLate(world);
+            world.run(1300ms);
+            restart(world, id);
+            world.run(gap);
+            restart(world, id);
+            expectNoViolation(world, seed);
+        }
+    }
+}
+
+// A task ran twice at the same time: its worker was cut off and restarted behind the cut.  The
+// owner took the lease for the end of all that was ordered there and started the task elsewhere,
+// then the worker carried out the first start, whose deadline was far ahead on its new clock.
+TEST(RestartedWorkerLateStart, ATaskDoesNotRunTwiceAfterARestartBehindACut)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 2);
+        const std::string id = startLate(world);
+        world.run(500ms);
+        world.workers.at(id)->isReachable = false;
+        world.run(5500ms);
+        world.workers.at(id)->reboot(world.now);
+        world.run(500ms);
+        world.workers.at(id)->isReachable = true;
+        expectNoViolation(world, seed);
+    }
+}
+
 } // namespace
 } // namespace firefly
