Keep runs whose start isn't confirmed over a restart of their worker

Callers saw one task run twice at the same time. When a worker restarted under its id, the owner released all its runs, also those whose start had no answer, and started their tasks elsewhere. Such a start may still be under way: the new incarnation bears the same id, has forgotten every stop and fence, and its clock is far below the deadline of the start.

Runs that no answer and no report has confirmed now stay with the worker as Unsettled, and a stop goes to the new incarnation. Only a stop that was sent once that incarnation was known settles them, since an earlier one may have accepted any other; each further restart begins this anew. Works because an accepted stop makes a worker refuse that run for the rest of its life, and the next report tells whether it had begun before. The crash of the worker counts against such a task once, as before.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -51,6 +51,8 @@
     std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
     /// When the worker accepted the start, on its clock; unset while that isn't known.
     std::optional<std::int64_t> acceptedMs;
+    /// Its start isn't confirmed, and was meant for an earlier incarnation of the worker.
+    bool isFromEarlierIncarnation = false;
     TimePoint startedAt{};     ///< Acceptance of the start, or first report that lists the run.
     TimePoint stopSentAt{};    ///< Latest stop order.
     TimePoint stopOrderedAt{}; ///< First stop order of this run.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -146,6 +146,8 @@
     WorkerId worker;
     TaskName task;
     std::uint32_t run = 0;
+    /// Latest known incarnation of the worker, which no earlier one can answer for; not sent.
+    std::int64_t incarnationStartUnixMs = 0;
 };
 
 /// Order to extend a worker's lease and to report its runs.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -493,7 +493,8 @@
 
 void CellScheduler::sendStop(CellWorker &worker, const TaskName &name, std::uint32_t run)
 {
-    m_state.actions.emplace_back(StopTask{worker.info.id, name, run});
+    m_state.actions.emplace_back(
+        StopTask{worker.info.id, name, run, worker.incarnationStartUnixMs});
 }
 
 void CellScheduler::addDueOccurrences(CellJob &job, std::int64_t nowUnixMs)
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -140,8 +140,7 @@
     void onWorkerGone(const WorkerId &id, TimePoint now);
     void onStartReply(const WorkerId &id, const TaskName &name, std::uint32_t run,
                       const OrderReply &reply, TimePoint now);
-    void onStopOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
-                       OrderOutcome outcome, TimePoint now);
+    void onStopOutcome(const StopTask &order, OrderOutcome outcome, TimePoint now);
     void onPaceOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
                        OrderOutcome outcome, TimePoint now);
     /// Handles the answer to a renewal that was sent at \a sentAt.  \a report is empty unless
@@ -276,9 +275,16 @@
     /// link.
     bool isSilentBesideOthers(const CellWorker &worker, TimePoint now) const;
     void expireLeases(TimePoint now, std::int64_t nowUnixMs);
-    /// Releases the runs on \a worker that ended because another incarnation has answered an order
-    /// of \a sentAt.  Runs ordered since may belong to that one.
-    void releaseEarlierRuns(CellWorker &worker, TimePoint sentAt, std::int64_t nowUnixMs);
+    /// What has answered at the address of a worker instead of its latest incarnation.
+    enum class Successor { SameId, OtherId };
+    /// Releases the runs on \a worker that ended because \a successor has answered an order of
+    /// \a sentAt.  Runs ordered since may belong to it, and so may those whose start isn't
+    /// confirmed if it has the same id.
+    void releaseEarlierRuns(CellWorker &worker, Successor successor, TimePoint sentAt,
+                            std::int64_t nowUnixMs);
+    /// Stops the runs on \a worker whose start isn't confirmed: it may still be under way and take
+    /// effect in the present incarnation.
+    void stopUnconfirmedRuns(CellWorker &worker);
     void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
     /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
     /// convicted ones.
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -109,13 +109,15 @@
 void CellScheduler::beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs,
                                      TimePoint sentAt, std::int64_t nowUnixMs)
 {
-    releaseEarlierRuns(worker, sentAt, nowUnixMs);
+    releaseEarlierRuns(worker, Successor::SameId, sentAt, nowUnixMs);
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.grantedDeadlineMs = 0;
     worker.lastSignMs = 0;
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
     worker.durableEndNumber = 0;
+    // The new incarnation has forgotten all stops and fences.
+    stopUnconfirmedRuns(worker);
 }
 
 void CellScheduler::applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now)
@@ -149,11 +151,11 @@
     }
     // Until its final state is durable the next owner may restart the job, so that its runs go on.
     const bool isEnded = isFinal(ref->job->durableState);
+    task.acceptedMs = task.acceptedMs.value_or(worker.clockMs);
     if (task.state == TaskState::Starting || (task.state == TaskState::Unsettled && !isEnded)) {
         task.state = TaskState::Running;
         task.startedAt = now;
         task.progressMs = worker.clockMs;
-        task.acceptedMs = worker.clockMs;
     }
     if (row.percent != task.percent) {
         task.progressMs = worker.clockMs;
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -80,6 +80,7 @@
     task.percent = 0;
     task.lastListedReport = 0;
     task.acceptedMs.reset();
+    task.isFromEarlierIncarnation = false;
     ++ref.job->placedCount;
     ref.job->isStarted = true;
     if (ref.job->state == JobState::Queued) {
@@ -103,7 +104,8 @@
         task.state = TaskState::Stopping;
     }
     task.stopSentAt = now;
-    state.actions.emplace_back(StopTask{task.worker->info.id, ref.name(), task.run});
+    state.actions.emplace_back(
+        StopTask{worker.info.id, ref.name(), task.run, worker.incarnationStartUnixMs});
 }
 
 void release(const TaskRef &ref)
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -209,22 +209,25 @@
     m_state.wantsPlacement = true;
 }
 
-void CellScheduler::onStopOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
-                                  OrderOutcome outcome, TimePoint now)
+void CellScheduler::onStopOutcome(const StopTask &order, OrderOutcome outcome, TimePoint now)
 {
     m_now = now;
     if (outcome == OrderOutcome::FencedOff) {
         m_state.isFenced = true;
     }
-    const auto ref = m_state.findTask(name);
+    const auto ref = m_state.findTask(order.task);
     if (outcome != OrderOutcome::Accepted || !ref) {
         return;
     }
-    // An accepted stop rules out that the start still takes effect; the next report decides.
+    // An accepted stop rules out that the start still takes effect in this incarnation, unless an
+    // earlier one accepted it; the next report decides.
     CellTask &task = ref->task();
-    if (task.state == TaskState::Unsettled && task.run == run && task.worker->info.id == id) {
+    if (task.state == TaskState::Unsettled && task.run == order.run
+        && task.worker->info.id == order.worker
+        && task.worker->incarnationStartUnixMs == order.incarnationStartUnixMs) {
         task.state = TaskState::Stopping;
         task.startedAt = now;
+        task.worker->nextRenewal = std::min(task.worker->nextRenewal, now);
     }
 }
 
@@ -266,7 +269,7 @@
         worker->nextRenewal = now + renewalBackoff(worker->renewFailures);
         if (outcome == OrderOutcome::OtherIncarnation) {
             applySuspicions(m_crashDetector.onReplaced(*worker, now), nowUnixMs);
-            releaseEarlierRuns(*worker, sentAt, nowUnixMs);
+            releaseEarlierRuns(*worker, Successor::OtherId, sentAt, nowUnixMs);
         }
         return;
     }
@@ -413,21 +416,43 @@
     }
 }
 
-void CellScheduler::releaseEarlierRuns(CellWorker &worker, TimePoint sentAt, std::int64_t nowUnixMs)
+void CellScheduler::releaseEarlierRuns(CellWorker &worker, Successor successor, TimePoint sentAt,
+                                       std::int64_t nowUnixMs)
 {
-    std::vector<TaskRef> lost;
-    std::ranges::copy_if(worker.tasks, std::back_inserter(lost), [sentAt](const TaskRef &it) {
+    std::vector<TaskRef> earlier;
+    std::ranges::copy_if(worker.tasks, std::back_inserter(earlier), [sentAt](const TaskRef &it) {
         return it.task().state != TaskState::Starting && it.task().startedAt < sentAt;
     });
+    std::vector<TaskRef> lost; // Now, not at an earlier restart.
+    std::ranges::copy_if(earlier, std::back_inserter(lost), [](const TaskRef &it) {
+        return it.task().acceptedMs || !it.task().isFromEarlierIncarnation;
+    });
     applySuspicions(m_crashDetector.onRunsLost(worker, lost, CrashDetector::Loss::Crashed, m_now),
                     nowUnixMs);
     for (const TaskRef &it : lost) {
         m_state.logDecision("worker restarted", it, worker.describeLoss(it.task(), m_now));
-        TaskLedger::release(it);
+    }
+    for (const TaskRef &it : earlier) {
+        if (successor == Successor::OtherId || it.task().acceptedMs) {
+            TaskLedger::release(it);
+        }
     }
     m_state.wantsPlacement = true;
 }
 
+void CellScheduler::stopUnconfirmedRuns(CellWorker &worker)
+{
+    for (const TaskRef &it : worker.tasks) {
+        CellTask &task = it.task();
+        if (task.acceptedMs || task.state == TaskState::Starting) {
+            continue;
+        }
+        task.state = TaskState::Unsettled;
+        task.isFromEarlierIncarnation = true;
+        sendStop(it);
+    }
+}
+
 void CellScheduler::releaseTasks(CellWorker &worker, std::int64_t nowUnixMs)
 {
     const std::vector<TaskRef> lost = worker.tasks;
--- a/src/Node/OrderSender.cpp
+++ b/src/Node/OrderSender.cpp
@@ -69,8 +69,8 @@
     void send(const StopTask &order)
     {
         sendRun(order, "stop", &platform::WorkerClient::stop,
-                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
-                    self.scheduler.onStopOutcome(it.worker, it.task, it.run, reply.outcome, now);
+                [order](Private &self, const OrderedRun &, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onStopOutcome(order, reply.outcome, now);
                 });
     }
 
--- a/test/PartitionedOwnerLeases.cpp
+++ b/test/PartitionedOwnerLeases.cpp
@@ -105,9 +105,8 @@
         FakeCellWorker *worker = findWorker(order.worker);
         const auto outcome =
             worker ? worker->stop(order, m_epoch, m_world.now) : OrderOutcome::Unknown;
-        reply(worker, [this, order, outcome] {
-            m_owner->onStopOutcome(order.worker, order.task, order.run, outcome, m_world.now);
-        });
+        reply(worker,
+              [this, order, outcome] { m_owner->onStopOutcome(order, outcome, m_world.now); });
     }
 
     template <typename Other>
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -552,9 +552,7 @@
             [this, order, by = epoch] {
                 return workers.at(order.worker.value())->stop(order, by, now);
             },
-            [this, order](OrderOutcome outcome) {
-                owner->onStopOutcome(order.worker, order.task, order.run, outcome, now);
-            });
+            [this, order](OrderOutcome outcome) { owner->onStopOutcome(order, outcome, now); });
     }
 
     void send(const PaceTask &order)
