Let an unanswered start outlast the lease of a silent worker

Callers saw one task run twice at the same time. The owner took the end of a silent worker's lease for the end of all that was ordered there. That holds for runs, which the worker kills, but not for a start without an answer: if the worker has restarted behind the cut, its clock begins anew, and the start, delivered when the cut ends, is far from its deadline.

A worker that is no longer listed, or whose address belongs to another id, releases all with its lease as before, so that the tasks of a crashed worker don't wait.

CellRandomFaults, CellJoinFaults and CrashingTasks pass.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -1,5 +1,7 @@
 #include "Cell/CellJob.h"
 
+#include "Cell/CellState.h"
+
 namespace firefly {
 namespace {
 
@@ -52,6 +54,21 @@
     return clockAt + std::chrono::duration_cast<Duration>(left) + LeaseMargin;
 }
 
+TimePoint CellWorker::startEnd(const CellTask &task) const
+{
+    const bool mayStillStart = isRegistered && !isReplaced && !task.acceptedMs;
+    return mayStillStart ? task.startedAt + CellBounds::OrderLifetime : TimePoint{};
+}
+
+TimePoint CellWorker::ordersEnd() const
+{
+    TimePoint end = leaseEnd();
+    for (const TaskRef &it : tasks) {
+        end = std::max(end, startEnd(it.task()));
+    }
+    return end;
+}
+
 std::string CellWorker::describeLoss(const CellTask &task, TimePoint now) const
 {
     const auto survived = survivedMs(task);
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -287,6 +287,12 @@
     }
     /// When everything that runs here has ended unless its lease is renewed, as an upper bound.
     TimePoint leaseEnd() const;
+    /// When an unanswered start of \a task can't take effect here any more, unless the worker
+    /// answers first.  The lease doesn't bound it: an unseen restart has reset the clock to which
+    /// its deadline refers.
+    TimePoint startEnd(const CellTask &task) const;
+    /// When nothing that was ordered runs or starts here any more unless the worker answers.
+    TimePoint ordersEnd() const;
     /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
     std::optional<std::int64_t> survivedMs(const CellTask &task) const
     {
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -285,6 +285,7 @@
     /// Stops the runs on \a worker whose start isn't confirmed: it may still be under way and take
     /// effect in the present incarnation.
     void stopUnconfirmedRuns(CellWorker &worker);
+    /// Releases the runs on \a worker, whose lease is over, but not those that may still start.
     void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
     /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
     /// convicted ones.
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -22,6 +22,9 @@
     /// Outlasts a change of owner, yet lets the tasks of a lost worker restart soon.
     static constexpr Duration PreferredLease = std::chrono::milliseconds(5000);
 
+    /// An order without an answer isn't carried out later than this after it was sent.
+    static constexpr Duration OrderLifetime = std::chrono::seconds(12);
+
     /// Longest lease that an owner requests.
     Duration grantedLease() const { return std::min(maxLease, PreferredLease); }
 
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -455,15 +455,19 @@
 
 void CellScheduler::releaseTasks(CellWorker &worker, std::int64_t nowUnixMs)
 {
-    const std::vector<TaskRef> lost = worker.tasks;
+    std::vector<TaskRef> lost;
+    std::ranges::copy_if(worker.tasks, std::back_inserter(lost),
+                         [&](const TaskRef &it) { return m_now >= worker.startEnd(it.task()); });
+    if (lost.empty()) {
+        return;
+    }
     const CrashDetector::Loss loss = worker.isReplaced   ? CrashDetector::Loss::Crashed
                                      : worker.isRefusing ? CrashDetector::Loss::Down
                                                          : CrashDetector::Loss::Silent;
     applySuspicions(m_crashDetector.onRunsLost(worker, lost, loss, m_now), nowUnixMs);
-    while (!worker.tasks.empty()) {
-        m_state.logDecision("lease over", worker.tasks.back(),
-                            worker.describeLoss(worker.tasks.back().task(), m_now));
-        TaskLedger::release(worker.tasks.back());
+    for (const TaskRef &it : lost) {
+        m_state.logDecision("lease over", it, worker.describeLoss(it.task(), m_now));
+        TaskLedger::release(it);
     }
     m_state.wantsPlacement = true;
 }
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -74,7 +74,7 @@
         if (worker->isLeaseLimited) {
             // The record may have been put at any time before it was read.
             const Duration left = std::chrono::milliseconds(*worker->record->leaseLeftMs);
-            worker->earlierLeaseEnd = std::min(worker->earlierLeaseEnd, now + left);
+            worker->earlierLeaseEnd = now + left;
         }
     }
 }
@@ -134,7 +134,7 @@
             // Its tasks have become fewer at most.
             record.tasks = worker.record ? worker.record->tasks : std::nullopt;
         }
-        record.leaseLeftMs = msUntil(worker.leaseEnd(), now);
+        record.leaseLeftMs = msUntil(worker.ordersEnd(), now);
         return record;
     }
     const bool mayHaveEnds = worker.durableEndNumber != worker.processedEndNumber;
--- a/test/RestartedWorkerLateStart.cpp
+++ b/test/RestartedWorkerLateStart.cpp
@@ -77,6 +77,21 @@
     }
 }
 
+/// Cuts the worker \a id off until it has restarted behind the cut, after the end of its lease.
+void restartBehindCut(CellWorld &world, const std::string &id, bool isOwnerReplaced)
+{
+    world.run(500ms);
+    world.workers.at(id)->isReachable = false;
+    world.run(3500ms);
+    if (isOwnerReplaced) {
+        world.replaceOwner(world.now + 5600ms);
+    }
+    world.run(2000ms);
+    world.workers.at(id)->reboot(world.now);
+    world.run(500ms);
+    world.workers.at(id)->isReachable = true;
+}
+
 // A task ran twice at the same time: its worker was cut off and restarted behind the cut.  The
 // owner took the lease for the end of all that was ordered there and started the task elsewhere,
 // then the worker carried out the first start, whose deadline was far ahead on its new clock.
@@ -85,12 +100,19 @@
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         CellWorld world(seed, 2);
         const std::string id = startLate(world);
-        world.run(500ms);
-        world.workers.at(id)->isReachable = false;
-        world.run(5500ms);
-        world.workers.at(id)->reboot(world.now);
-        world.run(500ms);
-        world.workers.at(id)->isReachable = true;
+        restartBehindCut(world, id, false);
+        expectNoViolation(world, seed);
+    }
+}
+
+// The same over a change of owner: the record of the silent worker named the end of its lease, but
+// not how much longer the start might take effect.
+TEST(RestartedWorkerLateStart, ATaskDoesNotRunTwiceAfterARestartBehindACutOverAChangeOfOwner)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 2);
+        const std::string id = startLate(world);
+        restartBehindCut(world, id, true);
         expectNoViolation(world, seed);
     }
 }
