Fence the orders to earlier incarnations of a worker by a token of its own

Callers saw one task run twice at the same time, and could see one start again after it was done. A worker that restarts under its id accepts every order that names the id. Stops by run close that only for starts that the owner still counts as open. A start whose stop the earlier incarnation had accepted was released and started elsewhere, yet the next incarnation would still take it; a renewal of before the restart acknowledged ends of the new incarnation that nobody had read, so that done tasks started again.

Epochs are multiples of 16 now, and the token of an order is the epoch plus the restarts of the worker that the owner has seen or suspects. Once the new incarnation has answered under the raised token it refuses everything that was ordered before. An unconfirmed start is settled by a report under a higher token than its own; StopTask no longer names an incarnation. A suspicion (the list names a later start, or a clock reads too low) raises the token at once and doesn't wait for the answer to a long poll in flight, which is dropped. A refusal of an order with a lower token than the present one doesn't end the ownership. An owner of an older build that follows claims the next number, which is above the epoch; at a worker with two or more restarts it is refused until it has claimed again, at most 14 times.

The epochs in CellElection are multiples of 16 now, its checks are the same; a new one claims after an owner of an older build.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -51,8 +51,7 @@
     std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
     /// When the worker accepted the start, on its clock; unset while that isn't known.
     std::optional<std::int64_t> acceptedMs;
-    /// Its start isn't confirmed, and was meant for an earlier incarnation of the worker.
-    bool isFromEarlierIncarnation = false;
+    Epoch startFence = 0;      ///< Fencing token of the start.
     TimePoint startedAt{};     ///< Acceptance of the start, or first report that lists the run.
     TimePoint stopSentAt{};    ///< Latest stop order.
     TimePoint stopOrderedAt{}; ///< First stop order of this run.
@@ -230,6 +229,10 @@
     bool hasUntrackedRuns = false;
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
+    Epoch restarts = 0;         ///< Changes of its incarnation that this owner has seen.
+    Epoch incarnationFence = 0; ///< Lowest fencing token of the starts meant for it.
+    Epoch renewalFence = 0;     ///< Fencing token of the latest renewal.
+    Epoch reportFence = 0;    ///< The same of the latest report: it refuses orders with lower ones.
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
     TimePoint clockAt{};
     std::int64_t grantedDeadlineMs = 0;   ///< Latest deadline sent, on the worker's clock.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -16,6 +16,11 @@
 /// carry a lower one than they have seen.
 using Epoch = std::uint64_t;
 
+/// Number of fencing tokens of an owner: from its epoch, which is a multiple of this, to below the
+/// next one.  The owner raises the token of a worker by one at each restart of it, so that the new
+/// incarnation refuses what was ordered before.
+constexpr Epoch FencesPerEpoch = 16;
+
 /// Processor demand of unfinished work, as fractions of the cell's capacity.
 struct CellLoad
 {
@@ -102,13 +107,14 @@
     std::int64_t incarnationStartUnixMs = 0; ///< Identifies the incarnation; 0 when unknown.
     std::vector<RunningTask> running;
     std::vector<EndedRun> ended; ///< The oldest ones, by number.
+    Epoch fence = 0;             ///< Fencing token of the renewal.
     bool mayOmitEnds = false;    ///< The worker may have ended runs that \a ended has no room for.
 };
 
 /// Result of an order sent to a worker.
 enum class OrderOutcome {
     Accepted,
-    FencedOff,        ///< The worker has seen a higher epoch.
+    FencedOff,        ///< The worker has seen a higher fencing token.
     OldRun,           ///< This run or a later run of the task has already ended on the worker.
     Late,             ///< The order arrived after its deadline.
     NoRoom,           ///< The worker lacks the capacity for the task.
@@ -126,6 +132,7 @@
 {
     OrderOutcome outcome = OrderOutcome::Unknown;
     std::optional<std::int64_t> clockMs; ///< Reading of the worker's steady clock.
+    Epoch fence = 0;                     ///< Fencing token of the order.
 };
 
 /// Order to start a run of a task.
@@ -138,6 +145,7 @@
     std::int64_t deadlineMs = 0; ///< On the worker's clock.
     std::string checkpoint;
     std::string ticket;
+    Epoch fence = 0; ///< Fencing token, as for the other orders.
 };
 
 /// Order to stop a run of a task.
@@ -146,8 +154,7 @@
     WorkerId worker;
     TaskName task;
     std::uint32_t run = 0;
-    /// Latest known incarnation of the worker, which no earlier one can answer for; not sent.
-    std::int64_t incarnationStartUnixMs = 0;
+    Epoch fence = 0;
 };
 
 /// Order to extend a worker's lease and to report its runs.
@@ -157,6 +164,7 @@
     std::optional<std::int64_t> deadlineMs;  ///< On the worker's clock; unset to keep the lease.
     std::uint64_t acknowledgedEndNumber = 0; ///< Highest EndedRun::number the worker may discard.
     Duration wait{}; ///< Long poll: the answer may wait this long for a run to end.
+    Epoch fence = 0;
 };
 
 /// Order to limit the processor time of a run.
@@ -166,6 +174,7 @@
     TaskName task;
     std::uint32_t run = 0;
     int percent = 100; ///< Of the task's demand; 0 pauses the run.
+    Epoch fence = 0;
 };
 
 /// Request to log a scheduling decision.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -81,6 +81,7 @@
     m_admission.clear();
     m_delegatingJobs.clear();
     m_returningJobs.clear();
+    m_restartsOfErased.clear();
 }
 
 void CellScheduler::restore(std::string_view key, std::string_view value)
@@ -493,8 +494,7 @@
 
 void CellScheduler::sendStop(CellWorker &worker, const TaskName &name, std::uint32_t run)
 {
-    m_state.actions.emplace_back(
-        StopTask{worker.info.id, name, run, worker.incarnationStartUnixMs});
+    m_state.actions.emplace_back(StopTask{worker.info.id, name, run, m_state.fenceOf(worker)});
 }
 
 void CellScheduler::addDueOccurrences(CellJob &job, std::int64_t nowUnixMs)
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -141,8 +141,7 @@
     void onStartReply(const WorkerId &id, const TaskName &name, std::uint32_t run,
                       const OrderReply &reply, TimePoint now);
     void onStopOutcome(const StopTask &order, OrderOutcome outcome, TimePoint now);
-    void onPaceOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
-                       OrderOutcome outcome, TimePoint now);
+    void onPaceOutcome(const PaceTask &order, OrderOutcome outcome, TimePoint now);
     /// Handles the answer to a renewal that was sent at \a sentAt.  \a report is empty unless
     /// \a outcome is Accepted.
     void onLeaseReport(const WorkerId &id, OrderOutcome outcome, const LeaseReport &report,
@@ -282,9 +281,9 @@
     /// confirmed if it has the same id.
     void releaseEarlierRuns(CellWorker &worker, Successor successor, TimePoint sentAt,
                             std::int64_t nowUnixMs);
-    /// Stops the runs on \a worker whose start isn't confirmed: it may still be under way and take
-    /// effect in the present incarnation.
-    void stopUnconfirmedRuns(CellWorker &worker);
+    /// Raises the fencing token of \a worker, which has restarted or seems to.  A report under the
+    /// new token settles the starts of before that nobody has confirmed.
+    void fenceEarlierOrders(CellWorker &worker);
     /// Releases the runs on \a worker, whose lease is over, but not those that may still start.
     void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
     /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
@@ -323,6 +322,11 @@
     void adjustFillers(CellWorker &worker, TimePoint now);
     void setPace(const TaskRef &ref, int percent, TimePoint now);
     void acknowledgeEndedRuns(CellWorker &worker, TimePoint now);
+    /// Fences the orders of before, and asks \a worker at once, without waiting for the answer to
+    /// the renewal in flight.
+    void suspectRestart(CellWorker &worker, TimePoint now);
+    /// Ends the ownership if \a outcome of an order with the token \a fence tells of another owner.
+    void noteFencing(const WorkerId &id, OrderOutcome outcome, Epoch fence);
     void detectRestart(CellWorker &worker, const OrderReply &reply, TimePoint now);
 
     CellState m_state;
@@ -334,8 +338,9 @@
     CrashDetector m_crashDetector{m_state};
     std::map<WorkQueue, BacklogAdmission> m_admission;
     int m_cell;
-    std::set<std::string> m_delegatingJobs; ///< Jobs with delegations, by id.
-    std::set<std::string> m_returningJobs;  ///< Guests' parts with unconfirmed returns, by id.
+    std::set<std::string> m_delegatingJobs;          ///< Jobs with delegations, by id.
+    std::map<std::string, Epoch> m_restartsOfErased; ///< CellWorker::restarts, by id.
+    std::set<std::string> m_returningJobs; ///< Guests' parts with unconfirmed returns, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{};               ///< Time of the latest input.
     std::int64_t m_unixMsAtZero = 0; ///< Wall-clock time at the zero of the steady clock.
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -51,7 +51,7 @@
     TimePoint ordersUntil{}; ///< End of all leases and starts; another owner may act afterwards.
     TimePoint locateUntil{}; ///< All orders of earlier owners have expired by then.
     bool isLocating = false; ///< Some worker may run tasks of an earlier owner unseen.
-    bool isFenced = false;   ///< A worker has seen a higher epoch.
+    bool isFenced = false;   ///< A worker has seen the epoch of a later owner.
     bool areStartsSuspended = false; ///< The evacuated zones aren't known yet.
     std::set<std::string> evacuatedZones;
     bool wantsPlacement = false;                                    ///< A placement pass is due.
@@ -69,6 +69,9 @@
     CellJournal journal;
     std::vector<CellAction> actions;
 
+    /// Fencing token of orders to \a worker.
+    Epoch fenceOf(const CellWorker &worker) const { return epoch + worker.restarts; }
+
     /// No other owner has granted a lease until then.
     TimePoint exclusiveUntil() const { return ordersUntil - bounds.grantedLease(); }
 
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -62,6 +62,7 @@
         m_state.wantsPlacement = true;
     }
     ++worker.reportCount;
+    worker.reportFence = report.fence;
     worker.hasUntrackedRuns = false;
     for (const RunningTask &row : report.running) {
         applyRunningTask(worker, row, now);
@@ -109,6 +110,7 @@
 void CellScheduler::beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs,
                                      TimePoint sentAt, std::int64_t nowUnixMs)
 {
+    const bool isRestart = worker.incarnationStartUnixMs != 0;
     releaseEarlierRuns(worker, Successor::SameId, sentAt, nowUnixMs);
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.grantedDeadlineMs = 0;
@@ -116,8 +118,14 @@
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
     worker.durableEndNumber = 0;
-    // The new incarnation has forgotten all stops and fences.
-    stopUnconfirmedRuns(worker);
+    const auto mayStillStart = [fence = m_state.fenceOf(worker)](const TaskRef &it) {
+        return !it.task().acceptedMs && it.task().startFence == fence;
+    };
+    if (isRestart
+        && (!worker.isRestartSuspected || std::ranges::any_of(worker.tasks, mayStillStart))) {
+        fenceEarlierOrders(worker);
+    }
+    worker.incarnationFence = m_state.fenceOf(worker);
 }
 
 void CellScheduler::applyRunningTask(CellWorker &worker, const RunningTask &row, TimePoint now)
@@ -266,9 +274,10 @@
         const bool isConfirmed =
             task.state == TaskState::Running || task.state == TaskState::Stopping;
         const bool isMissing = isConfirmed && task.startedAt < sentAt;
-        const bool hasExpired =
-            task.state == TaskState::Unsettled && worker.clockMs > task.startDeadlineMs;
-        if (isMissing || hasExpired) {
+        const bool isRefused =
+            task.state == TaskState::Unsettled
+            && (worker.clockMs > task.startDeadlineMs || worker.reportFence > task.startFence);
+        if (isMissing || isRefused) {
             m_state.logDecision("run missing", it,
                                 "running=" + std::to_string(report.running.size())
                                     + " ended=" + std::to_string(report.ended.size()) + " stopping="
@@ -301,7 +310,8 @@
     task.isPaceKnown = true;
     task.paceChangedAt = now;
     task.progressMs = task.worker->clockMs;
-    m_state.actions.emplace_back(PaceTask{task.worker->info.id, ref.name(), task.run, percent});
+    m_state.actions.emplace_back(PaceTask{task.worker->info.id, ref.name(), task.run, percent,
+                                          m_state.fenceOf(*task.worker)});
 }
 
 void CellScheduler::acknowledgeEndedRuns(CellWorker &worker, TimePoint now)
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -898,6 +898,8 @@
     order.payload = ref.job->spec.payload;
     order.deadlineMs = task.startDeadlineMs;
     order.checkpoint = task.checkpoint;
+    order.fence = m_state.fenceOf(worker);
+    task.startFence = order.fence;
     m_state.actions.emplace_back(std::move(order));
 }
 
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -80,7 +80,6 @@
     task.percent = 0;
     task.lastListedReport = 0;
     task.acceptedMs.reset();
-    task.isFromEarlierIncarnation = false;
     ++ref.job->placedCount;
     ref.job->isStarted = true;
     if (ref.job->state == JobState::Queued) {
@@ -105,7 +104,7 @@
     }
     task.stopSentAt = now;
     state.actions.emplace_back(
-        StopTask{worker.info.id, ref.name(), task.run, worker.incarnationStartUnixMs});
+        StopTask{worker.info.id, ref.name(), task.run, state.fenceOf(worker)});
 }
 
 void release(const TaskRef &ref)
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -4,6 +4,7 @@
 #include "Cell/TaskLedger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace firefly {
 namespace {
@@ -90,6 +91,8 @@
     auto &worker = m_state.workers[info.id.value()];
     if (!worker) {
         worker = std::make_unique<CellWorker>();
+        const auto it = m_restartsOfErased.find(info.id.value());
+        worker->restarts = it == m_restartsOfErased.end() ? 0 : it->second;
     }
     worker->earlierLeaseEnd = worker->isRestored ? worker->earlierLeaseEnd : m_state.locateUntil;
     const bool wasReady = worker->isRegistered && worker->acceptsTasks();
@@ -106,8 +109,7 @@
                             "address=" + addressOf(info.endpoint));
     }
     if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted) {
-        worker->isRestartSuspected = true;
-        worker->nextRenewal = now;
+        suspectRestart(*worker, now);
     }
     m_records.update(*worker, now);
     if (info.isDraining) {
@@ -129,7 +131,7 @@
 
 void CellScheduler::detectRestart(CellWorker &worker, const OrderReply &reply, TimePoint now)
 {
-    if (!reply.clockMs || !worker.isContacted) {
+    if (!reply.clockMs || !worker.isContacted || worker.isRestartSuspected) {
         return;
     }
     if (*reply.clockMs < worker.clockAtLeast(now) - toMs(ClockTolerance)) {
@@ -139,11 +141,19 @@
                             "clock_ms=" + std::to_string(*reply.clockMs)
                                 + " expected_ms=" + std::to_string(worker.clockAtLeast(now))
                                 + " incarnation=" + std::to_string(worker.incarnationStartUnixMs));
-        worker.isRestartSuspected = true;
-        worker.nextRenewal = now;
+        suspectRestart(worker, now);
     }
 }
 
+void CellScheduler::suspectRestart(CellWorker &worker, TimePoint now)
+{
+    if (!std::exchange(worker.isRestartSuspected, true)) {
+        fenceEarlierOrders(worker);
+        worker.isRenewing = false; // A renewal in flight may wait for the end of a run.
+    }
+    worker.nextRenewal = now;
+}
+
 void CellScheduler::onStartReply(const WorkerId &id, const TaskName &name, std::uint32_t run,
                                  const OrderReply &reply, TimePoint now)
 {
@@ -151,9 +161,7 @@
     const OrderOutcome outcome = reply.outcome;
     const auto ref = m_state.findTask(name);
     CellWorker *worker = m_state.findWorker(id);
-    if (outcome == OrderOutcome::FencedOff) {
-        m_state.isFenced = true;
-    }
+    noteFencing(id, outcome, reply.fence);
     if (worker) {
         detectRestart(*worker, reply, now);
         if (reply.clockMs && outcome != OrderOutcome::OtherIncarnation) {
@@ -212,49 +220,54 @@
 void CellScheduler::onStopOutcome(const StopTask &order, OrderOutcome outcome, TimePoint now)
 {
     m_now = now;
-    if (outcome == OrderOutcome::FencedOff) {
-        m_state.isFenced = true;
-    }
+    noteFencing(order.worker, outcome, order.fence);
     const auto ref = m_state.findTask(order.task);
     if (outcome != OrderOutcome::Accepted || !ref) {
         return;
     }
-    // An accepted stop rules out that the start still takes effect in this incarnation, unless an
-    // earlier one accepted it; the next report decides.
+    // An accepted stop rules out that the start still takes effect, unless an earlier incarnation
+    // accepted it; the next report decides.
     CellTask &task = ref->task();
     if (task.state == TaskState::Unsettled && task.run == order.run
-        && task.worker->info.id == order.worker
-        && task.worker->incarnationStartUnixMs == order.incarnationStartUnixMs) {
+        && task.worker->info.id == order.worker && order.fence == m_state.fenceOf(*task.worker)) {
         task.state = TaskState::Stopping;
         task.startedAt = now;
-        task.worker->nextRenewal = std::min(task.worker->nextRenewal, now);
     }
 }
 
-void CellScheduler::onPaceOutcome(const WorkerId &id, const TaskName &name, std::uint32_t run,
-                                  OrderOutcome outcome, TimePoint now)
+void CellScheduler::onPaceOutcome(const PaceTask &order, OrderOutcome outcome, TimePoint now)
 {
     m_now = now;
-    const auto ref = m_state.findTask(name);
+    const auto ref = m_state.findTask(order.task);
     if (outcome == OrderOutcome::Accepted || !ref) {
         return;
     }
     // The worker's actual pace is unknown; the guard sets it again if the tail latencies require
     // it.
     CellTask &task = ref->task();
-    if (task.worker && task.worker->info.id == id && task.run == run) {
+    if (task.worker && task.worker->info.id == order.worker && task.run == order.run) {
         task.pace = FullPace;
     }
 }
 
+void CellScheduler::noteFencing(const WorkerId &id, OrderOutcome outcome, Epoch fence)
+{
+    if (outcome != OrderOutcome::FencedOff) {
+        return;
+    }
+    // The worker refuses orders to an earlier incarnation by this owner's own token.
+    const CellWorker *worker = m_state.findWorker(id);
+    m_state.isFenced = m_state.isFenced || !worker || fence >= m_state.fenceOf(*worker);
+}
+
 void CellScheduler::onLeaseReport(const WorkerId &id, OrderOutcome outcome,
                                   const LeaseReport &report, TimePoint sentAt, TimePoint now,
                                   std::int64_t nowUnixMs)
 {
     m_now = now;
     CellWorker *worker = m_state.findWorker(id);
-    if (!worker) {
-        return;
+    if (!worker || report.fence < worker->renewalFence) {
+        return; // Superseded when a restart was suspected.
     }
     worker->isRenewing = false;
     if (outcome == OrderOutcome::FencedOff) {
@@ -295,6 +308,7 @@
 {
     RenewLease order;
     order.worker = worker.info.id;
+    order.fence = m_state.fenceOf(worker);
     // After a failed renewal the next one may reach a new incarnation, which numbers ends from 1.
     const bool mayBeRestarted = worker.isRestartSuspected || worker.renewFailures > 0;
     order.acknowledgedEndNumber = mayBeRestarted ? 0 : worker.durableEndNumber;
@@ -306,9 +320,11 @@
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
     }
-    if (isAnswering && worker.durableEndNumber == worker.processedEndNumber) {
+    if (isAnswering && worker.durableEndNumber == worker.processedEndNumber
+        && worker.reportFence == order.fence) {
         order.wait = longPollWait(worker);
     }
+    worker.renewalFence = order.fence;
     worker.isRenewing = true;
     m_state.actions.emplace_back(std::move(order));
 }
@@ -383,6 +399,9 @@
         }
         if (isExpired && !worker.isRegistered && !worker.isRenewing) {
             m_records.remove(worker, now);
+            if (worker.restarts > 0) {
+                m_restartsOfErased[it->first] = worker.restarts;
+            }
             it = m_state.workers.erase(it);
             continue;
         }
@@ -424,8 +443,8 @@
         return it.task().state != TaskState::Starting && it.task().startedAt < sentAt;
     });
     std::vector<TaskRef> lost; // Now, not at an earlier restart.
-    std::ranges::copy_if(earlier, std::back_inserter(lost), [](const TaskRef &it) {
-        return it.task().acceptedMs || !it.task().isFromEarlierIncarnation;
+    std::ranges::copy_if(earlier, std::back_inserter(lost), [&worker](const TaskRef &it) {
+        return it.task().acceptedMs || it.task().startFence >= worker.incarnationFence;
     });
     applySuspicions(m_crashDetector.onRunsLost(worker, lost, CrashDetector::Loss::Crashed, m_now),
                     nowUnixMs);
@@ -440,16 +459,18 @@
     m_state.wantsPlacement = true;
 }
 
-void CellScheduler::stopUnconfirmedRuns(CellWorker &worker)
+void CellScheduler::fenceEarlierOrders(CellWorker &worker)
 {
     for (const TaskRef &it : worker.tasks) {
         CellTask &task = it.task();
-        if (task.acceptedMs || task.state == TaskState::Starting) {
-            continue;
+        if (task.state == TaskState::Stopping && !task.acceptedMs) {
+            task.state = TaskState::Unsettled; // The new incarnation knows of no stop.
         }
-        task.state = TaskState::Unsettled;
-        task.isFromEarlierIncarnation = true;
-        sendStop(it);
+    }
+    if (worker.restarts + 1 < FencesPerEpoch) {
+        ++worker.restarts;
+    } else {
+        m_state.logDecision("fencing tokens used up", worker, {});
     }
 }
 
--- a/src/CellLease/CellElection.cpp
+++ b/src/CellLease/CellElection.cpp
@@ -183,7 +183,7 @@
         if (m_isResigning || !m_isConnected || !mayClaim(now)) {
             return std::nullopt;
         }
-        append.claim.epoch = m_claim.epoch + 1;
+        append.claim.epoch = (m_claim.epoch / FencesPerEpoch + 1) * FencesPerEpoch;
         append.claim.holder = m_options.holder;
         append.claim.node = m_options.node;
         append.claim.endpoint = m_options.endpoint;
--- a/src/Node/OrderSender.cpp
+++ b/src/Node/OrderSender.cpp
@@ -77,8 +77,8 @@
     void send(const PaceTask &order)
     {
         sendRun(order, "pace", &platform::WorkerClient::pace,
-                [](Private &self, const OrderedRun &it, const OrderReply &reply, TimePoint now) {
-                    self.scheduler.onPaceOutcome(it.worker, it.task, it.run, reply.outcome, now);
+                [order](Private &self, const OrderedRun &, const OrderReply &reply, TimePoint now) {
+                    self.scheduler.onPaceOutcome(order, reply.outcome, now);
                 });
     }
 
@@ -94,7 +94,7 @@
             return;
         }
         metrics.add(std::string("firefly_task_") + kind + "s_total");
-        (workers.*call)(*endpoint, order, epoch,
+        (workers.*call)(*endpoint, order, order.fence,
                         guarded([ordered = OrderedRun{order.worker, order.task, order.run}, kind,
                                  onReply](Private &self, const OrderReply &reply) {
                             self.logRefusal(kind, ordered, reply.outcome);
@@ -110,7 +110,7 @@
             return;
         }
         metrics.add("firefly_lease_renewals_total");
-        workers.renew(*endpoint, order, epoch,
+        workers.renew(*endpoint, order, order.fence,
                       guarded([worker = order.worker, sentAt = Clock::now()](
                                   Private &self, OrderOutcome outcome, const LeaseReport &report) {
                           if (outcome != OrderOutcome::Accepted) {
--- a/test/CellElection.cpp
+++ b/test/CellElection.cpp
@@ -17,6 +17,10 @@
 
 using namespace std::chrono_literals;
 
+constexpr Epoch FirstEpoch = FencesPerEpoch;
+constexpr Epoch SecondEpoch = 2 * FencesPerEpoch;
+constexpr Epoch ThirdEpoch = 3 * FencesPerEpoch;
+
 CellElection makeElection(const std::string &node)
 {
     CellElection::Options options;
@@ -48,7 +52,7 @@
     election.onRead(end, now);
     ASSERT_TRUE(claimOnce(election, now, end));
     EXPECT_TRUE(election.isOwner());
-    EXPECT_EQ(election.epoch(), 1U);
+    EXPECT_EQ(election.epoch(), FirstEpoch);
     EXPECT_FALSE(election.next(now + 100ms).has_value()) << "no renewal is due";
 }
 
@@ -68,7 +72,7 @@
     EXPECT_FALSE(other.next(now).has_value());
     now += 20ms;
     ASSERT_TRUE(claimOnce(other, now, end));
-    EXPECT_EQ(other.epoch(), 2U);
+    EXPECT_EQ(other.epoch(), SecondEpoch);
     EXPECT_GE(other.earlierOrdersExpiry(), TimePoint{10s} + CellElection::OwnerTimeout + 6s);
 }
 
@@ -77,7 +81,7 @@
     CellElection other = makeElection("b");
     TimePoint now{10s};
     other.onRead(1, now);
-    other.onClaim({1, "a.1", "a", {}, 1, {}}, now);
+    other.onClaim({FirstEpoch, "a.1", "a", {}, 1, {}}, now);
     other.onReadFailed();
     now += 20s;
     EXPECT_FALSE(other.next(now).has_value());
@@ -91,7 +95,7 @@
     CellElection other = makeElection("b");
     const TimePoint now{10s};
     other.onRead(1, now);
-    other.onClaim({1, "a.1", "a", {}, 1, {{"q", 7}}}, now);
+    other.onClaim({FirstEpoch, "a.1", "a", {}, 1, {{"q", 7}}}, now);
     const auto append = other.next(now + CellElection::OwnerTimeout + 10ms);
     ASSERT_TRUE(append.has_value());
     EXPECT_EQ(append->claim.pendingByQueue.at("q"), 7);
@@ -102,7 +106,7 @@
     CellElection other = makeElection("b");
     const TimePoint now{10s};
     other.onRead(2, now);
-    other.onClaim({1, "", "a", {}, 2, {}}, now);
+    other.onClaim({FirstEpoch, "", "a", {}, 2, {}}, now);
     EXPECT_TRUE(other.next(now).has_value());
 }
 
@@ -125,7 +129,7 @@
     const TimePoint now{10s};
     std::uint64_t end = 2;
     other.onRead(end, now);
-    other.onClaim({1, "", "a", {}, 2, {}}, now);
+    other.onClaim({FirstEpoch, "", "a", {}, 2, {}}, now);
     ASSERT_TRUE(claimOnce(other, now, end));
     EXPECT_GE(other.earlierOrdersExpiry(), now + 6s);
     EXPECT_LT(other.earlierOrdersExpiry(), now + 7s);
@@ -183,7 +187,7 @@
     EXPECT_FALSE(election.next(now + delay - 1ms).has_value()) << "better candidates go first";
     const auto claim = election.next(now + delay + 10ms);
     ASSERT_TRUE(claim.has_value());
-    EXPECT_EQ(claim->claim.epoch, 2U);
+    EXPECT_EQ(claim->claim.epoch, SecondEpoch);
 }
 
 // A release whose append got no answer may be stored: a renewal under the same epoch would bring
@@ -202,7 +206,7 @@
     const auto next = election.next(now);
     ASSERT_TRUE(next.has_value());
     EXPECT_TRUE(next->claim.holder.empty());
-    EXPECT_EQ(next->claim.epoch, 1U);
+    EXPECT_EQ(next->claim.epoch, FirstEpoch);
     EXPECT_LE(election.ordersUntil(), now);
 }
 
@@ -220,7 +224,7 @@
     now += CellElection::RenewInterval;
     const auto append = election.next(now);
     ASSERT_TRUE(append.has_value());
-    EXPECT_EQ(append->claim.epoch, 2U);
+    EXPECT_EQ(append->claim.epoch, SecondEpoch);
 }
 
 // Guards against an owner that begins only when its own claim is read, up to a held read's wait
@@ -234,14 +238,14 @@
     EXPECT_FALSE(election.isOwner());
     election.onAppended(1, now + 5ms);
     EXPECT_TRUE(election.isOwner());
-    EXPECT_EQ(election.epoch(), 1U);
+    EXPECT_EQ(election.epoch(), FirstEpoch);
     EXPECT_TRUE(election.isExclusiveOwner(now + 5ms));
     EXPECT_GT(election.ordersUntil(), now + 5ms);
     EXPECT_FALSE(election.next(now + 10ms).has_value()) << "no renewal is due";
     const auto renewal = election.next(now + CellElection::RenewInterval);
     ASSERT_TRUE(renewal.has_value());
     EXPECT_EQ(renewal->position, 1U);
-    EXPECT_EQ(renewal->claim.epoch, 1U);
+    EXPECT_EQ(renewal->claim.epoch, FirstEpoch);
 }
 
 // Guards against a released cell that a late read of an older claim gives back to its last owner.
@@ -274,7 +278,7 @@
     EXPECT_EQ(election.claimSeenAt(), TimePoint{10s} + 10ms);
     const auto next = election.next(now + 50ms);
     ASSERT_TRUE(next.has_value()) << "late records must not extend the claim delay";
-    EXPECT_EQ(next->claim.epoch, 2U);
+    EXPECT_EQ(next->claim.epoch, SecondEpoch);
     EXPECT_EQ(next->position, 2U);
 }
 
@@ -309,14 +313,14 @@
     EXPECT_EQ(election.topicEnd(), 2U);
     now += 300ms;
     EXPECT_FALSE(election.next(now).has_value());
-    election.onClaim({1, "b.1", "b", {}, 1, {}}, now);
-    election.onClaim({1, "", "b", {}, 2, {}}, now);
+    election.onClaim({FirstEpoch, "b.1", "b", {}, 1, {}}, now);
+    election.onClaim({FirstEpoch, "", "b", {}, 2, {}}, now);
     election.onRead(2, now);
     EXPECT_FALSE(election.hasUnreadClaims());
     const auto append = election.next(now);
     ASSERT_TRUE(append.has_value());
     EXPECT_EQ(append->position, 2U);
-    EXPECT_EQ(append->claim.epoch, 2U);
+    EXPECT_EQ(append->claim.epoch, SecondEpoch);
 }
 
 // Guards against a process that answers for a cell whose release it has sent: another owner may
@@ -341,7 +345,7 @@
 {
     CellElection election = makeElection("b");
     TimePoint now{10s};
-    election.onClaim({1, "a.1", "a", {}, 1, {}}, now);
+    election.onClaim({FirstEpoch, "a.1", "a", {}, 1, {}}, now);
     election.onRead(1, now);
     now += CellElection::OwnerTimeout + 10ms;
     const auto claim = election.next(now);
@@ -365,11 +369,11 @@
     const auto claim = election.next(now);
     ASSERT_TRUE(claim.has_value());
     election.onClaim(claim->claim, now + 20ms);
-    election.onClaim({2, "b.1", "b", {}, 1, {}}, now + 30ms);
+    election.onClaim({SecondEpoch, "b.1", "b", {}, 1, {}}, now + 30ms);
     election.onRead(2, now + 30ms);
     election.onAppended(1, now + 40ms);
     EXPECT_FALSE(election.isOwner());
-    EXPECT_EQ(election.epoch(), 2U);
+    EXPECT_EQ(election.epoch(), SecondEpoch);
     EXPECT_EQ(election.claim().holder, "b.1");
 }
 
@@ -401,7 +405,7 @@
     candidate.setReadySince(now);
     const auto claim = candidate.next(now);
     ASSERT_TRUE(claim.has_value());
-    EXPECT_EQ(claim->claim.epoch, 2U);
+    EXPECT_EQ(claim->claim.epoch, SecondEpoch);
     EXPECT_FALSE(claim->claim.isLeaving);
     candidate.onAppended(++end, now);
     EXPECT_LE(owner.ordersUntil(), candidate.earlierOrdersExpiry());
@@ -462,13 +466,13 @@
     ASSERT_TRUE(claimOnce(election, now, end));
     election.handOver(now + 1s);
     election.yield();
-    election.onClaim({2, "b.1", "b", {}, 1, {}}, now);
-    election.onClaim({2, "", "b", {}, 2, {}}, now);
+    election.onClaim({SecondEpoch, "b.1", "b", {}, 1, {}}, now);
+    election.onClaim({SecondEpoch, "", "b", {}, 2, {}}, now);
     end = 3;
     election.onRead(end, now);
     now += 10ms;
     ASSERT_TRUE(claimOnce(election, now, end));
-    EXPECT_EQ(election.epoch(), 3U);
+    EXPECT_EQ(election.epoch(), ThirdEpoch);
     EXPECT_TRUE(election.isExclusiveOwner(now));
     EXPECT_FALSE(election.next(now + 10ms).has_value());
     const auto renewal = election.next(now + CellElection::RenewInterval);
@@ -477,6 +481,19 @@
     EXPECT_FALSE(renewal->claim.holder.empty());
 }
 
+// Guards against orders of an owner that are refused by its predecessor's token: one of an older
+// build claims the next number, not the next multiple.
+TEST(CellElection, AClaimExceedsAllTokensOfAnEarlierOwnerOfAnyBuild)
+{
+    CellElection election = makeElection("a");
+    const TimePoint now{10s};
+    election.onClaim({FirstEpoch + 1, "", "b", {}, 1, {}}, now);
+    election.onRead(1, now);
+    const auto claim = election.next(now);
+    ASSERT_TRUE(claim.has_value());
+    EXPECT_EQ(claim->claim.epoch, SecondEpoch);
+}
+
 // Guards against an append without an answer that is stored late: it counts once it is read.
 TEST(CellElection, AClaimStoredAfterItsTimeoutCountsWhenItIsRead)
 {
@@ -496,7 +513,7 @@
     election.onClaim(first->claim, now + 20ms);
     election.onRead(1, now + 20ms);
     EXPECT_TRUE(election.isOwner());
-    EXPECT_EQ(election.epoch(), 1U);
+    EXPECT_EQ(election.epoch(), FirstEpoch);
 }
 
 // Random schedules
--- a/test/CellOwnerChange.cpp
+++ b/test/CellOwnerChange.cpp
@@ -122,6 +122,7 @@
             if (const auto *renewal = std::get_if<RenewLease>(&it)) {
                 LeaseReport report;
                 report.clockMs = 1000 + 20 * i;
+                report.fence = renewal->fence;
                 owner.onLeaseReport(renewal->worker, OrderOutcome::Accepted, report, world.now,
                                     world.now, world.unixMs());
             }
--- a/test/OwnerClockBehind.cpp
+++ b/test/OwnerClockBehind.cpp
@@ -68,8 +68,9 @@
     void report(const std::vector<RunningTask> &running, const std::vector<EndedRun> &ended)
     {
         m_clockMs += 1000;
-        m_owner.onLeaseReport(m_worker, OrderOutcome::Accepted, {m_clockMs, 1, running, ended},
-                              m_now, m_now, m_unixMs);
+        m_owner.onLeaseReport(m_worker, OrderOutcome::Accepted,
+                              {m_clockMs, 1, running, ended, m_owner.epoch()}, m_now, m_now,
+                              m_unixMs);
     }
 
     const WorkerId m_worker{"w0"};
--- a/test/PartitionedOwnerLeases.cpp
+++ b/test/PartitionedOwnerLeases.cpp
@@ -28,13 +28,13 @@
         : m_owner(std::move(owner))
         , m_world(world)
         , m_ordersUntil(ordersUntil)
-        , m_epoch(m_owner->epoch())
     {
         // The world drops the answers to orders of replaced owners.
         for (const auto &[id, worker] : m_owner->state().workers) {
             if (worker->isRenewing) {
                 RenewLease renewal;
                 renewal.worker = worker->info.id;
+                renewal.fence = worker->renewalFence;
                 send(renewal);
             }
         }
@@ -81,8 +81,9 @@
     {
         FakeCellWorker *worker = findWorker(order.worker);
         LeaseReport report;
+        report.fence = order.fence;
         const auto outcome =
-            worker ? worker->renew(order, m_epoch, m_world.now, report) : OrderOutcome::Unknown;
+            worker ? worker->renew(order, order.fence, m_world.now, report) : OrderOutcome::Unknown;
         reply(worker, [this, id = order.worker, outcome, report, sentAt = m_world.now] {
             m_owner->onLeaseReport(id, outcome, report, sentAt, m_world.now, m_world.unixMs());
         });
@@ -93,7 +94,8 @@
         FakeCellWorker *worker = findWorker(order.worker);
         OrderReply answer;
         if (worker) {
-            answer = {worker->start(order, m_epoch, m_world.now), worker->clockMs(m_world.now)};
+            answer = {worker->start(order, order.fence, m_world.now), worker->clockMs(m_world.now),
+                      order.fence};
         }
         reply(worker, [this, order, answer] {
             m_owner->onStartReply(order.worker, order.task, order.run, answer, m_world.now);
@@ -104,7 +106,7 @@
     {
         FakeCellWorker *worker = findWorker(order.worker);
         const auto outcome =
-            worker ? worker->stop(order, m_epoch, m_world.now) : OrderOutcome::Unknown;
+            worker ? worker->stop(order, order.fence, m_world.now) : OrderOutcome::Unknown;
         reply(worker,
               [this, order, outcome] { m_owner->onStopOutcome(order, outcome, m_world.now); });
     }
@@ -116,7 +118,6 @@
     std::unique_ptr<CellScheduler> m_owner;
     CellWorld &m_world;
     TimePoint m_ordersUntil;
-    Epoch m_epoch;
     std::vector<Reply> m_replies;
 };
 
--- a/test/RestartedWorkerLateStart.cpp
+++ b/test/RestartedWorkerLateStart.cpp
@@ -92,6 +92,19 @@
     world.workers.at(id)->isReachable = true;
 }
 
+// A task ran twice at the same time: its worker had accepted the stop, so that the task was started
+// elsewhere, and then restarted while the first start was still under way.
+TEST(RestartedWorkerLateStart, ATaskDoesNotRunTwiceAfterTheRestartOfAWorkerThatItHasLeft)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 2);
+        const std::string id = startLate(world);
+        world.run(2300ms);
+        restart(world, id);
+        expectNoViolation(world, seed);
+    }
+}
+
 // A task ran twice at the same time: its worker was cut off and restarted behind the cut.  The
 // owner took the lease for the end of all that was ordered there and started the task elsewhere,
 // then the worker carried out the first start, whose deadline was far ahead on its new clock.
--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -59,7 +59,8 @@
         owner = std::make_unique<CellScheduler>(bounds, cell);
         ++m_generation;
         owner->setEvacuatedZones(evacuatedZones);
-        owner->beginOwnership(++epoch, now, locateUntil);
+        epoch += FencesPerEpoch;
+        owner->beginOwnership(epoch, now, locateUntil);
         m_fencedEpoch = epoch;
         m_lastSequence = 0;
         for (const auto &[key, value] : store) {
@@ -464,10 +465,10 @@
         const auto clock = std::make_shared<std::optional<std::int64_t>>();
         exchange(
             order.worker,
-            [this, order, clock, by = epoch] {
+            [this, order, clock] {
                 FakeCellWorker &worker = *workers.at(order.worker.value());
                 *clock = worker.clockMs(now);
-                const OrderOutcome outcome = worker.start(order, by, now);
+                const OrderOutcome outcome = worker.start(order, order.fence, now);
                 if (outcome == OrderOutcome::Accepted && crashingTasks.contains(order.task)) {
                     crashAfterStart(order, worker.incarnation);
                 }
@@ -475,8 +476,8 @@
             },
             [this, order, clock](OrderOutcome outcome) {
                 timeOwner([&] {
-                    owner->onStartReply(order.worker, order.task, order.run, {outcome, *clock},
-                                        now);
+                    owner->onStartReply(order.worker, order.task, order.run,
+                                        {outcome, *clock, order.fence}, now);
                 });
             });
     }
@@ -549,8 +550,8 @@
     {
         exchange(
             order.worker,
-            [this, order, by = epoch] {
-                return workers.at(order.worker.value())->stop(order, by, now);
+            [this, order] {
+                return workers.at(order.worker.value())->stop(order, order.fence, now);
             },
             [this, order](OrderOutcome outcome) { owner->onStopOutcome(order, outcome, now); });
     }
@@ -559,12 +560,10 @@
     {
         exchange(
             order.worker,
-            [this, order, by = epoch] {
-                return workers.at(order.worker.value())->pace(order, by, now);
+            [this, order] {
+                return workers.at(order.worker.value())->pace(order, order.fence, now);
             },
-            [this, order](OrderOutcome outcome) {
-                owner->onPaceOutcome(order.worker, order.task, order.run, outcome, now);
-            });
+            [this, order](OrderOutcome outcome) { owner->onPaceOutcome(order, outcome, now); });
     }
     void send(const LogDecision &decision) { decisions.push_back(decision); }
     void send(const DelegateTasks &order)
@@ -590,8 +589,9 @@
     void send(const RenewLease &order)
     {
         const auto report = std::make_shared<LeaseReport>();
-        const auto execute = [this, order, report, by = epoch] {
-            return workers.at(order.worker.value())->renew(order, by, now, *report);
+        report->fence = order.fence;
+        const auto execute = [this, order, report] {
+            return workers.at(order.worker.value())->renew(order, order.fence, now, *report);
         };
         exchange(order.worker, execute, [this, order, report, execute, sentAt = now](auto outcome) {
             const bool mayWait = outcome == OrderOutcome::Accepted && report->ended.empty();
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -121,6 +121,7 @@
             return it.number <= order.acknowledgedEndNumber;
         });
         report = LeaseReport{};
+        report.fence = epoch;
         report.clockMs = clockMs(now);
         report.incarnationStartUnixMs = incarnation;
         for (auto &[task, run] : m_running) {
