Keep a suspected restart when an earlier report comes before the next renewal

Callers could see a task start again after it was done. A renewal in flight is superseded by the one that a suspected restart triggers, but only once that one is sent. A report of the earlier incarnation that is read before (an owner that was paused reads several answers in a row) cleared the suspicion, and the next renewal acknowledged ends of the new incarnation that no report had listed. The suspicion itself supersedes the renewal now.

RestartedWorkerReports.AnEarlierReportDoesNotHideARestart fails on (acknowledges 1 instead of 0) and passes. RestartedWorkerLateStart and RestartedWorkerAcknowledgement pass.

--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -149,6 +149,7 @@
 {
     if (!std::exchange(worker.isRestartSuspected, true)) {
         fenceEarlierOrders(worker);
+        worker.renewalFence = m_state.fenceOf(worker);
         worker.isRenewing = false; // A renewal in flight may wait for the end of a run.
     }
     worker.nextRenewal = now;
