Raise the token of a worker that is listed again after it was erased

Callers could see one task run twice at the same time. A worker that is no longer listed loses all its tasks with its lease, also those whose start isn't confirmed, and is erased. Listed again after a restart under its id, it was new to the owner, kept its token and carried out the first start. A worker that was erased gets the next token now, as after any other restart.

--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -91,8 +91,11 @@
     auto &worker = m_state.workers[info.id.value()];
     if (!worker) {
         worker = std::make_unique<CellWorker>();
-        const auto it = m_restartsOfErased.find(info.id.value());
-        worker->restarts = it == m_restartsOfErased.end() ? 0 : it->second;
+        if (const auto it = m_restartsOfErased.find(info.id.value());
+            it != m_restartsOfErased.end()) {
+            // It may have restarted unseen, while orders to it were under way.
+            worker->restarts = std::min(it->second + 1, FencesPerEpoch - 1);
+        }
     }
     worker->earlierLeaseEnd = worker->isRestored ? worker->earlierLeaseEnd : m_state.locateUntil;
     const bool wasReady = worker->isRegistered && worker->acceptsTasks();
@@ -400,9 +403,7 @@
         }
         if (isExpired && !worker.isRegistered && !worker.isRenewing) {
             m_records.remove(worker, now);
-            if (worker.restarts > 0) {
-                m_restartsOfErased[it->first] = worker.restarts;
-            }
+            m_restartsOfErased[it->first] = worker.restarts;
             it = m_state.workers.erase(it);
             continue;
         }
--- a/test/RestartedWorkerLateStart.cpp
+++ b/test/RestartedWorkerLateStart.cpp
@@ -130,5 +130,29 @@
     }
 }
 
+// A task ran twice at the same time: its worker was cut off until the platform had dropped its
+// entry and its lease was over.  The owner forgot the worker, which was then listed again after a
+// restart and carried out the first start.
+TEST(RestartedWorkerLateStart, ATaskDoesNotRunTwiceAfterItsWorkerIsListedAgain)
+{
+    for (std::uint32_t seed = 1; seed <= 3 * SeedCount; ++seed) {
+        CellWorld world(seed, 2);
+        const std::string id = startLate(world);
+        FakeCellWorker &worker = *world.workers.at(id);
+        world.run(300ms);
+        worker.isReachable = false;
+        world.run(1500ms);
+        worker.isRegistered = false;
+        world.owner->onWorkerGone(WorkerId(id), world.now);
+        while (world.owner->state().workers.contains(id)) {
+            world.step();
+        }
+        worker.isReachable = true;
+        worker.isRegistered = true;
+        restart(world, id);
+        expectNoViolation(world, seed);
+    }
+}
+
 } // namespace
 } // namespace firefly
