Count the crash of a worker once, though its runs are lost at two times

Callers could see a task crash more workers than the platform tolerates. Since unanswered starts outlast the lease of a silent worker that stays listed, its runs are lost at two times, and each loss counted as that of a worker. Beside one other silent worker, the earlier loss of the same worker passed for the second one of a common cause, so that the crash didn't count against the task whose start had no answer, the likely culprit. Losses of one silence are one now.

The other cases, CellRandomFaults and RepeatedRackCrashes pass.

--- a/src/Cell/CrashDetector.cpp
+++ b/src/Cell/CrashDetector.cpp
@@ -69,22 +69,36 @@
     return !hasSurvived(task, worker, FreshMs);
 }
 
+bool CrashDetector::hasFreshTasks(const CellWorker &worker)
+{
+    return std::ranges::any_of(worker.tasks,
+                               [&worker](const TaskRef &it) { return isFresh(it.task(), worker); });
+}
+
+bool CrashDetector::isJudged(const WorkerId &worker, TimePoint silentSince) const
+{
+    return std::ranges::any_of(m_losses, [&](const RecentLoss &it) {
+        return it.worker == worker && it.silentSince == silentSince;
+    });
+}
+
 CrashDetector::Coincidence CrashDetector::findCoincidence(const CellWorker &worker,
                                                           TimePoint silentSince, TimePoint now)
 {
     std::erase_if(m_losses,
                   [now](const RecentLoss &it) { return now - it.silentSince > LossMemory; });
-    std::vector<RecentLoss> others(m_losses.begin(), m_losses.end());
+    std::vector<RecentLoss> others;
+    std::ranges::copy_if(m_losses, std::back_inserter(others), [&](const RecentLoss &it) {
+        return it.worker != worker.info.id || it.silentSince != silentSince;
+    });
     for (const auto &entry : m_state.workers) {
         const CellWorker &other = *entry.second;
         // A silent worker without tasks has been judged already, or had none to judge.
         if (&other == &worker || other.renewFailures == 0 || other.tasks.empty()
-            || other.info.isDraining) {
+            || other.info.isDraining || isJudged(other.info.id, other.silentSince)) {
             continue;
         }
-        const bool hasFreshTasks = std::ranges::any_of(
-            other.tasks, [&other](const TaskRef &it) { return isFresh(it.task(), other); });
-        others.push_back({other.silentSince, hasFreshTasks});
+        others.push_back({other.info.id, other.silentSince, hasFreshTasks(other)});
     }
     std::size_t unexplained = 0;
     std::size_t crowd = 0;
@@ -111,7 +125,10 @@
     std::vector<TaskRef> fresh;
     std::ranges::copy_if(lost, std::back_inserter(fresh),
                          [&worker](const TaskRef &it) { return isFresh(it.task(), worker); });
-    m_losses.push_back({silentSince, !fresh.empty()});
+    // Its confirmed runs are lost with its lease, the others later.
+    if (!isJudged(worker.info.id, silentSince)) {
+        m_losses.push_back({worker.info.id, silentSince, hasFreshTasks(worker)});
+    }
     if (loss == Loss::Silent) {
         std::vector<TaskName> names;
         std::ranges::transform(fresh, std::back_inserter(names), &TaskRef::name);
--- a/src/Cell/CrashDetector.h
+++ b/src/Cell/CrashDetector.h
@@ -71,11 +71,15 @@
 private:
     struct RecentLoss
     {
+        WorkerId worker;
         TimePoint silentSince{};
         bool hasFreshTasks = false;
     };
 
     static bool isFresh(const CellTask &task, const CellWorker &worker);
+    static bool hasFreshTasks(const CellWorker &worker);
+    /// True if some runs were lost in the silence of \a worker since \a silentSince.
+    bool isJudged(const WorkerId &worker, TimePoint silentSince) const;
     /// Whether other workers fell silent together with one.
     enum class Coincidence {
         None,
--- a/test/CrashingTasks.cpp
+++ b/test/CrashingTasks.cpp
@@ -162,6 +162,56 @@
     }
 }
 
+/// Lets only the worker \a id take tasks; all if it is empty.
+void acceptOnlyOn(CellWorld &world, const std::string &id)
+{
+    for (const auto &[name, worker] : world.workers) {
+        WorkerDescription info = worker->describe();
+        info.isDraining = !id.empty() && name != id;
+        info.remaining = 100s;
+        world.owner->onWorkerListed(info, world.now);
+    }
+}
+
+// Guards against one crash that counts as that of two workers, and so as none of its task: the runs
+// of a silent worker that are confirmed are lost with its lease, those that aren't later.
+TEST(CrashingTasks, ACrashOfAWorkerThatStaysListedCounts)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 4);
+        for (const auto &[id, worker] : world.workers) {
+            worker->workTime = 60s;
+        }
+        world.run(2s);
+        acceptOnlyOn(world, "w1");
+        world.submit(JobId("elsewhere"), makeChain(1, 1));
+        world.run(2s);
+        acceptOnlyOn(world, "w0");
+        world.submit(JobId("beside"), makeChain(1, 1));
+        world.run(2s);
+        world.lateOrderFraction = 1.0;
+        world.submit(JobId("suspect"), makeChain(1, 1));
+        for (const auto before = world.starts; world.starts == before;) {
+            world.step();
+        }
+        world.lateOrderFraction = 0.0;
+        acceptOnlyOn(world, {});
+        world.workers.at("w0")->isReachable = false;
+        world.workers.at("w1")->isReachable = false;
+        world.run(14s);
+        FakeCellWorker &worker = *world.workers.at("w0");
+        worker.reboot(world.now);
+        worker.isReachable = true;
+        world.owner->onWorkerListed(worker.describe(), world.now);
+        world.run(1s);
+        const CellJob &job = *world.owner->state().jobs.at("suspect");
+        // It counts as a late one once the next run has survived its start.
+        const CrashHistory &crashes = job.occurrences[0].steps[0].tasks[0].crashes;
+        EXPECT_EQ(crashes.early + crashes.late, 1U) << seed;
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << seed;
+    }
+}
+
 // Guards against crashes that are forgotten when a task goes to another cell, or that an earlier
 // version can't read.
 TEST(CrashingTasks, RecordsKeepTheCrashesOfATask)
