Record the unanswered starts of a silent worker apart from its lease

The record names the open starts and how long they may take effect beside the remaining lease.

RestartedWorkerLateStart (six cases), RestartedWorkerAcknowledgement, SilentWorkersOverOwnerChanges, WorkerRecords, CellRandomFaults, CellJoinFaults, CrashingTasks and DepartedWorkerRecord pass.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -60,9 +60,12 @@
     return mayStillStart ? task.startedAt + CellBounds::OrderLifetime : TimePoint{};
 }
 
-TimePoint CellWorker::ordersEnd() const
+TimePoint CellWorker::startsEnd() const
 {
-    TimePoint end = leaseEnd();
+    if (!isContacted) {
+        return isRegistered && !isReplaced ? earlierStartsEnd : TimePoint{};
+    }
+    TimePoint end{};
     for (const TaskRef &it : tasks) {
         end = std::max(end, startEnd(it.task()));
     }
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -222,6 +222,7 @@
     /// By the restored record: the only tasks that it may run; unset if any.
     std::optional<std::vector<TaskName>> restoredTasks;
     TimePoint earlierLeaseEnd{};   ///< When the leases of earlier owners are over.
+    TimePoint earlierStartsEnd{};  ///< The same of WorkerRecord::openStarts in \a record.
     TimePoint listedAt{};          ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;      ///< Has answered a renewal of this owner.
     bool hasListedAllEnds = false; ///< Has sent this owner a report that omits no ended run.
@@ -291,11 +292,11 @@
     /// When everything that runs here has ended unless its lease is renewed, as an upper bound.
     TimePoint leaseEnd() const;
     /// When an unanswered start of \a task can't take effect here any more, unless the worker
-    /// answers first.  The lease doesn't bound it: an unseen restart has reset the clock to which
-    /// its deadline refers.
+    /// answers first; zero if there is none.  The lease doesn't bound it: an unseen restart has
+    /// reset the clock to which its deadline refers.
     TimePoint startEnd(const CellTask &task) const;
-    /// When nothing that was ordered runs or starts here any more unless the worker answers.
-    TimePoint ordersEnd() const;
+    /// The same of all starts, also of those by earlier owners that the restored record names.
+    TimePoint startsEnd() const;
     /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
     std::optional<std::int64_t> survivedMs(const CellTask &task) const
     {
--- a/src/Cell/TaskLocation.cpp
+++ b/src/Cell/TaskLocation.cpp
@@ -49,6 +49,11 @@
             continue;
         }
         if (canJudgeSilence && worker->renewFailures > 0 && now >= worker->leaseEnd()) {
+            if (!worker->isContacted && now < worker->startsEnd()) {
+                const std::vector<TaskName> &starts = worker->record->openStarts;
+                hidden.tasks.insert(starts.begin(), starts.end());
+                ++hidden.workers;
+            }
             continue;
         }
         ++hidden.workers;
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -26,6 +26,22 @@
     return names;
 }
 
+/// Tasks that may still start on a silent worker, by unanswered orders of this or earlier owners.
+std::vector<TaskName> openStartsOn(const CellWorker &worker)
+{
+    if (!worker.isContacted) {
+        return worker.record ? worker.record->openStarts : std::vector<TaskName>();
+    }
+    std::vector<TaskName> names;
+    for (const TaskRef &it : worker.tasks) {
+        if (worker.startEnd(it.task()) != TimePoint{}) {
+            names.push_back(it.name());
+        }
+    }
+    std::ranges::sort(names);
+    return names;
+}
+
 /// Remaining time until \a end, in ms, rounded up.
 std::int64_t msUntil(TimePoint end, TimePoint now)
 {
@@ -48,7 +64,7 @@
                         const std::optional<WorkerRecord> &to)
 {
     return limitsLease(from) && limitsLease(to) && from->address == to->address
-           && from->tasks == to->tasks;
+           && from->tasks == to->tasks && from->openStarts == to->openStarts;
 }
 
 } // namespace
@@ -74,7 +90,9 @@
         if (worker->isLeaseLimited) {
             // The record may have been put at any time before it was read.
             const Duration left = std::chrono::milliseconds(*worker->record->leaseLeftMs);
-            worker->earlierLeaseEnd = now + left;
+            worker->earlierLeaseEnd = std::min(worker->earlierLeaseEnd, now + left);
+            worker->earlierStartsEnd =
+                now + std::chrono::milliseconds(worker->record->startsLeftMs);
         }
     }
 }
@@ -89,7 +107,8 @@
     if (worker.renewFailures > 0 && !m_state.journal.isStoring()) {
         return;
     }
-    if (differsInLeaseOnly(worker.record, required) && *required->leaseLeftMs > 0
+    if (differsInLeaseOnly(worker.record, required)
+        && std::max(*required->leaseLeftMs, required->startsLeftMs) > 0
         && now - worker.recordedAt < LeaseRecordInterval) {
         return;
     }
@@ -123,7 +142,8 @@
     const bool isSilent = isLimited
                           || (worker.renewFailures > 0
                               && (!worker.isRegistered || now - worker.silentSince >= MinSilence));
-    const bool isLeaseOver = isSilent && worker.tasks.empty() && now >= worker.leaseEnd();
+    const bool isLeaseOver =
+        isSilent && worker.tasks.empty() && now >= std::max(worker.leaseEnd(), worker.startsEnd());
     if (isLeaseOver || (isIdle && (isSilent || !mayStartTasks))) {
         return std::nullopt;
     }
@@ -134,7 +154,11 @@
             // Its tasks have become fewer at most.
             record.tasks = worker.record ? worker.record->tasks : std::nullopt;
         }
-        record.leaseLeftMs = msUntil(worker.ordersEnd(), now);
+        record.leaseLeftMs = msUntil(worker.leaseEnd(), now);
+        record.startsLeftMs = msUntil(worker.startsEnd(), now);
+        if (record.startsLeftMs > 0) {
+            record.openStarts = openStartsOn(worker);
+        }
         return record;
     }
     const bool mayHaveEnds = worker.durableEndNumber != worker.processedEndNumber;
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <span>
 
 namespace firefly::JobRecords {
 namespace {
@@ -63,6 +64,25 @@
     return bytes;
 }
 
+json encodeNames(std::span<const TaskName> names)
+{
+    json rows = json::array();
+    for (const TaskName &it : names) {
+        rows.push_back({it.job.value(), it.occurrence, it.step, it.index});
+    }
+    return rows;
+}
+
+std::vector<TaskName> decodeNames(const json &rows)
+{
+    std::vector<TaskName> names;
+    for (const json &row : rows) {
+        names.push_back({JobId(row.at(0).get<std::string>()), row.at(1).get<std::uint32_t>(),
+                         row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>()});
+    }
+    return names;
+}
+
 } // namespace
 
 std::string specKey(const JobId &job)
@@ -105,10 +125,11 @@
         limits["lease_left_ms"] = *record.leaseLeftMs;
     }
     if (record.tasks) {
-        limits["tasks"] = json::array();
-        for (const TaskName &it : *record.tasks) {
-            limits["tasks"].push_back({it.job.value(), it.occurrence, it.step, it.index});
-        }
+        limits["tasks"] = encodeNames(*record.tasks);
+    }
+    if (!record.openStarts.empty()) {
+        limits["open_starts"] = encodeNames(record.openStarts);
+        limits["starts_left_ms"] = record.startsLeftMs;
     }
     return limits.dump() + LimitsEnd + record.address;
 }
@@ -128,12 +149,11 @@
             record.leaseLeftMs = it->get<std::int64_t>();
         }
         if (const auto it = limits.find("tasks"); it != limits.end()) {
-            record.tasks.emplace();
-            for (const json &row : *it) {
-                record.tasks->push_back(
-                    {JobId(row.at(0).get<std::string>()), row.at(1).get<std::uint32_t>(),
-                     row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>()});
-            }
+            record.tasks = decodeNames(*it);
+        }
+        if (const auto it = limits.find("open_starts"); it != limits.end()) {
+            record.openStarts = decodeNames(*it);
+            record.startsLeftMs = limits.at("starts_left_ms").get<std::int64_t>();
         }
     } catch (const json::exception &e) {
         throw JobRecordError(std::string("worker record: ") + e.what());
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -90,6 +90,10 @@
     /// Longest remaining lease of the worker when the record was put; unset if the lease may be
     /// extended.
     std::optional<std::int64_t> leaseLeftMs;
+    /// Tasks whose start had no answer: unlike the others they may start there after the lease, for
+    /// \a startsLeftMs from when the record was put.
+    std::vector<TaskName> openStarts;
+    std::int64_t startsLeftMs = 0;
 
     bool operator==(const WorkerRecord &) const = default;
 };
--- a/test/WorkerRecordLimits.cpp
+++ b/test/WorkerRecordLimits.cpp
@@ -227,5 +227,48 @@
     }
 }
 
+/// Leaves \a worker as the only one that takes tasks until the start of another job is sent to it,
+/// which is lost.
+void startUnanswered(CellWorld &world, const std::string &worker)
+{
+    const auto setOthersDraining = [&](bool isDraining) {
+        for (auto &[id, it] : world.workers) {
+            it->isDraining = isDraining && id != worker;
+            world.owner->onWorkerListed(it->describe(), world.now);
+        }
+    };
+    setOthersDraining(true);
+    world.submit(JobId("other"), makeChain(1, 1));
+    const auto starts = world.starts;
+    while (world.starts == starts) {
+        world.lateOrderFraction = world.accepted.contains("other") ? 1.0 : 0.0;
+        world.step();
+    }
+    world.lateOrderFraction = 0.0;
+    setOthersDraining(false);
+}
+
+// A running task must not wait, over a change of owner, for the unanswered start of another one on
+// its crashed worker: the record named one end for both.
+TEST(WorkerRecordLimits, ALostTaskDoesNotWaitForTheUnansweredStartOfAnother)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 2);
+        const std::string worker = startTask(world);
+        startUnanswered(world, worker);
+        world.workers.at(worker)->crash(world.now);
+        world.workers.at(worker)->isReachable = false;
+        const TimePoint crashedAt = world.now;
+        world.run(2800ms);
+        world.replaceOwner(world.now + LeasesAfterResignation);
+        world.run(1700ms);
+        world.workers.at(worker)->isRegistered = false;
+        world.owner->onWorkerGone(WorkerId(worker), world.now);
+        world.run(crashedAt + MaxDowntime - world.now);
+        EXPECT_TRUE(isRunning(world, Standing)) << "seed " << seed;
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace firefly
