Count the longest lease from a start that a restarted worker has accepted

Callers may see one task run twice at the same time. A start that is sent before the owner has noticed the restart of its worker names a deadline by the clock of the earlier incarnation. The new one grants the longest lease from its arrival (6 s), while CellWorker::leaseEnd() went on counting from the last report of the earlier incarnation (5 s and up to 2 s less). If the worker is then cut off before its first report, the owner, or by the record of the worker the next one, starts the task elsewhere beside it.

Once an answer shows the clock of a later incarnation, the lease now lasts the longest lease from that answer at least, until the incarnation reports; and no renewal extends it by the clock of the earlier one. Works because nothing that was carried out before the answer can have been granted more, and the first report counts its own grants.

RestartedWorkerLateStart, RestartedWorkerAcknowledgement, PartitionedOwnerLeases, SilentWorkersOverOwnerChanges, CellRandomFaults, CellWorkerLoss, WorkerRecords and CrashingTasks pass.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -10,6 +10,12 @@
 /// Lowest rate of a worker's steady clock relative to this process.
 constexpr double SlowestClock = 0.98;
 
+/// Longest time in which a worker's clock advances by \a duration.
+Duration longestOnClock(Duration duration)
+{
+    return std::chrono::duration_cast<Duration>(duration / SlowestClock);
+}
+
 /// Length of the critical path; only steps for which \a isIncluded holds count with their estimate.
 template <typename IsIncluded>
 Duration criticalPath(const JobSpec &spec, const IsIncluded &isIncluded)
@@ -49,9 +55,15 @@
     if (!isContacted) {
         return earlierLeaseEnd;
     }
-    const double leftMs = static_cast<double>(grantedDeadlineMs - clockMs);
-    const auto left = std::chrono::duration<double, std::milli>(leftMs / SlowestClock);
-    return clockAt + std::chrono::duration_cast<Duration>(left) + LeaseMargin;
+    const TimePoint end = clockAt
+                          + longestOnClock(std::chrono::milliseconds(grantedDeadlineMs - clockMs))
+                          + LeaseMargin;
+    return std::max(end, suspectedLeaseEnd);
+}
+
+void CellWorker::extendSuspectedLease(TimePoint now, Duration maxLease)
+{
+    suspectedLeaseEnd = now + longestOnClock(maxLease) + LeaseMargin;
 }
 
 TimePoint CellWorker::startEnd(const CellTask &task) const
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -236,7 +236,10 @@
     Epoch reportFence = 0;    ///< The same of the latest report: it refuses orders with lower ones.
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
     TimePoint clockAt{};
-    std::int64_t grantedDeadlineMs = 0;   ///< Latest deadline sent, on the worker's clock.
+    std::int64_t grantedDeadlineMs = 0; ///< Latest deadline sent, on the worker's clock.
+    /// When the leases are over that an incarnation which hasn't reported yet has granted; else
+    /// zero.
+    TimePoint suspectedLeaseEnd{};
     std::uint64_t processedEndNumber = 0; ///< Highest EndedRun::number applied to the jobs.
     std::uint64_t journaledEndNumber = 0; ///< Highest number whose records are in the journal.
     std::uint64_t durableEndNumber = 0;   ///< Highest number whose records are durable.
@@ -297,6 +300,9 @@
     TimePoint startEnd(const CellTask &task) const;
     /// The same of all starts, also of those by earlier owners that the restored record names.
     TimePoint startsEnd() const;
+    /// Another incarnation than the known one has answered an order by \a now.  The deadlines sent
+    /// so far grant it the longest lease, since its clock began anew.
+    void extendSuspectedLease(TimePoint now, Duration maxLease);
     /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
     std::optional<std::int64_t> survivedMs(const CellTask &task) const
     {
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -114,6 +114,7 @@
     releaseEarlierRuns(worker, Successor::SameId, sentAt, nowUnixMs);
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.grantedDeadlineMs = 0;
+    worker.suspectedLeaseEnd = {};
     worker.lastSignMs = 0;
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -134,18 +134,21 @@
 
 void CellScheduler::detectRestart(CellWorker &worker, const OrderReply &reply, TimePoint now)
 {
-    if (!reply.clockMs || !worker.isContacted || worker.isRestartSuspected) {
+    if (!reply.clockMs || !worker.isContacted
+        || *reply.clockMs >= worker.clockAtLeast(now) - toMs(ClockTolerance)) {
         return;
     }
-    if (*reply.clockMs < worker.clockAtLeast(now) - toMs(ClockTolerance)) {
-        // A new incarnation numbers its ended runs from 1 again: acknowledging the old numbers
-        // would make it discard ends that were never reported.
-        m_state.logDecision("restart suspected", worker,
-                            "clock_ms=" + std::to_string(*reply.clockMs)
-                                + " expected_ms=" + std::to_string(worker.clockAtLeast(now))
-                                + " incarnation=" + std::to_string(worker.incarnationStartUnixMs));
-        suspectRestart(worker, now);
+    worker.extendSuspectedLease(now, m_state.bounds.maxLease);
+    if (worker.isRestartSuspected) {
+        return;
     }
+    // A new incarnation numbers its ended runs from 1 again: acknowledging the old numbers would
+    // make it discard ends that were never reported.
+    m_state.logDecision("restart suspected", worker,
+                        "clock_ms=" + std::to_string(*reply.clockMs)
+                            + " expected_ms=" + std::to_string(worker.clockAtLeast(now))
+                            + " incarnation=" + std::to_string(worker.incarnationStartUnixMs));
+    suspectRestart(worker, now);
 }
 
 void CellScheduler::suspectRestart(CellWorker &worker, TimePoint now)
@@ -318,7 +321,8 @@
     order.acknowledgedEndNumber = mayBeRestarted ? 0 : worker.durableEndNumber;
     // Renewals to a worker that doesn't answer may still arrive; were they to extend its lease, its
     // tasks could never be restarted elsewhere.
-    const bool isAnswering = worker.isContacted && worker.renewFailures == 0;
+    // A deadline by the clock of an earlier incarnation would grant a later one the longest lease.
+    const bool isAnswering = worker.isContacted && !mayBeRestarted;
     if (isAnswering && !worker.isLeaseLimited) {
         const Duration lease = std::min(m_state.bounds.grantedLease(), m_state.ordersUntil - now);
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
