--- a/test/fakes/CellWorld.h
+++ b/test/fakes/CellWorld.h
@@ -32,6 +32,14 @@
     double droppedFraction = 0.0;    ///< Neither carried out nor answered.
 };
 
+/// Fractions of the orders to workers that time out and are carried out seconds later.
+struct LateFractions
+{
+    double starts = 0.0;
+    double stops = 0.0;
+    double renewals = 0.0;
+};
+
 /// Simulation of one cell: its owner, workers and record store, in simulated time.
 ///
 /// Every message has a random delay; public fields inject faults.
@@ -266,8 +274,8 @@
         });
     }
 
-    /// Restarts the worker \a id at once under its id.
-    void restartWorker(const std::string &id)
+    /// Restarts the worker \a id at once under its id; the platform lists it after \a listing.
+    void restartWorker(const std::string &id, Duration listing = {})
     {
         FakeCellWorker &worker = *workers.at(id);
         if (worker.state != FakeCellWorker::State::Up) {
@@ -275,8 +283,30 @@
         }
         breakGangs(id);
         worker.reboot(now);
-        if (worker.isRegistered) {
-            announce(worker);
+        if (listing > Duration{}) {
+            after(listing, [this, &worker] { announceIfListed(worker); });
+        } else {
+            announceIfListed(worker);
+        }
+    }
+
+    /// Lets the link to the worker \a id hold all orders from now on; renewals, which have a
+    /// connection of their own, only if \a holdsRenewals.
+    void holdOrders(const std::string &id, bool holdsRenewals)
+    {
+        m_heldOrders.try_emplace(id, HeldOrders{holdsRenewals, {}});
+    }
+
+    /// Lets the worker \a id carry out the orders that its link holds, within some milliseconds; in
+    /// a random order unless \a isInOrder.
+    void releaseOrders(const std::string &id, bool isInOrder)
+    {
+        const auto held = m_heldOrders.extract(id);
+        if (!held) {
+            return;
+        }
+        for (const auto &it : held.mapped().orders) {
+            after(isInOrder ? Duration{} : randomDelay(), it);
         }
     }
 
@@ -320,8 +350,9 @@
     Epoch epoch = 0;
     double lateOrderFraction =
         0.0; ///< Fraction of orders that time out and are carried out seconds later.
-    Duration wallClockError{}; ///< Of the machine of the current owner.
-    bool isStoreDown = false;  ///< The store rejects all appends.
+    LateFractions lateFractions; ///< In addition, by the kind of order.
+    Duration wallClockError{};   ///< Of the machine of the current owner.
+    bool isStoreDown = false;    ///< The store rejects all appends.
     StoreFaults storeFaults;
     /// The owner pauses between attempts of an append and refuses jobs during an outage, as
     /// JobPartition does.
@@ -412,9 +443,26 @@
         return isTaken ? FakeCellWorker::State::Replaced : FakeCellWorker::State::Down;
     }
 
+    enum class OrderKind { Start, Stop, Pace, Renewal };
+
+    double lateFraction(OrderKind kind) const
+    {
+        switch (kind) {
+        case OrderKind::Start:
+            return lateFractions.starts;
+        case OrderKind::Stop:
+            return lateFractions.stops;
+        case OrderKind::Renewal:
+            return lateFractions.renewals;
+        case OrderKind::Pace:
+            break;
+        }
+        return 0.0;
+    }
+
     /// Delivers an order to its worker and the outcome to the owner that sent it.
     template <typename Execute, typename Done>
-    void exchange(const WorkerId &id, Execute execute, Done done)
+    void exchange(const WorkerId &id, OrderKind kind, Execute execute, Done done)
     {
         constexpr Duration Timeout = std::chrono::milliseconds(1000);
         FakeCellWorker &worker = *workers.at(id.value());
@@ -441,12 +489,26 @@
             });
             return;
         }
+        const auto link = m_heldOrders.find(id.value());
+        if (link != m_heldOrders.end()
+            && (kind != OrderKind::Renewal || link->second.holdsRenewals)) {
+            const auto replyOnce = [reply, isAnswered = std::make_shared<bool>(false)](auto it) {
+                if (!std::exchange(*isAnswered, true)) {
+                    reply(it);
+                }
+            };
+            link->second.orders.push_back(
+                [executeIfSame, replyOnce] { replyOnce(executeIfSame()); });
+            after(Timeout, [replyOnce] { replyOnce(OrderOutcome::Unknown); });
+            return;
+        }
         const bool isLate = now < worker.isLateUntil;
-        if (isLate || chance(lateOrderFraction)) {
-            const auto late = isLate ? std::chrono::milliseconds(2000)
-                                     : std::chrono::milliseconds(
-                                         std::uniform_int_distribution<int>(2000, 9000)(random));
-            after(late, [executeIfSame] { executeIfSame(); });
+        if (isLate || chance(lateOrderFraction + lateFraction(kind))) {
+            const auto lateness = isLate
+                                      ? std::chrono::milliseconds(2000)
+                                      : std::chrono::milliseconds(
+                                          std::uniform_int_distribution<int>(2000, 9000)(random));
+            after(lateness, [executeIfSame] { executeIfSame(); });
             after(Timeout, [reply] { reply(OrderOutcome::Unknown); });
             return;
         }
@@ -464,7 +526,7 @@
         }
         const auto clock = std::make_shared<std::optional<std::int64_t>>();
         exchange(
-            order.worker,
+            order.worker, OrderKind::Start,
             [this, order, clock] {
                 FakeCellWorker &worker = *workers.at(order.worker.value());
                 *clock = worker.clockMs(now);
@@ -549,7 +611,7 @@
     void send(const StopTask &order)
     {
         exchange(
-            order.worker,
+            order.worker, OrderKind::Stop,
             [this, order] {
                 return workers.at(order.worker.value())->stop(order, order.fence, now);
             },
@@ -559,7 +621,7 @@
     void send(const PaceTask &order)
     {
         exchange(
-            order.worker,
+            order.worker, OrderKind::Pace,
             [this, order] {
                 return workers.at(order.worker.value())->pace(order, order.fence, now);
             },
@@ -593,11 +655,12 @@
         const auto execute = [this, order, report] {
             return workers.at(order.worker.value())->renew(order, order.fence, now, *report);
         };
-        exchange(order.worker, execute, [this, order, report, execute, sentAt = now](auto outcome) {
+        const auto onOutcome = [this, order, report, execute, sentAt = now](auto outcome) {
             const bool mayWait = outcome == OrderOutcome::Accepted && report->ended.empty();
             awaitEndedRun(mayWait ? sentAt + order.wait : now, order, report, execute, sentAt,
                           outcome);
-        });
+        };
+        exchange(order.worker, OrderKind::Renewal, execute, onOutcome);
     }
 
     /// Long poll: reports once the worker lists an ended run, at \a until at the latest.
@@ -649,6 +712,13 @@
         }
     }
 
+    void announceIfListed(const FakeCellWorker &worker)
+    {
+        if (worker.isRegistered) {
+            announce(worker);
+        }
+    }
+
     void unlist(const std::string &id)
     {
         workers.at(id)->isRegistered = false;
@@ -781,7 +851,13 @@
     std::priority_queue<Event> m_events;
     std::uint64_t m_eventNumber = 0;
     std::uint64_t m_generation = 0;
-    TimePoint m_listReadAt{}; ///< When the owner reads the platform's list.
+    struct HeldOrders
+    {
+        bool holdsRenewals = true;
+        std::vector<std::function<void()>> orders; ///< As they were sent.
+    };
+    std::map<std::string, HeldOrders> m_heldOrders; ///< By worker id.
+    TimePoint m_listReadAt{};                       ///< When the owner reads the platform's list.
     // Store
     Epoch m_fencedEpoch = 0;          ///< Appends of lower epochs are refused.
     std::uint64_t m_lastSequence = 0; ///< Of the appends of that epoch.
