Settle an unanswered start by an accepted stop alone

Cause: a report that came under the raised token, or after the start's deadline, settled a start without an answer, as the worker would have refused it then. The worker restarted again before the start arrived; the new incarnation knew neither and carried it out beside the run elsewhere.

Change: only the acceptance of a stop under the present token settles it, or the longest lifetime of an order. The stop was sent after the start; on a link that keeps the order it has followed it.

--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -275,10 +275,11 @@
         const bool isConfirmed =
             task.state == TaskState::Running || task.state == TaskState::Stopping;
         const bool isMissing = isConfirmed && task.startedAt < sentAt;
-        const bool isRefused =
-            task.state == TaskState::Unsettled
-            && (worker.clockMs > task.startDeadlineMs || worker.reportFence > task.startFence);
-        if (isMissing || isRefused) {
+        // That this incarnation would refuse a start under way, by its deadline or token, says
+        // nothing of the next one; an accepted stop, sent after the start, has followed it.
+        const bool isOver = task.state == TaskState::Unsettled
+                            && m_now >= task.startedAt + CellBounds::OrderLifetime;
+        if (isMissing || isOver) {
             m_state.logDecision("run missing", it,
                                 "running=" + std::to_string(report.running.size())
                                     + " ended=" + std::to_string(report.ended.size()) + " stopping="
