--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -230,7 +230,7 @@
     bool hasUntrackedRuns = false;
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
-    Epoch restarts = 0;         ///< Changes of its incarnation that this owner has seen.
+    Epoch fenceRaises = 0;      ///< Fencing token of its orders, from the epoch of the owner on.
     Epoch incarnationFence = 0; ///< Lowest fencing token of the starts meant for it.
     Epoch renewalFence = 0;     ///< Fencing token of the latest renewal.
     Epoch reportFence = 0;    ///< The same of the latest report: it refuses orders with lower ones.
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -17,8 +17,9 @@
 using Epoch = std::uint64_t;
 
 /// Number of fencing tokens of an owner: from its epoch, which is a multiple of this, to below the
-/// next one.  The owner raises the token of a worker by one at each restart of it, so that the new
-/// incarnation refuses what was ordered before.
+/// next one.  The owner raises the token of a worker by one at each restart that it sees or
+/// suspects.  An order carries the token of its time, so that the new incarnation, once it has
+/// answered one under the raised token, refuses what was sent to an earlier one.
 constexpr Epoch FencesPerEpoch = 16;
 
 /// Processor demand of unfinished work, as fractions of the cell's capacity.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -56,6 +56,7 @@
     m_state.locateUntil = locateUntil;
     m_state.epoch = epoch;
     m_state.isFenced = false;
+    m_state.needsNewEpoch = false;
     m_location.begin(now);
     m_interference.restoreModel({}, now);
     m_lastModelRecord = now;
@@ -81,7 +82,7 @@
     m_admission.clear();
     m_delegatingJobs.clear();
     m_returningJobs.clear();
-    m_restartsOfErased.clear();
+    m_fenceRaisesOfErased.clear();
 }
 
 void CellScheduler::restore(std::string_view key, std::string_view value)
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -50,6 +50,8 @@
     /// of the ownership.  O(workers + pending actions).
     void setEvacuatedZones(std::set<std::string> zones);
     bool isFenced() const { return m_state.isFenced; }
+    /// True if the ownership has to go on under a new epoch.
+    bool needsNewEpoch() const { return m_state.needsNewEpoch; }
     Epoch epoch() const { return m_state.epoch; }
 
     // Clients
@@ -274,6 +276,10 @@
     /// link.
     bool isSilentBesideOthers(const CellWorker &worker, TimePoint now) const;
     void expireLeases(TimePoint now, std::int64_t nowUnixMs);
+    /// Those of \a tasks, placed on \a worker, whose loss doesn't count as one of an earlier
+    /// incarnation: starts that were meant for it counted at its restart.
+    static std::vector<TaskRef> runsOfLatestIncarnation(const CellWorker &worker,
+                                                        std::span<const TaskRef> tasks);
     /// What has answered at the address of a worker instead of its latest incarnation.
     enum class Successor { SameId, OtherId };
     /// Releases the runs on \a worker that ended because \a successor has answered an order of
@@ -281,8 +287,8 @@
     /// confirmed if it has the same id.
     void releaseEarlierRuns(CellWorker &worker, Successor successor, TimePoint sentAt,
                             std::int64_t nowUnixMs);
-    /// Raises the fencing token of \a worker, which has restarted or seems to.  A report under the
-    /// new token settles the starts of before that nobody has confirmed.
+    /// Raises the fencing token of \a worker, which has restarted or seems to, and repeats the
+    /// stops of unconfirmed starts, which the new incarnation doesn't know.
     void fenceEarlierOrders(CellWorker &worker);
     /// Releases the runs on \a worker, whose lease is over, but not those that may still start.
     void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
@@ -338,8 +344,8 @@
     CrashDetector m_crashDetector{m_state};
     std::map<WorkQueue, BacklogAdmission> m_admission;
     int m_cell;
-    std::set<std::string> m_delegatingJobs;          ///< Jobs with delegations, by id.
-    std::map<std::string, Epoch> m_restartsOfErased; ///< CellWorker::restarts, by id.
+    std::set<std::string> m_delegatingJobs;             ///< Jobs with delegations, by id.
+    std::map<std::string, Epoch> m_fenceRaisesOfErased; ///< CellWorker::fenceRaises, by id.
     std::set<std::string> m_returningJobs; ///< Guests' parts with unconfirmed returns, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
     TimePoint m_now{};               ///< Time of the latest input.
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -48,10 +48,11 @@
 {
     CellBounds bounds;
     Epoch epoch = 0;
-    TimePoint ordersUntil{}; ///< End of all leases and starts; another owner may act afterwards.
-    TimePoint locateUntil{}; ///< All orders of earlier owners have expired by then.
-    bool isLocating = false; ///< Some worker may run tasks of an earlier owner unseen.
-    bool isFenced = false;   ///< A worker has seen the epoch of a later owner.
+    TimePoint ordersUntil{};    ///< End of all leases and starts; another owner may act afterwards.
+    TimePoint locateUntil{};    ///< All orders of earlier owners have expired by then.
+    bool isLocating = false;    ///< Some worker may run tasks of an earlier owner unseen.
+    bool isFenced = false;      ///< A worker has seen the epoch of a later owner.
+    bool needsNewEpoch = false; ///< A worker has used up the fencing tokens of this epoch.
     bool areStartsSuspended = false; ///< The evacuated zones aren't known yet.
     std::set<std::string> evacuatedZones;
     bool wantsPlacement = false;                                    ///< A placement pass is due.
@@ -70,7 +71,7 @@
     std::vector<CellAction> actions;
 
     /// Fencing token of orders to \a worker.
-    Epoch fenceOf(const CellWorker &worker) const { return epoch + worker.restarts; }
+    Epoch fenceOf(const CellWorker &worker) const { return epoch + worker.fenceRaises; }
 
     /// No other owner has granted a lease until then.
     TimePoint exclusiveUntil() const { return ordersUntil - bounds.grantedLease(); }
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -84,6 +84,9 @@
     }
     adjustFillers(worker, now);
     acknowledgeEndedRuns(worker, now);
+    if (worker.reportFence < m_state.fenceOf(worker)) {
+        worker.nextRenewal = now; // Until it answers, it takes orders to an earlier incarnation.
+    }
     m_records.update(worker, now);
     if (worker.info.isDraining) {
         evacuate(worker);
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -91,10 +91,11 @@
     auto &worker = m_state.workers[info.id.value()];
     if (!worker) {
         worker = std::make_unique<CellWorker>();
-        if (const auto it = m_restartsOfErased.find(info.id.value());
-            it != m_restartsOfErased.end()) {
+        if (const auto it = m_fenceRaisesOfErased.find(info.id.value());
+            it != m_fenceRaisesOfErased.end()) {
             // It may have restarted unseen, while orders to it were under way.
-            worker->restarts = std::min(it->second + 1, FencesPerEpoch - 1);
+            worker->fenceRaises = it->second;
+            fenceEarlierOrders(*worker);
         }
     }
     worker->earlierLeaseEnd = worker->isRestored ? worker->earlierLeaseEnd : m_state.locateUntil;
@@ -407,7 +408,7 @@
         }
         if (isExpired && !worker.isRegistered && !worker.isRenewing) {
             m_records.remove(worker, now);
-            m_restartsOfErased[it->first] = worker.restarts;
+            m_fenceRaisesOfErased[it->first] = worker.fenceRaises;
             it = m_state.workers.erase(it);
             continue;
         }
@@ -441,6 +442,16 @@
     }
 }
 
+std::vector<TaskRef> CellScheduler::runsOfLatestIncarnation(const CellWorker &worker,
+                                                            std::span<const TaskRef> tasks)
+{
+    std::vector<TaskRef> runs;
+    std::ranges::copy_if(tasks, std::back_inserter(runs), [&worker](const TaskRef &it) {
+        return it.task().acceptedMs || it.task().startFence >= worker.incarnationFence;
+    });
+    return runs;
+}
+
 void CellScheduler::releaseEarlierRuns(CellWorker &worker, Successor successor, TimePoint sentAt,
                                        std::int64_t nowUnixMs)
 {
@@ -448,10 +459,7 @@
     std::ranges::copy_if(worker.tasks, std::back_inserter(earlier), [sentAt](const TaskRef &it) {
         return it.task().state != TaskState::Starting && it.task().startedAt < sentAt;
     });
-    std::vector<TaskRef> lost; // Now, not at an earlier restart.
-    std::ranges::copy_if(earlier, std::back_inserter(lost), [&worker](const TaskRef &it) {
-        return it.task().acceptedMs || it.task().startFence >= worker.incarnationFence;
-    });
+    const std::vector<TaskRef> lost = runsOfLatestIncarnation(worker, earlier);
     applySuspicions(m_crashDetector.onRunsLost(worker, lost, CrashDetector::Loss::Crashed, m_now),
                     nowUnixMs);
     for (const TaskRef &it : lost) {
@@ -472,11 +480,15 @@
         if (task.state == TaskState::Stopping && !task.acceptedMs) {
             task.state = TaskState::Unsettled; // The new incarnation knows of no stop.
         }
+        if (task.state == TaskState::Unsettled) {
+            task.stopSentAt = {};
+        }
     }
-    if (worker.restarts + 1 < FencesPerEpoch) {
-        ++worker.restarts;
+    if (worker.fenceRaises + 1 < FencesPerEpoch) {
+        ++worker.fenceRaises;
     } else {
         m_state.logDecision("fencing tokens used up", worker, {});
+        m_state.needsNewEpoch = true;
     }
 }
 
@@ -491,7 +503,9 @@
     const CrashDetector::Loss loss = worker.isReplaced   ? CrashDetector::Loss::Crashed
                                      : worker.isRefusing ? CrashDetector::Loss::Down
                                                          : CrashDetector::Loss::Silent;
-    applySuspicions(m_crashDetector.onRunsLost(worker, lost, loss, m_now), nowUnixMs);
+    applySuspicions(
+        m_crashDetector.onRunsLost(worker, runsOfLatestIncarnation(worker, lost), loss, m_now),
+        nowUnixMs);
     for (const TaskRef &it : lost) {
         m_state.logDecision("lease over", it, worker.describeLoss(it.task(), m_now));
         TaskLedger::release(it);
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -164,7 +164,7 @@
         updateWatching(now);
         if (isOwning
             && (!election.isOwner() || election.epoch() != epoch || scheduler.isFenced()
-                || now >= election.ordersUntil())) {
+                || scheduler.needsNewEpoch() || now >= election.ordersUntil())) {
             endOwnership();
         }
         if (!isOwning && election.isOwner() && !election.isResigning()
--- a/test/RestartedWorkerLateStart.cpp
+++ b/test/RestartedWorkerLateStart.cpp
@@ -154,5 +154,21 @@
     }
 }
 
+// A task could run twice at the same time once a worker had restarted so often under one owner that
+// no higher fencing token was left to refuse the orders of before.
+TEST(RestartedWorkerLateStart, AnOwnerNeedsANewEpochOnceAWorkerHasUsedUpItsTokens)
+{
+    CellWorld world(1, 2);
+    world.run(1s);
+    for (Epoch i = 1; i < FencesPerEpoch; ++i) {
+        restart(world, "w0");
+        world.run(1s);
+        EXPECT_FALSE(world.owner->needsNewEpoch()) << i << " restarts";
+    }
+    restart(world, "w0");
+    world.run(1s);
+    EXPECT_TRUE(world.owner->needsNewEpoch());
+}
+
 } // namespace
 } // namespace firefly
