A suspect of a crash starts again only once its crashes are stored

While the store takes no appends, the next owner reads none of these crashes and begins to count anew.

Change: a job counts the records of its crashes that aren't durable yet. While there is one, Placement starts no suspect of the job; a gang with such a member waits as a whole. Other tasks of the job, and tasks with a single late crash, which aren't suspects, go on.

Why it works: a crash that only this owner knows of can't be followed by another start of the task, so each owner adds at most one crash that the next one misses. The price: suspects wait for one append, and for the end of an outage of the store, in which no record of theirs could be kept anyway.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -147,6 +147,7 @@
     TimePoint deprioritizedAt{};              ///< The job ranks last of its priority from here on.
     std::vector<Occurrence> occurrences;      ///< Occurrences that are due.
     std::uint32_t placedCount = 0;            ///< Tasks for which isPlaced() holds.
+    std::uint32_t unstoredCrashRecords = 0;   ///< Records of new crashes that aren't durable yet.
     /// Batch jobs: since when none is placed though one could start; else zero.
     TimePoint idleSince{};
     std::map<int, DelegationStatus> delegations; ///< Tasks that other cells schedule, by cell.
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -295,6 +295,8 @@
     /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
     /// convicted ones.
     void applySuspicions(std::span<const TaskRef> suspects, std::int64_t nowUnixMs);
+    /// Records the crash histories of \a job; its suspects start again once they are stored.
+    void recordCrashes(CellJob &job);
     /// Records that the \a run of \a ref failed or got stuck on \a worker.  Pauses the worker if
     /// that tells of it, and ends the pauses of others if it tells that the task is at fault.
     void recordFailure(const TaskRef &ref, CellWorker &worker, std::uint32_t run);
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -124,6 +124,20 @@
     return ref.spec().isLongRunning && ref.hasRunBefore();
 }
 
+/// True if \a ref is a suspect that the next owner may know nothing of, as it reads the stored
+/// crashes only.
+bool isUnstoredSuspect(const TaskRef &ref)
+{
+    return ref.job->unstoredCrashRecords > 0 && CrashDetector::isSuspect(ref.task());
+}
+
+/// True if \a ref is pending and may start now.
+bool isStartable(const TaskRef &ref, TimePoint now)
+{
+    const CellTask &task = ref.task();
+    return task.state == TaskState::Pending && task.notBefore <= now && !isUnstoredSuspect(ref);
+}
+
 /// True if workers that would take other tasks of its step may not take \a task.
 bool hasOwnObstacles(const CellTask &task, TimePoint now)
 {
@@ -218,7 +232,7 @@
         return;
     }
     for (const TaskRef &ref : m_reservations.pendingTasks()) {
-        if (ref.task().notBefore <= now && startOnOneOf(freed, ref, now)) {
+        if (isStartable(ref, now) && startOnOneOf(freed, ref, now)) {
             m_reservations.remove(ref);
         }
     }
@@ -389,15 +403,16 @@
         const TimePoint due = std::max(job.idleSince + IdleTurnDelay, now + IdleTurnInterval);
         m_nextIdleTurn = std::min(m_nextIdleTurn.value_or(due), due);
         const StepRun &run = job.occurrences[k].steps[s];
-        const auto task = std::ranges::find_if(run.tasks, [now](const CellTask &it) {
-            return it.state == TaskState::Pending && it.notBefore <= now;
-        });
+        std::uint32_t i = 0;
+        while (i < run.tasks.size() && !isStartable({&job, k, s, i}, now)) {
+            ++i;
+        }
         const bool isListed = !fillers.empty() && fillers.back().job == &job;
-        if (now - job.idleSince < IdleTurnDelay || isListed || task == run.tasks.end()
+        if (now - job.idleSince < IdleTurnDelay || isListed || i == run.tasks.size()
             || (spec.isGang && run.pendingCount < run.tasks.size())) {
             return;
         }
-        fillers.push_back({&job, k, s, static_cast<std::uint32_t>(task - run.tasks.begin())});
+        fillers.push_back({&job, k, s, i});
     });
     std::ranges::stable_sort(fillers, {}, [](const TaskRef &it) { return it.job->idleSince; });
     return fillers;
@@ -406,7 +421,7 @@
 void Placement::startReserved(TimePoint now)
 {
     for (const TaskRef &ref : m_reservations.pendingTasks()) {
-        if (ref.task().notBefore > now) {
+        if (!isStartable(ref, now)) {
             continue;
         }
         CellWorker *worker =
@@ -497,8 +512,7 @@
         for (std::uint32_t i = 0; i < job.spec.steps[s].taskCount; ++i) {
             const TaskRef ref{&job, k, s, i};
             CellTask &task = ref.task();
-            if (task.state != TaskState::Pending || task.notBefore > now || !ref.hasRunBefore()
-                || m_reservations.contains(ref)) {
+            if (!isStartable(ref, now) || !ref.hasRunBefore() || m_reservations.contains(ref)) {
                 continue;
             }
             if (task.waitingSince == TimePoint{}) {
@@ -560,11 +574,10 @@
     bool isWaitReported = false;
     std::uint32_t starts = 0;
     for (std::uint32_t i = 0; i < run.tasks.size() && starts < maxStarts; ++i) {
-        CellTask &task = run.tasks[i];
-        if (task.state != TaskState::Pending || task.notBefore > now) {
+        const TaskRef ref{&job, occurrence, step, i};
+        if (!isStartable(ref, now)) {
             continue;
         }
-        const TaskRef ref{&job, occurrence, step, i};
         if (ref.spec().isLongRunning && m_reservations.contains(ref)) {
             continue;
         }
@@ -580,7 +593,7 @@
         }
         CellWorker *worker =
             isDisplaced(ref) ? chooseWorkerForDisplaced(ref, now) : chooseWorker(ref, now);
-        if (!worker && hasOwnObstacles(task, now)) {
+        if (!worker && hasOwnObstacles(ref.task(), now)) {
             onUnplaceable(ref, now);
             continue;
         }
@@ -601,9 +614,12 @@
     }
     std::uint32_t number = 0;
     std::string checkpoint;
-    for (const CellTask &it : run.tasks) {
-        number = std::max(number, TaskLedger::nextRun(it, m_state.epoch));
-        checkpoint = std::max(checkpoint, it.checkpoint);
+    for (std::uint32_t i = 0; i < run.tasks.size(); ++i) {
+        if (isUnstoredSuspect({&job, occurrence, step, i})) {
+            return;
+        }
+        number = std::max(number, TaskLedger::nextRun(run.tasks[i], m_state.epoch));
+        checkpoint = std::max(checkpoint, run.tasks[i].checkpoint);
     }
     const TaskRef leader{&job, occurrence, step, 0};
     const bool prefersRack = m_placeWaits.isEligible(leader);
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -437,7 +437,7 @@
     }
     for (CellJob *it : changed) {
         if (!isFinal(it->state)) {
-            recordProgress(*it);
+            recordCrashes(*it);
         }
     }
 }
@@ -452,6 +452,18 @@
     return runs;
 }
 
+void CellScheduler::recordCrashes(CellJob &job)
+{
+    recordProgress(job);
+    ++job.unstoredCrashRecords;
+    m_state.journal.whenDurable([this, id = job.id] {
+        if (CellJob *stored = m_state.findJob(id)) {
+            --stored->unstoredCrashRecords;
+            m_state.wantsPlacement = true;
+        }
+    });
+}
+
 void CellScheduler::releaseEarlierRuns(CellWorker &worker, Successor successor, TimePoint sentAt,
                                        std::int64_t nowUnixMs)
 {
