Name the runs of a task in the audit of simulated workers

A test or soak that found two runs of one task, or a start after its end, named only the task. The violation now lists the latest starts in their order with run, worker, incarnation and time, at most five, so that a run of an earlier owner (another thousand) and a start that outlived a restart (a lower number that begins later) can be told apart. The checks are the same.

--- a/test/fakes/CellAudit.h
+++ b/test/fakes/CellAudit.h
@@ -3,6 +3,7 @@
 #include "Cell/CellMessages.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -21,13 +22,26 @@
         std::string worker;
         std::uint64_t number = 0; ///< As EndedRun::number.
         bool isAcknowledged = false;
-        bool isRestarted = false; ///< Another run started after it.
+        bool isRestarted = false;           ///< Another run started after it.
+        std::uint64_t acknowledgedUpTo = 0; ///< Of the acknowledgement.
+        /// Latest end of the worker at that time; a higher acknowledgement is of an earlier
+        /// incarnation.
+        std::uint64_t latestNumber = 0;
+    };
+    /// A run that a worker has begun.
+    struct Start
+    {
+        std::uint32_t run = 0;
+        std::string worker;
+        std::int64_t incarnation = 0; ///< Of the worker.
+        TimePoint at{};
     };
 
     std::map<std::string, JobSpec> specs;                ///< Submitted jobs, by id.
     std::map<TaskName, std::set<std::string>> runningOn; ///< Ids of workers.
     std::map<TaskName, std::vector<std::uint32_t>> runs; ///< Numbers of the started runs, in order.
     std::map<TaskName, std::vector<std::string>> startedOn; ///< Ids of workers, of the same runs.
+    std::map<TaskName, std::vector<Start>> starts;
     std::map<TaskName, std::vector<End>> done;
     std::map<TaskName, std::vector<End>> failed;
     std::map<TaskName, std::set<std::string>> checkpoints;
@@ -50,26 +64,29 @@
         return it == specs.end() ? nullptr : &it->second.steps.at(task.step);
     }
 
-    /// Records and checks the start of a run on \a worker with the given total \a capacity.
-    void recordStart(const std::string &worker, const ResourceVector &capacity,
-                     const StartTask &order)
+    /// Records and checks the start of a run at \a now on \a worker with the given total
+    /// \a capacity.
+    void recordStart(const std::string &worker, std::int64_t incarnation, TimePoint now,
+                     const ResourceVector &capacity, const StartTask &order)
     {
         const TaskName &task = order.task;
-        if (!runningOn[task].empty()) {
-            addViolation("two runs of a task at the same time", task);
-        }
-        for (End &it : done[task]) {
-            it.isRestarted = true;
-            if (it.isAcknowledged) {
-                addViolation("start after done", task);
-            }
-        }
         if (crashes[task] >= MaxCrashes && ++startsAfterCrashes[task] >= MaxStartsAfterCrashes) {
             addViolation("start after the budget of crashes", task);
         }
+        const bool isRunning = !runningOn[task].empty();
         runningOn[task].insert(worker);
         runs[task].push_back(order.run);
         startedOn[task].push_back(worker);
+        starts[task].push_back({order.run, worker, incarnation, now});
+        if (isRunning) {
+            addViolation("two runs of a task at the same time", task, describeStarts(task));
+        }
+        for (End &it : done[task]) {
+            it.isRestarted = true;
+            if (it.isAcknowledged) {
+                addViolation("start after done", task, describeStarts(task) + describe(it));
+            }
+        }
         everStarted.insert(task.job.value());
         const StepSpec *step = stepOf(task);
         if (!step) {
@@ -107,8 +124,10 @@
         }
     }
 
-    /// An owner has acknowledged the ended runs of \a worker up to number \a lastSeen.
-    void recordAcknowledgement(const std::string &worker, std::uint64_t lastSeen)
+    /// An owner has acknowledged the ended runs of \a worker, of which \a latest is the last one,
+    /// up to number \a lastSeen.
+    void recordAcknowledgement(const std::string &worker, std::uint64_t lastSeen,
+                               std::uint64_t latest)
     {
         for (auto &[task, ends] : done) {
             for (End &it : ends) {
@@ -116,8 +135,10 @@
                     continue;
                 }
                 it.isAcknowledged = true;
+                it.acknowledgedUpTo = lastSeen;
+                it.latestNumber = latest;
                 if (it.isRestarted) {
-                    addViolation("start after done", task);
+                    addViolation("start after done", task, describeStarts(task) + describe(it));
                 }
             }
         }
@@ -140,13 +161,39 @@
         }
     }
 
-    void addViolation(const std::string &what, const TaskName &task)
+    void addViolation(const std::string &what, const TaskName &task,
+                      const std::string &details = {})
     {
         violations.push_back(what + ": " + task.job.value() + "." + std::to_string(task.occurrence)
-                             + "." + std::to_string(task.step) + "." + std::to_string(task.index));
+                             + "." + std::to_string(task.step) + "." + std::to_string(task.index)
+                             + details);
     }
 
 private:
+    /// The latest starts of \a task in their order, with the time since its first one.
+    std::string describeStarts(const TaskName &task) const
+    {
+        constexpr std::size_t MaxStarts = 5;
+        const std::vector<Start> &list = starts.at(task);
+        std::string text;
+        for (std::size_t i = list.size() - std::min(list.size(), MaxStarts); i < list.size(); ++i) {
+            const Start &it = list[i];
+            const auto age =
+                std::chrono::duration_cast<std::chrono::milliseconds>(it.at - list.front().at);
+            text += "; run " + std::to_string(it.run) + " on " + it.worker + " incarnation "
+                    + std::to_string(it.incarnation) + " at " + std::to_string(age.count()) + " ms"
+                    + (runningOn.at(task).contains(it.worker) ? " (running)" : "");
+        }
+        return text;
+    }
+
+    static std::string describe(const End &end)
+    {
+        return "; end " + std::to_string(end.number) + " of " + end.worker
+               + " acknowledged by last_seen " + std::to_string(end.acknowledgedUpTo)
+               + " when the latest end was " + std::to_string(end.latestNumber);
+    }
+
     void checkStart(const TaskName &task, const StepSpec &step, const std::string &checkpoint)
     {
         const JobSpec &spec = specs.at(task.job.value());
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -57,7 +57,7 @@
         if (it != m_running.end() || m_highestRun[order.task] >= order.run) {
             return OrderOutcome::OldRun;
         }
-        m_audit.recordStart(m_id, countedCapacity(now), order);
+        m_audit.recordStart(m_id, incarnation, now, countedCapacity(now), order);
         const StepSpec *step = m_audit.stepOf(order.task);
         const bool isWaiting = holdsGangMembers && step && step->isGang;
         isLateUntil = std::max(isLateUntil, now + lateAfterStart);
@@ -116,7 +116,7 @@
         if (order.deadlineMs) {
             extendLease(*order.deadlineMs, now);
         }
-        m_audit.recordAcknowledgement(m_id, order.acknowledgedEndNumber);
+        m_audit.recordAcknowledgement(m_id, order.acknowledgedEndNumber, m_lastEndNumber);
         std::erase_if(m_ended, [&order](const EndedRun &it) {
             return it.number <= order.acknowledgedEndNumber;
         });
