fleetsoak: workers that restart behind links that hold requests, and wide jobs

The soak never showed the users' two runs of a task. SoakFleet::crash() resets the link, so that requests under way are lost with the worker, and jobs had few tasks. Some of these restarts come beside a freeze, kill, SIGTERM or cut from the store of the cell's owner, found by its claim. A quarter of the jobs have one step of many short tasks. soak.log names holds, restarts and violations with their times.

--- a/soak/FaultSchedule.cpp
+++ b/soak/FaultSchedule.cpp
@@ -1,6 +1,7 @@
 #include "FaultSchedule.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <memory>
 
@@ -26,16 +27,28 @@
 constexpr Duration MaxExitTime = std::chrono::milliseconds(500);
 /// Spreads the seeds of the series away from those of the other faults.
 constexpr std::uint64_t SeriesSeedOffset = 1U << 20U;
+constexpr std::uint64_t LateSeedOffset = 1U << 21U;
+constexpr Duration MinLateInterval = std::chrono::milliseconds(500);
+constexpr Duration MaxLateInterval = std::chrono::milliseconds(2500);
+/// The workers of a rack don't restart at the very same moment.
+constexpr Duration MaxRackSpread = std::chrono::milliseconds(100);
+constexpr Duration MaxTimeToRestart = std::chrono::milliseconds(5000);
+constexpr double OwnerFaultShare = 0.4;
+constexpr double SecondRestartShare = 0.25;
 
 } // namespace
 
-FaultSchedule::FaultSchedule(asio::io_context &context, SoakFleet &fleet, std::uint64_t seed)
+FaultSchedule::FaultSchedule(asio::io_context &context, SoakFleet &fleet,
+                             const SoakOptions &options)
     : m_context(context)
     , m_fleet(fleet)
-    , m_random(seed)
-    , m_restartRandom(seed + SeriesSeedOffset)
+    , m_hasLateRequests(options.hasLateRequests)
+    , m_random(options.seed)
+    , m_restartRandom(options.seed + SeriesSeedOffset)
+    , m_lateRandom(options.seed + LateSeedOffset)
     , m_timer(context)
     , m_restartTimer(context)
+    , m_lateTimer(context)
 {}
 
 void FaultSchedule::start(TimePoint endAt)
@@ -43,6 +56,9 @@
     m_endAt = endAt;
     scheduleNext();
     scheduleRestarts();
+    if (m_hasLateRequests) {
+        scheduleLateRequests();
+    }
 }
 
 bool FaultSchedule::isOver() const
@@ -76,10 +92,10 @@
     constexpr int FaultKinds = 12;
     switch (std::uniform_int_distribution<int>(0, FaultKinds - 1)(m_random)) {
     case 0:
-        freeze(randomNode());
+        freeze(randomNode(), m_random);
         break;
     case 1:
-        kill(randomNode());
+        kill(randomNode(), m_random);
         break;
     case 2:
         terminate(randomNode(), m_random);
@@ -170,7 +186,7 @@
     return it == m_fleet.nodes.end() ? nullptr : &*it;
 }
 
-void FaultSchedule::freeze(SoakNode &node)
+void FaultSchedule::freeze(SoakNode &node, std::mt19937_64 &random)
 {
     if (std::exchange(m_hasFault[&node], true)) {
         return;
@@ -178,14 +194,14 @@
     ++m_counts["freeze"];
     node.process->signal(SIGSTOP);
     beginFault(node);
-    runAfter(drawDuration(MinFaultDuration, MaxFaultDuration), [this, &node] {
+    runAfter(drawDuration(random, MinFaultDuration, MaxFaultDuration), [this, &node] {
         node.process->signal(SIGCONT);
         endFault(node);
         m_hasFault[&node] = false;
     });
 }
 
-void FaultSchedule::kill(SoakNode &node)
+void FaultSchedule::kill(SoakNode &node, std::mt19937_64 &random)
 {
     if (std::exchange(m_hasFault[&node], true)) {
         return;
@@ -193,7 +209,7 @@
     ++m_counts["kill"];
     node.lastFaultAt = Clock::now();
     node.process->signal(SIGKILL);
-    restartAfterExit(node, drawDuration(MinFaultDuration, MaxFaultDuration));
+    restartAfterExit(node, drawDuration(random, MinFaultDuration, MaxFaultDuration));
 }
 
 void FaultSchedule::terminate(SoakNode &node, std::mt19937_64 &random)
@@ -295,6 +311,92 @@
     }
 }
 
+void FaultSchedule::scheduleLateRequests()
+{
+    m_lateTimer.expires_after(drawDuration(m_lateRandom, MinLateInterval, MaxLateInterval));
+    m_lateTimer.async_wait([this](asio::error_code ec) {
+        if (ec || Clock::now() >= m_endAt) {
+            return;
+        }
+        restartWorkersBehindLinks();
+        scheduleLateRequests();
+    });
+}
+
+void FaultSchedule::restartWorkersBehindLinks()
+{
+    constexpr std::array Kinds{LinkProxy::Held::Open, LinkProxy::Held::Open, LinkProxy::Held::Open,
+                               LinkProxy::Held::All, LinkProxy::Held::New};
+    const LinkProxy::Held held = Kinds.at(m_lateRandom() % Kinds.size());
+    std::vector<Duration> restarts{drawDuration(m_lateRandom, {}, MaxTimeToRestart)};
+    if (std::bernoulli_distribution(SecondRestartShare)(m_lateRandom)) {
+        restarts.push_back(drawDuration(m_lateRandom, restarts.front(), MaxFaultDuration));
+    }
+    const std::size_t workers = m_fleet.workers.size();
+    const std::size_t count = m_lateRandom() % 2 == 0 ? 1 : 1 + m_lateRandom() % (workers / 2);
+    const std::size_t first = m_lateRandom() % workers;
+    for (std::size_t i = 0; i < count; ++i) {
+        restartBehindLink(m_fleet.workers[(first + i) % workers], held, restarts);
+    }
+    if (std::bernoulli_distribution(OwnerFaultShare)(m_lateRandom)) {
+        const auto cell = static_cast<int>(m_lateRandom() % static_cast<unsigned>(m_fleet.cells));
+        runAfter(drawDuration(m_lateRandom, {}, MaxFaultDuration),
+                 [this, cell] { disturbOwner(cell); });
+    }
+}
+
+void FaultSchedule::restartBehindLink(SoakWorker &worker, LinkProxy::Held held,
+                                      std::span<const Duration> restarts)
+{
+    const Duration spread = drawDuration(m_lateRandom, {}, MaxRackSpread);
+    const Duration releaseAfter =
+        drawDuration(m_lateRandom, restarts.front() + spread, MaxFaultDuration);
+    if (worker.link->isHolding()) {
+        return;
+    }
+    ++m_counts["worker restarts behind its link"];
+    m_fleet.log(worker.id + " requests of connections "
+                + (held == LinkProxy::Held::All    ? "all"
+                   : held == LinkProxy::Held::Open ? "open"
+                                                   : "new")
+                + " held");
+    worker.link->holdRequests(held);
+    for (const Duration it : restarts) {
+        runAfter(it + spread, [this, &worker] { m_fleet.restart(worker); });
+    }
+    runAfter(releaseAfter, [this, &worker] {
+        m_fleet.log(worker.id + " requests released");
+        worker.link->releaseRequests();
+    });
+}
+
+void FaultSchedule::disturbOwner(int cell)
+{
+    SoakNode *const owner = m_fleet.ownerOf(cell);
+    if (!owner) {
+        return;
+    }
+    m_fleet.log("fault of the owner, " + owner->settings.node);
+    switch (std::uniform_int_distribution<int>(0, 3)(m_lateRandom)) {
+    case 0:
+        freeze(*owner, m_lateRandom);
+        break;
+    case 1:
+        kill(*owner, m_lateRandom);
+        break;
+    case 2:
+        terminate(*owner, m_lateRandom);
+        break;
+    default:
+        ++m_counts["owner's store link silent"];
+        owner->store->isRequestBlocked = true;
+        owner->store->isResponseBlocked = true;
+        endLinkFaultAfter(*owner->store,
+                          drawDuration(m_lateRandom, MinFaultDuration, MaxFaultDuration));
+        break;
+    }
+}
+
 void FaultSchedule::beginFault(SoakNode &node)
 {
     ++node.activeFaults;
@@ -327,7 +429,7 @@
 void FaultSchedule::killAll()
 {
     for (SoakNode &it : m_fleet.nodes) {
-        kill(it);
+        kill(it, m_random);
     }
 }
 
@@ -360,11 +462,17 @@
         link.delay = drawDuration(MinDelay, MaxDelay);
         break;
     }
+    endLinkFaultAfter(link, drawDuration(MinFaultDuration, MaxFaultDuration));
+}
+
+void FaultSchedule::endLinkFaultAfter(LinkProxy &link, Duration length)
+{
+    SoakNode *const node = nodeOf(link);
     ++m_linkFaults[&link];
     if (node) {
         beginFault(*node);
     }
-    runAfter(drawDuration(MinFaultDuration, MaxFaultDuration), [this, &link, node] {
+    runAfter(length, [this, &link, node] {
         if (node) {
             endFault(*node);
         }
--- a/soak/FaultSchedule.h
+++ b/soak/FaultSchedule.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <span>
 #include <string>
 
 namespace firefly::soak {
@@ -16,7 +17,7 @@
 class FaultSchedule
 {
 public:
-    FaultSchedule(asio::io_context &context, SoakFleet &fleet, std::uint64_t seed);
+    FaultSchedule(asio::io_context &context, SoakFleet &fleet, const SoakOptions &options);
 
     /// Injects faults until \a endAt; the last of them end a few seconds later.
     void start(TimePoint endAt);
@@ -40,8 +41,8 @@
     /// The process that reaches the store by \a link; null if none does.
     SoakNode *nodeOf(const LinkProxy &link);
 
-    void freeze(SoakNode &node);
-    void kill(SoakNode &node);
+    void freeze(SoakNode &node, std::mt19937_64 &random);
+    void kill(SoakNode &node, std::mt19937_64 &random);
     /// Draws from \a random how long the process stays away and what it meets while it drains.
     void terminate(SoakNode &node, std::mt19937_64 &random);
     void disturbDrain(SoakNode &node, std::mt19937_64 &random);
@@ -51,20 +52,32 @@
     void scheduleRestarts();
     /// Terminates many or all processes one after the other.
     void restartInSeries();
+    void scheduleLateRequests();
+    /// Restarts one to many workers under their ids while their links hold requests, and now and
+    /// then the owner of a cell gets a fault meanwhile.
+    void restartWorkersBehindLinks();
+    void restartBehindLink(SoakWorker &worker, LinkProxy::Held held,
+                           std::span<const Duration> restarts);
+    void disturbOwner(int cell);
     void beginFault(SoakNode &node);
     void endFault(SoakNode &node);
     void restartAfterExit(SoakNode &node, Duration downtime);
     void killAll();
     void injectLinkFault(LinkProxy &link);
+    /// Ends the fault of \a link after \a length, unless another one lasts longer.
+    void endLinkFaultAfter(LinkProxy &link, Duration length);
     void injectStoreFault();
 
     asio::io_context &m_context;
     SoakFleet &m_fleet;
+    bool m_hasLateRequests;
     std::mt19937_64 m_random; ///< Not shared, so that the schedule depends only on the seed.
     std::mt19937_64
-        m_restartRandom; ///< For the series, so that they don't change the other faults.
+        m_restartRandom;          ///< For the series, so that they don't change the other faults.
+    std::mt19937_64 m_lateRandom; ///< For late requests and what comes with them.
     asio::basic_waitable_timer<Clock> m_timer;
     asio::basic_waitable_timer<Clock> m_restartTimer;
+    asio::basic_waitable_timer<Clock> m_lateTimer;
     TimePoint m_endAt{};
     int m_pendingActions = 0; ///< Actions that runAfter() has yet to run.
     std::map<std::string, int> m_counts;
--- a/soak/LinkProxy.cpp
+++ b/soak/LinkProxy.cpp
@@ -4,6 +4,7 @@
 #include <asio/write.hpp>
 
 #include <array>
+#include <limits>
 #include <utility>
 
 namespace firefly::soak {
@@ -25,14 +26,21 @@
 struct LinkProxy::Forwarder : std::enable_shared_from_this<Forwarder>
 {
     Forwarder(const LinkProxy &proxyIn, SocketPtr sourceIn, SocketPtr sinkIn,
-              const bool &isBlockedIn)
+              std::uint64_t connectionIn, bool isToServerIn)
         : proxy(proxyIn)
         , source(std::move(sourceIn))
         , sink(std::move(sinkIn))
-        , isBlocked(isBlockedIn)
+        , connection(connectionIn)
+        , isToServer(isToServerIn)
         , timer(proxyIn.m_context)
     {}
 
+    bool isBlocked() const
+    {
+        return isToServer ? proxy.isRequestBlocked || proxy.isHeld(connection)
+                          : proxy.isResponseBlocked;
+    }
+
     void read()
     {
         source->async_read_some(asio::buffer(buf),
@@ -54,7 +62,7 @@
 
     void deliver(asio::error_code ec, std::size_t n)
     {
-        if (isBlocked) {
+        if (isBlocked()) {
             deliverAfter(BlockedPollInterval, ec, n);
             return;
         }
@@ -77,7 +85,8 @@
     const LinkProxy &proxy;
     SocketPtr source;
     SocketPtr sink;
-    const bool &isBlocked;
+    std::uint64_t connection;
+    bool isToServer;
     asio::steady_timer timer;
     std::array<char, BufferBytes> buf{};
 };
@@ -115,26 +124,54 @@
         asio::error_code ignored; // Without TCP_NODELAY the link is slower, but still works.
         client->set_option(tcp::no_delay(true), ignored);
         server->set_option(tcp::no_delay(true), ignored);
-        std::erase_if(m_openSockets, [](const auto &it) { return it.expired(); });
-        m_openSockets.push_back(client);
-        m_openSockets.push_back(server);
-        std::make_shared<Forwarder>(*this, client, server, isRequestBlocked)->read();
-        std::make_shared<Forwarder>(*this, server, client, isResponseBlocked)->read();
+        const std::uint64_t connection = m_nextConnection++;
+        std::erase_if(m_openSockets, [](const OpenSocket &it) { return it.socket.expired(); });
+        m_openSockets.push_back({connection, client});
+        m_openSockets.push_back({connection, server});
+        std::make_shared<Forwarder>(*this, client, server, connection, true)->read();
+        std::make_shared<Forwarder>(*this, server, client, connection, false)->read();
     });
 }
 
 void LinkProxy::reset()
 {
-    for (const auto &it : m_openSockets) {
-        const SocketPtr socket = it.lock();
-        if (!socket || !socket->is_open()) {
-            continue;
-        }
-        asio::error_code ignored; // A closed socket needs no reset.
-        socket->set_option(tcp::socket::linger(true, 0), ignored);
-        socket->close(ignored);
+    for (const OpenSocket &it : m_openSockets) {
+        reset(it);
     }
     m_openSockets.clear();
 }
 
+void LinkProxy::resetOthers()
+{
+    for (const OpenSocket &it : m_openSockets) {
+        if (!isHeld(it.connection)) {
+            reset(it);
+        }
+    }
+}
+
+void LinkProxy::reset(const OpenSocket &it)
+{
+    const SocketPtr socket = it.socket.lock();
+    if (!socket || !socket->is_open()) {
+        return;
+    }
+    asio::error_code ignored; // A closed socket needs no reset.
+    socket->set_option(tcp::socket::linger(true, 0), ignored);
+    socket->close(ignored);
+}
+
+void LinkProxy::holdRequests(Held connections)
+{
+    m_heldBegin = connections == Held::New ? m_nextConnection : 0;
+    m_heldEnd =
+        connections == Held::Open ? m_nextConnection : std::numeric_limits<std::uint64_t>::max();
+}
+
+void LinkProxy::releaseRequests()
+{
+    m_heldBegin = 0;
+    m_heldEnd = 0;
+}
+
 } // namespace firefly::soak
--- a/soak/LinkProxy.h
+++ b/soak/LinkProxy.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -28,19 +29,42 @@
     /// Resets all open connections.
     void reset();
 
+    /// Connections on which holdRequests() holds back data to the server.
+    enum class Held { All, Open, New };
+    /// Holds back requests until releaseRequests(), which delivers them to whatever then listens at
+    /// the target, as a queue or proxy on the way would.
+    void holdRequests(Held connections);
+    void releaseRequests();
+    bool isHolding() const { return m_heldBegin != m_heldEnd; }
+    /// Resets the open connections whose requests aren't held.
+    void resetOthers();
+
 private:
     using Socket = asio::ip::tcp::socket;
     using SocketPtr = std::shared_ptr<Socket>;
 
     struct Forwarder;
+    struct OpenSocket
+    {
+        std::uint64_t connection = 0;
+        std::weak_ptr<Socket> socket;
+    };
 
+    bool isHeld(std::uint64_t connection) const
+    {
+        return connection >= m_heldBegin && connection < m_heldEnd;
+    }
+    static void reset(const OpenSocket &it);
     void accept();
     void connect(const SocketPtr &client);
 
     asio::io_context &m_context;
     asio::ip::tcp::endpoint m_target;
     asio::ip::tcp::acceptor m_acceptor;
-    std::vector<std::weak_ptr<Socket>> m_openSockets;
+    std::vector<OpenSocket> m_openSockets;
+    std::uint64_t m_nextConnection = 0; ///< Connections are numbered in the order of acceptance.
+    std::uint64_t m_heldBegin = 0;      ///< Requests of connections in [begin, end) are held.
+    std::uint64_t m_heldEnd = 0;
 };
 
 } // namespace firefly::soak
--- a/soak/SoakCallers.cpp
+++ b/soak/SoakCallers.cpp
@@ -17,6 +17,9 @@
 constexpr Duration MinSubmitInterval = std::chrono::milliseconds(150);
 constexpr Duration MaxSubmitInterval = std::chrono::milliseconds(1000);
 constexpr double LongRunningShare = 0.08;
+/// Share of the jobs with one step of many short tasks, up to MaxTasksPerWorker for each worker.
+constexpr double WideShare = 0.25;
+constexpr std::int64_t MaxTasksPerWorker = 2;
 constexpr double CancelShare = 0.15;
 constexpr Duration MaxCancelDelay = std::chrono::milliseconds(6000);
 /// Time until an accepted job is visible at all processes (`visible_ms` of the sites).
@@ -87,6 +90,15 @@
     JobSpec spec;
     spec.payload = "work";
     spec.policy.maxAttempts = 4;
+    if (std::bernoulli_distribution(WideShare)(m_random)) {
+        const auto workers = static_cast<std::int64_t>(m_fleet.workers.size());
+        StepSpec step;
+        step.taskCount = static_cast<std::uint32_t>(draw(workers / 2, MaxTasksPerWorker * workers));
+        step.demand = {draw(200, 800), draw(100, 1000), 0};
+        step.estimateMs = 1300;
+        spec.steps.push_back(step);
+        return spec;
+    }
     const bool isLongRunning = std::bernoulli_distribution(LongRunningShare)(m_random);
     const std::int64_t steps = isLongRunning ? 1 : draw(1, 3);
     for (std::int64_t i = 0; i < steps; ++i) {
--- a/soak/SoakFleet.cpp
+++ b/soak/SoakFleet.cpp
@@ -1,5 +1,6 @@
 #include "SoakFleet.h"
 
+#include "CellLease/ClaimRecord.h"
 #include "Fleet/CellLayout.h"
 #include "Node/LayoutLoader.h"
 #include "platform/standins/PartnerWire.h"
@@ -9,7 +10,8 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
+#include <ctime>
+#include <iomanip>
 #include <thread>
 
 namespace firefly::soak {
@@ -55,11 +57,13 @@
 SoakFleet::SoakFleet(asio::io_context &context, const SoakOptions &options)
     : store(context)
     , random(options.seed)
+    , cells(options.cells)
     , m_context(context)
     , m_networkPrefix(networkPrefix(::getpid()))
     , m_timer(context)
 {
     std::filesystem::create_directories(options.directory);
+    m_log.open(options.directory / "soak.log");
     m_storeServer = std::make_unique<HttpServer>(
         context, Endpoint{address(StoreHost), StorePort}, HttpLimits{},
         [this](const HttpRequest &request, HttpServer::Respond respond) {
@@ -195,6 +199,7 @@
 
 void SoakFleet::crash(SoakWorker &worker, Duration downtime)
 {
+    log(worker.id + " crashes");
     const TimePoint now = Clock::now();
     worker.worker->reboot(now);
     worker.link->reset();
@@ -203,6 +208,38 @@
     worker.downUntil = now + downtime;
 }
 
+void SoakFleet::restart(SoakWorker &worker)
+{
+    log(worker.id + " restarts");
+    worker.worker->reboot(Clock::now());
+    worker.link->resetOthers();
+    worker.isRegistered = false;
+}
+
+void SoakFleet::log(const std::string &text)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    constexpr int MsPerSecond = 1000;
+    const std::time_t seconds = ms / MsPerSecond;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    m_log << std::put_time(&parts, "%FT%T.") << std::setw(3) << std::setfill('0')
+          << ms % MsPerSecond << "Z " << text << std::endl;
+}
+
+SoakNode *SoakFleet::ownerOf(int cell)
+{
+    const platform::Partition topic = platform::claimTopic(cell);
+    const std::string claim = store.newestValue(topic.topic, topic.part, "owner");
+    if (claim.empty()) {
+        return nullptr;
+    }
+    const auto it = std::ranges::find(nodes, decodeClaim(claim).node,
+                                      [](const SoakNode &node) { return node.settings.node; });
+    return it == nodes.end() ? nullptr : &*it;
+}
+
 void SoakFleet::tick()
 {
     const TimePoint now = Clock::now();
@@ -213,6 +250,9 @@
         it.worker->hasFailingRuns = std::bernoulli_distribution(FailureShare)(random);
         it.worker->tick(now);
     }
+    for (; m_loggedViolations < audit.violations.size(); ++m_loggedViolations) {
+        log(audit.violations[m_loggedViolations]);
+    }
     registerWorkers(now);
     m_timer.expires_after(TickInterval);
     m_timer.async_wait([this](asio::error_code ec) {
--- a/soak/SoakFleet.h
+++ b/soak/SoakFleet.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <fstream>
 #include <memory>
 #include <random>
 #include <string>
@@ -29,6 +30,7 @@
     int nodes = 3;
     int workers = 6;
     int cells = 2;
+    bool hasLateRequests = false; ///< Workers also restart behind links that hold requests.
     Duration faultPeriod = std::chrono::seconds(15);     ///< Time during which faults are injected.
     Duration settlingTimeout = std::chrono::seconds(25); ///< Time for all jobs to end afterwards.
 };
@@ -79,6 +81,12 @@
     void publishConfig();
     /// Crashes a worker: it loses all its state and does not answer for \a downtime.
     void crash(SoakWorker &worker, Duration downtime);
+    /// Restarts a worker under its id at once; requests that its link holds reach the new process.
+    void restart(SoakWorker &worker);
+    /// The process that owns \a cell by its latest claim; null if none does.
+    SoakNode *ownerOf(int cell);
+    /// Appends a line to soak.log, with the time as in the logs of the processes.
+    void log(const std::string &text);
 
     static constexpr const char *Host = "soak.example";
     static constexpr const char *PathPrefix = "/jobs/";
@@ -89,6 +97,7 @@
     platform::StoreStandin store;
     std::mt19937_64 random;
     std::uint64_t configVersion = 0;
+    int cells = 1;
 
 private:
     void addNode(int number, const SoakOptions &options);
@@ -99,6 +108,8 @@
     std::string address(int host) const;
 
     asio::io_context &m_context;
+    std::ofstream m_log;
+    std::size_t m_loggedViolations = 0;
     std::string m_networkPrefix; ///< First three octets of the loopback addresses of this soak.
     std::unique_ptr<HttpServer> m_storeServer;
     asio::basic_waitable_timer<Clock> m_timer;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -22,7 +22,7 @@
 
 Usage:
   fleetsoak --node PROGRAM [--seed N] [--faults-s N] [--nodes N] [--workers N] [--cells N]
-            [--directory DIR]
+            [--directory DIR] [--late-requests]
 
 Options:
   --node PROGRAM   The fireflynode to run.
@@ -32,6 +32,8 @@
   --workers N      Workers [default: 6].
   --cells N        Cells into which the workers are split [default: 2].
   --directory DIR  For settings and logs of the processes [default: fleetsoak.out].
+  --late-requests  Workers also restart under their ids while their links hold requests, which the
+                   new incarnations then get, beside faults of the cells' owners.
 
 Exit codes: 0 no violation, 1 violations (one line each), 2 bad command line or failed start.
 )";
@@ -52,6 +54,7 @@
     result.nodes = static_cast<int>(options.at("--nodes").asLong());
     result.workers = static_cast<int>(options.at("--workers").asLong());
     result.cells = static_cast<int>(options.at("--cells").asLong());
+    result.hasLateRequests = options.at("--late-requests").asBool();
     result.faultPeriod = std::chrono::seconds(options.at("--faults-s").asLong());
     return result;
 }
@@ -76,7 +79,7 @@
     KeepAliveClients keepAliveClients(context, fleet, options.seed);
     keepAliveClients.start();
     runUntil(context, startedAt + StartupTime, [] { return false; });
-    FaultSchedule faults(context, fleet, options.seed);
+    FaultSchedule faults(context, fleet, options);
     faults.start(Clock::now() + options.faultPeriod);
     runUntil(context, TimePoint::max(), [&faults] { return faults.isOver(); });
     callers.stopSubmitting();
