Keep the open starts of a restored worker apart from its record

An owner could end with a segmentation fault since: it read the open starts of a silent worker from its record, which is dropped with the lease while the worker isn't listed, and the worker was listed again. The restored names are kept with the worker now.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -222,8 +222,9 @@
     bool isLeaseLimited = false;
     /// By the restored record: the only tasks that it may run; unset if any.
     std::optional<std::vector<TaskName>> restoredTasks;
-    TimePoint earlierLeaseEnd{};   ///< When the leases of earlier owners are over.
-    TimePoint earlierStartsEnd{};  ///< The same of WorkerRecord::openStarts in \a record.
+    TimePoint earlierLeaseEnd{};              ///< When the leases of earlier owners are over.
+    std::vector<TaskName> restoredOpenStarts; ///< WorkerRecord::openStarts, as restored.
+    TimePoint earlierStartsEnd{};             ///< When they can't take effect any more.
     TimePoint listedAt{};          ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;      ///< Has answered a renewal of this owner.
     bool hasListedAllEnds = false; ///< Has sent this owner a report that omits no ended run.
--- a/src/Cell/TaskLocation.cpp
+++ b/src/Cell/TaskLocation.cpp
@@ -50,7 +50,7 @@
         }
         if (canJudgeSilence && worker->renewFailures > 0 && now >= worker->leaseEnd()) {
             if (!worker->isContacted && now < worker->startsEnd()) {
-                const std::vector<TaskName> &starts = worker->record->openStarts;
+                const std::vector<TaskName> &starts = worker->restoredOpenStarts;
                 hidden.tasks.insert(starts.begin(), starts.end());
                 ++hidden.workers;
             }
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -30,7 +30,7 @@
 std::vector<TaskName> openStartsOn(const CellWorker &worker)
 {
     if (!worker.isContacted) {
-        return worker.record ? worker.record->openStarts : std::vector<TaskName>();
+        return worker.restoredOpenStarts;
     }
     std::vector<TaskName> names;
     for (const TaskRef &it : worker.tasks) {
@@ -77,6 +77,7 @@
 {
     worker.isRestored = true;
     worker.restoredTasks = record.tasks;
+    worker.restoredOpenStarts = record.openStarts;
     worker.record = std::move(record);
     worker.isRecorded = isOpen(worker.record);
     worker.isLeaseLimited = limitsLease(worker.record);
--- a/test/WorkerRecordLimits.cpp
+++ b/test/WorkerRecordLimits.cpp
@@ -270,5 +270,32 @@
     }
 }
 
+// An owner must not end with a crash when a silent worker with an unanswered start of an earlier
+// owner is listed again: its record had been dropped with its lease, as it wasn't listed then.
+TEST(WorkerRecordLimits, AWorkerMayBeListedAgainAfterItsRecordWasDropped)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 3);
+        startTask(world);
+        startUnanswered(world, "w0");
+        world.workers.at("w0")->isReachable = false;
+        world.run(2800ms);
+        world.workers.at("w2")->isReachable = false; // Keeps the next owner locating.
+        world.replaceOwner(world.now + LeasesAfterResignation);
+        world.run(200ms);
+        world.workers.at("w0")->isRegistered = false;
+        world.owner->onWorkerGone(WorkerId("w0"), world.now);
+        while (world.owner->state().workers.at("w0")->record) {
+            world.step();
+        }
+        world.workers.at("w0")->isRegistered = true;
+        world.owner->onWorkerListed(world.workers.at("w0")->describe(), world.now);
+        world.run(200ms);
+        EXPECT_TRUE(world.owner->state().isLocating) << "seed " << seed;
+        world.run(8s);
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace firefly
