Let a start that only the list shows raise a worker's token once; postmortem

Found in the read-through: an entry whose born stays above what the worker reports raised the fencing token at each listing, and after sixteen of them the cell changed its owner, again and again. Each listed start counts once now, as a report under the raised token shows the present incarnation.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -232,7 +232,9 @@
     bool hasUntrackedRuns = false;
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
-    Epoch fenceRaises = 0;      ///< Fencing token of its orders, from the epoch of the owner on.
+    /// Latest start that the platform has listed and no report had shown.
+    std::int64_t suspectedStartUnixMs = 0;
+    Epoch fenceRaises = 0;      ///< Added to the owner's epoch in the fencing token of its orders.
     Epoch incarnationFence = 0; ///< Lowest fencing token of the starts meant for it.
     Epoch renewalFence = 0;     ///< Fencing token of the latest renewal.
     Epoch reportFence = 0;    ///< The same of the latest report: it refuses orders with lower ones.
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -112,7 +112,9 @@
         m_state.logDecision(isNew ? "worker joined" : "worker moved", *worker,
                             "address=" + addressOf(info.endpoint));
     }
-    if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted) {
+    if (info.incarnationStartUnixMs > worker->incarnationStartUnixMs && worker->isContacted
+        && info.incarnationStartUnixMs != worker->suspectedStartUnixMs) {
+        worker->suspectedStartUnixMs = info.incarnationStartUnixMs;
         suspectRestart(*worker, now);
     }
     m_records.update(*worker, now);
--- a/test/RestartedWorkerLateStart.cpp
+++ b/test/RestartedWorkerLateStart.cpp
@@ -170,5 +170,21 @@
     EXPECT_TRUE(world.owner->needsNewEpoch());
 }
 
+// A cell could change its owner again and again if the platform listed a later start of a worker
+// than the worker itself reported: each listing used up a fencing token.
+TEST(RestartedWorkerLateStart, AStartThatOnlyTheListShowsUsesUpOneToken)
+{
+    CellWorld world(1, 2);
+    world.run(1s);
+    WorkerDescription listed = world.workers.at("w0")->describe();
+    listed.incarnationStartUnixMs += 1000;
+    for (Epoch i = 0; i <= FencesPerEpoch; ++i) {
+        world.owner->onWorkerListed(listed, world.now);
+        world.run(1s);
+    }
+    EXPECT_EQ(world.owner->state().workers.at("w0")->fenceRaises, 1U);
+    EXPECT_FALSE(world.owner->needsNewEpoch());
+}
+
 } // namespace
 } // namespace firefly
