Acknowledge each batch of ended runs once

Callers could see a task start again after it was done. Each renewal repeated the number up to which the worker may forget its ended runs. One that a link holds until the worker has restarted reaches the new incarnation, before the raised token, and makes it forget ends of the same numbers that nobody has read.

A number is sent until a renewal that carries it is answered, and 0 after that. So only renewals right after an end that was stored can still do harm. No renewal more than before.

RestartedWorkerReports.AnEndIsAcknowledgedOnce guards against it; its failure on the code before follows from the code and wasn't run.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -244,11 +244,13 @@
     /// When the leases are over that an incarnation which hasn't reported yet has granted; else
     /// zero.
     TimePoint suspectedLeaseEnd{};
-    std::uint64_t processedEndNumber = 0; ///< Highest EndedRun::number applied to the jobs.
-    std::uint64_t journaledEndNumber = 0; ///< Highest number whose records are in the journal.
-    std::uint64_t durableEndNumber = 0;   ///< Highest number whose records are durable.
-    bool isRestartSuspected = false;      ///< Its clock went back; the next report decides.
-    bool isRenewing = false;              ///< A renewal awaits its answer.
+    std::uint64_t processedEndNumber = 0;    ///< Highest EndedRun::number applied to the jobs.
+    std::uint64_t journaledEndNumber = 0;    ///< Highest number whose records are in the journal.
+    std::uint64_t durableEndNumber = 0;      ///< Highest number whose records are durable.
+    std::uint64_t acknowledgedEndNumber = 0; ///< By the latest renewal; 0 if by none.
+    std::uint64_t forgottenEndNumber = 0;    ///< The worker has forgotten its ends up to this.
+    bool isRestartSuspected = false;         ///< Its clock went back; the next report decides.
+    bool isRenewing = false;                 ///< A renewal awaits its answer.
     TimePoint nextRenewal{};
     std::uint32_t renewFailures = 0; ///< Consecutive failed renewals.
     std::int64_t lastSignMs = 0;     ///< Latest reading of its clock in any answer.
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -122,6 +122,7 @@
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
     worker.durableEndNumber = 0;
+    worker.forgottenEndNumber = 0;
     const auto mayStillStart = [fence = m_state.fenceOf(worker)](const TaskRef &it) {
         return !it.task().acceptedMs && it.task().startFence == fence;
     };
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -296,6 +296,10 @@
         }
         return;
     }
+    if (report.incarnationStartUnixMs == worker->incarnationStartUnixMs) {
+        worker->forgottenEndNumber =
+            std::max(worker->forgottenEndNumber, worker->acknowledgedEndNumber);
+    }
     applyLeaseReport(*worker, report, sentAt, now, nowUnixMs);
 }
 
@@ -321,7 +325,10 @@
     order.fence = m_state.fenceOf(worker);
     // After a failed renewal the next one may reach a new incarnation, which numbers ends from 1.
     const bool mayBeRestarted = worker.isRestartSuspected || worker.renewFailures > 0;
-    order.acknowledgedEndNumber = mayBeRestarted ? 0 : worker.durableEndNumber;
+    // Each batch of ends is acknowledged once, as a renewal may be held until the next incarnation.
+    const bool isForgotten = worker.durableEndNumber <= worker.forgottenEndNumber;
+    order.acknowledgedEndNumber = mayBeRestarted || isForgotten ? 0 : worker.durableEndNumber;
+    worker.acknowledgedEndNumber = order.acknowledgedEndNumber;
     // Renewals to a worker that doesn't answer may still arrive; were they to extend its lease, its
     // tasks could never be restarted elsewhere.
     // A deadline by the clock of an earlier incarnation would grant a later one the longest lease.
--- a/test/RestartedWorkerAcknowledgement.cpp
+++ b/test/RestartedWorkerAcknowledgement.cpp
@@ -157,5 +157,30 @@
     EXPECT_EQ(m_renewal.acknowledgedEndNumber, 0U);
 }
 
+// Guards against renewals that repeat an acknowledgement: one that a link holds until the worker
+// has restarted acknowledges ends of the new incarnation that no report has listed.
+TEST_F(RestartedWorkerReports, AnEndIsAcknowledgedOnce)
+{
+    report(100'000);
+    run(100ms);
+    m_owner.submit(JobId("a"), makeChain(1, 1), m_now, UnixMs, [](CellScheduler::Verdict) {});
+    run(200ms);
+    ASSERT_EQ(m_starts.size(), 1U);
+    acceptStart(m_starts[0], 100'300);
+    report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
+    run(1s);
+    EXPECT_EQ(m_renewal.acknowledgedEndNumber, 1U);
+    m_owner.onLeaseReport(m_worker, OrderOutcome::Unknown, {.fence = m_renewal.fence}, m_now, m_now,
+                          UnixMs);
+    run(400ms);
+    EXPECT_EQ(m_renewal.acknowledgedEndNumber, 0U) << "after a failure";
+    report(102'000);
+    run(100ms);
+    EXPECT_EQ(m_renewal.acknowledgedEndNumber, 1U) << "the first may have been lost";
+    report(102'100);
+    run(100ms);
+    EXPECT_EQ(m_renewal.acknowledgedEndNumber, 0U);
+}
+
 } // namespace
 } // namespace firefly
