RestartedWorkerReports: check the suspicion itself, share the set-up

Found on reading the change again: since each batch of ended runs is acknowledged once, AnEarlierReportDoesNotHideARestart saw 0 whether or not an earlier report hid the restart. It also checks now that the suspicion outlives that report; its other checks stay. The two cases repeated the same eight lines of set-up, now finishFirstTask(). The four tests of the file pass; the new check wasn't run against the code before.

--- a/test/RestartedWorkerAcknowledgement.cpp
+++ b/test/RestartedWorkerAcknowledgement.cpp
@@ -130,6 +130,20 @@
                              {OrderOutcome::Accepted, clockMs, start.fence}, m_now);
     }
 
+    /// Submits a job of \a count tasks; the end of the first one is reported and stored.
+    void finishFirstTask(std::uint32_t count)
+    {
+        report(100'000);
+        run(100ms);
+        m_owner.submit(JobId("a"), makeChain(1, count), m_now, UnixMs,
+                       [](CellScheduler::Verdict) {});
+        run(200ms);
+        ASSERT_EQ(m_starts.size(), count);
+        acceptStart(m_starts[0], 100'300);
+        report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
+        run(1s);
+    }
+
     static constexpr std::int64_t UnixMs = 1'000'000;
     const WorkerId m_worker{"w0"};
     CellScheduler m_owner{CellBounds()};
@@ -142,17 +156,11 @@
 // report has yet to list: a report of before the restart, read between the two, hid the restart.
 TEST_F(RestartedWorkerReports, AnEarlierReportDoesNotHideARestart)
 {
-    report(100'000);
-    run(100ms);
-    m_owner.submit(JobId("a"), makeChain(1, 2), m_now, UnixMs, [](CellScheduler::Verdict) {});
-    run(200ms);
-    ASSERT_EQ(m_starts.size(), 2U);
-    acceptStart(m_starts[0], 100'300);
-    report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
-    run(1s);
+    ASSERT_NO_FATAL_FAILURE(finishFirstTask(2));
     ASSERT_EQ(m_renewal.acknowledgedEndNumber, 1U);
     acceptStart(m_starts[1], 50);
     report(101'000);
+    EXPECT_TRUE(m_owner.state().workers.at("w0")->isRestartSuspected);
     run(40ms);
     EXPECT_EQ(m_renewal.acknowledgedEndNumber, 0U);
 }
@@ -161,14 +169,7 @@
 // has restarted acknowledges ends of the new incarnation that no report has listed.
 TEST_F(RestartedWorkerReports, AnEndIsAcknowledgedOnce)
 {
-    report(100'000);
-    run(100ms);
-    m_owner.submit(JobId("a"), makeChain(1, 1), m_now, UnixMs, [](CellScheduler::Verdict) {});
-    run(200ms);
-    ASSERT_EQ(m_starts.size(), 1U);
-    acceptStart(m_starts[0], 100'300);
-    report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
-    run(1s);
+    ASSERT_NO_FATAL_FAILURE(finishFirstTask(1));
     EXPECT_EQ(m_renewal.acknowledgedEndNumber, 1U);
     m_owner.onLeaseReport(m_worker, OrderOutcome::Unknown, {.fence = m_renewal.fence}, m_now, m_now,
                           UnixMs);
