Log whose grants a lease counts on, and when a new owner takes runs for over

`lease over` and `worker restarted` now tell whose orders may have granted the lease (own, of an earlier incarnation, of an earlier owner), what is left of it and how often the worker's token was raised; `worker incarnation changed` also tells the acknowledgement that was under way; `earlier lease over` is new: a new owner takes what a silent worker ran for over. No decision changes.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -98,7 +98,21 @@
            + " survived_ms=" + (survived ? std::to_string(*survived) : "unconfirmed")
            + " incarnation=" + std::to_string(incarnationStartUnixMs)
            + " stopping=" + std::to_string(task.state == TaskState::Stopping ? 1 : 0)
-           + " placed_ms=" + std::to_string(placedMs);
+           + " placed_ms=" + std::to_string(placedMs) + " " + describeLease(now);
+}
+
+std::string CellWorker::describeLease(TimePoint now) const
+{
+    const char *grants = "own";
+    if (!isContacted) {
+        grants = "earlier_owner";
+    } else if (leaseEnd() == suspectedLeaseEnd) {
+        grants = "earlier_incarnation";
+    }
+    const auto leftMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(leaseEnd() - now).count();
+    return std::string("grants=") + grants + " lease_left_ms=" + std::to_string(leftMs)
+           + " token_raises=" + std::to_string(fenceRaises);
 }
 
 CellLoad CellJob::outstandingDemand(double milliCpu) const
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -324,6 +324,8 @@
     }
     /// Log text on the end of the run of \a task here, which the worker hasn't reported.
     std::string describeLoss(const CellTask &task, TimePoint now) const;
+    /// Log text on what leaseEnd() counts on: whose grants, and the time left at \a now.
+    std::string describeLease(TimePoint now) const;
     /// True while it takes no tasks after failures.
     bool isPaused(TimePoint now) const { return std::max(avoidUntil, failurePauseUntil) > now; }
     /// False while it should only finish what runs.
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -100,14 +100,15 @@
         return;
     }
     const auto sentMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - sentAt);
-    m_state.logDecision("worker incarnation changed", worker,
-                        "from=" + std::to_string(worker.incarnationStartUnixMs)
-                            + " to=" + std::to_string(report.incarnationStartUnixMs)
-                            + " sent_ms=" + std::to_string(sentMs.count())
-                            + " tasks=" + std::to_string(worker.tasks.size())
-                            + " unconfirmed=" + std::to_string(worker.unconfirmedStarts())
-                            + " running=" + std::to_string(report.running.size())
-                            + " ended=" + std::to_string(report.ended.size()));
+    m_state.logDecision(
+        "worker incarnation changed", worker,
+        "from=" + std::to_string(worker.incarnationStartUnixMs)
+            + " to=" + std::to_string(report.incarnationStartUnixMs) + " sent_ms="
+            + std::to_string(sentMs.count()) + " tasks=" + std::to_string(worker.tasks.size())
+            + " unconfirmed=" + std::to_string(worker.unconfirmedStarts())
+            + " running=" + std::to_string(report.running.size())
+            + " ended=" + std::to_string(report.ended.size()) + " acknowledging="
+            + std::to_string(worker.acknowledgedEndNumber) + " " + worker.describeLease(m_now));
 }
 
 void CellScheduler::beginIncarnation(CellWorker &worker, std::int64_t incarnationStartUnixMs,
--- a/src/Cell/TaskLocation.cpp
+++ b/src/Cell/TaskLocation.cpp
@@ -14,6 +14,7 @@
     m_resolvedAt = now;
     m_nextCheck = {};
     m_isPartlyLogged = false;
+    m_expired.clear();
 }
 
 void TaskLocation::update(TimePoint now, bool canJudgeSilence)
@@ -39,7 +40,7 @@
     }
 }
 
-TaskLocation::Hidden TaskLocation::findHidden(TimePoint now, bool canJudgeSilence) const
+TaskLocation::Hidden TaskLocation::findHidden(TimePoint now, bool canJudgeSilence)
 {
     Hidden hidden;
     for (const auto &[id, worker] : m_state.workers) {
@@ -49,6 +50,7 @@
             continue;
         }
         if (canJudgeSilence && worker->renewFailures > 0 && now >= worker->leaseEnd()) {
+            logEarlierLeaseOver(*worker, now);
             if (!worker->isContacted && now < worker->startsEnd()) {
                 const std::vector<TaskName> &starts = worker->restoredOpenStarts;
                 hidden.tasks.insert(starts.begin(), starts.end());
@@ -66,6 +68,19 @@
     return hidden;
 }
 
+void TaskLocation::logEarlierLeaseOver(const CellWorker &worker, TimePoint now)
+{
+    if (worker.isContacted || !m_expired.insert(worker.info.id.value()).second) {
+        return;
+    }
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_begunAt);
+    m_state.logDecision("earlier lease over", worker,
+                        "waited_ms=" + std::to_string(waited.count()) + " listed="
+                            + std::to_string(worker.isRegistered ? 1 : 0) + " listed_incarnation="
+                            + std::to_string(worker.info.incarnationStartUnixMs)
+                            + " limited=" + std::to_string(worker.isLeaseLimited ? 1 : 0));
+}
+
 std::size_t TaskLocation::resolve(const std::set<TaskName> &hidden)
 {
     std::size_t notFound = 0;
--- a/src/Cell/TaskLocation.h
+++ b/src/Cell/TaskLocation.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <set>
+#include <string>
 
 namespace firefly {
 
@@ -38,16 +39,19 @@
         std::size_t workers = 0;
         bool mayBeAny = false;
     };
-    Hidden findHidden(TimePoint now, bool canJudgeSilence) const;
+    Hidden findHidden(TimePoint now, bool canJudgeSilence);
     /// Returns the number of tasks that became Pending.
     std::size_t resolve(const std::set<TaskName> &hidden);
     void log(TimePoint now, std::size_t notFound, const Hidden &hidden) const;
+    /// Logs once that the runs of earlier owners on the silent \a worker are taken for over.
+    void logEarlierLeaseOver(const CellWorker &worker, TimePoint now);
 
     CellState &m_state;
     TimePoint m_begunAt{};
     TimePoint m_resolvedAt{};
     TimePoint m_nextCheck{};
     bool m_isPartlyLogged = false;
+    std::set<std::string> m_expired; ///< Ids of the workers in logEarlierLeaseOver().
 };
 
 } // namespace firefly
