--- a/test/RestartedWorkerAcknowledgement.cpp
+++ b/test/RestartedWorkerAcknowledgement.cpp
@@ -1,15 +1,15 @@
 #include "fakes/CellWorld.h"
+#include "fakes/ReportedWorker.h"
 
 #include <gtest/gtest.h>
 
-#include <variant>
-#include <vector>
-
 namespace firefly {
 namespace {
 
 using namespace std::chrono_literals;
 
+using RestartedWorkerReports = ReportedWorker;
+
 /// Runs until a report of the worker has come and the next renewal is due.
 void runToNextRenewal(CellWorld &world)
 {
@@ -74,84 +74,6 @@
     }
 }
 
-/// An owner whose orders the test answers, with one worker.
-class RestartedWorkerReports : public testing::Test
-{
-protected:
-    RestartedWorkerReports()
-    {
-        m_owner.setEvacuatedZones({});
-        m_owner.beginOwnership(FencesPerEpoch, m_now, m_now);
-        m_owner.finishRestore(m_now, UnixMs);
-        WorkerDescription worker;
-        worker.id = m_worker;
-        worker.service = "svc";
-        worker.endpoint = {"10.0.0.1", 80};
-        worker.capacity = {8000, 64000, 0};
-        worker.incarnationStartUnixMs = 1;
-        m_owner.onWorkerListed(worker, m_now);
-        run(100ms);
-    }
-
-    /// Advances the time by \a span; the journal's appends are stored at once.
-    void run(Duration span)
-    {
-        constexpr Duration Step = 20ms;
-        for (const TimePoint end = m_now + span; m_now < end; m_now += Step) {
-            m_owner.setOrdersUntil(m_now + 6s);
-            m_owner.tick(m_now, UnixMs);
-            for (const CellAction &it : m_owner.takeActions()) {
-                if (const auto *renewal = std::get_if<RenewLease>(&it)) {
-                    m_renewal = *renewal;
-                } else if (const auto *start = std::get_if<StartTask>(&it)) {
-                    m_starts.push_back(*start);
-                }
-            }
-            while (m_owner.journal().next()) {
-                m_owner.journal().onOutcome(AppendOutcome::Stored);
-            }
-        }
-    }
-
-    /// Answers the latest renewal, for the first incarnation of the worker.
-    void report(std::int64_t clockMs, const std::vector<EndedRun> &ended = {})
-    {
-        LeaseReport report;
-        report.clockMs = clockMs;
-        report.incarnationStartUnixMs = 1;
-        report.ended = ended;
-        report.fence = m_renewal.fence;
-        m_owner.onLeaseReport(m_worker, OrderOutcome::Accepted, report, m_now, m_now, UnixMs);
-    }
-
-    void acceptStart(const StartTask &start, std::int64_t clockMs)
-    {
-        m_owner.onStartReply(m_worker, start.task, start.run,
-                             {OrderOutcome::Accepted, clockMs, start.fence}, m_now);
-    }
-
-    /// Submits a job of \a count tasks; the end of the first one is reported and stored.
-    void finishFirstTask(std::uint32_t count)
-    {
-        report(100'000);
-        run(100ms);
-        m_owner.submit(JobId("a"), makeChain(1, count), m_now, UnixMs,
-                       [](CellScheduler::Verdict) {});
-        run(200ms);
-        ASSERT_EQ(m_starts.size(), count);
-        acceptStart(m_starts[0], 100'300);
-        report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
-        run(1s);
-    }
-
-    static constexpr std::int64_t UnixMs = 1'000'000;
-    const WorkerId m_worker{"w0"};
-    CellScheduler m_owner{CellBounds()};
-    TimePoint m_now{100s};
-    RenewLease m_renewal;
-    std::vector<StartTask> m_starts;
-};
-
 // Guards against the acknowledgement, after an answer of a restarted worker, of ends that its next
 // report has yet to list: a report of before the restart, read between the two, hid the restart.
 TEST_F(RestartedWorkerReports, AnEarlierReportDoesNotHideARestart)
--- /dev/null
+++ b/test/RestartedWorkerLeaseOverOwners.cpp
@@ -0,0 +1,91 @@
+#include "fakes/LongRunningTasks.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace firefly {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t SeedCount = 20;
+const TaskName Task{JobId("a"), 0, 0, 0};
+
+/// Restarts the only worker, which then gets the renewals that its link has held since before, and
+/// starts a long task there under the owner that has heard of the restart.
+void startAfterHeldRenewals(CellWorld &world)
+{
+    world.bounds.maxLease = 10s;
+    world.replaceOwner(world.now);
+    FakeCellWorker &worker = *world.workers.at("w0");
+    worker.maxLease = 10s;
+    worker.workTime = 30s;
+    world.keepsOrdersOverRestarts = true;
+    world.run(10s);
+    world.holdOrders("w0", true);
+    world.run(2500ms);
+    world.restartWorker("w0");
+    world.releaseOrders("w0", true);
+    world.submit(JobId("a"), makeChain(1, 1));
+    while (!isRunning(world, Task)) {
+        world.step();
+    }
+}
+
+// Guards against two runs of a task at the same time: a renewal by the clock of a worker's former
+// life grants its next life the longest lease, and the next owner waited only for the shorter one
+// that owners ask for.
+TEST(RestartedWorkerLeaseOverOwners, ATaskDoesNotRunTwiceAfterTheLossOfItsOwner)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 1);
+        startAfterHeldRenewals(world);
+        world.workers.at("w0")->isReachable = false;
+        world.joinWorker(0ms);
+        world.loseOwner(500ms);
+        world.run(16s);
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+        EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
+            << "seed " << seed;
+    }
+}
+
+// The same if a second owner, which never reaches the worker, is lost as well.
+TEST(RestartedWorkerLeaseOverOwners, ATaskDoesNotRunTwiceAfterTheLossOfTwoOwners)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 1);
+        startAfterHeldRenewals(world);
+        world.workers.at("w0")->isReachable = false;
+        world.joinWorker(0ms);
+        world.loseOwner(500ms);
+        world.run(1500ms);
+        world.loseOwner(500ms);
+        world.run(20s);
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+        EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
+            << "seed " << seed;
+    }
+}
+
+// Guards against a wait that outlasts the longest lease, which would leave the task without a run.
+TEST(RestartedWorkerLeaseOverOwners, TheWaitEndsWithTheLongestLease)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 1);
+        startAfterHeldRenewals(world);
+        world.run(11s); // Longer than the lease of before; the worker stays in touch.
+        world.workers.at("w0")->isReachable = false;
+        world.joinWorker(0ms);
+        world.loseOwner(500ms);
+        world.run(7500ms);
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+        EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
+            << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace firefly
--- /dev/null
+++ b/test/RestartedWorkerOrders.cpp
@@ -0,0 +1,74 @@
+#include "fakes/ReportedWorker.h"
+
+#include <gtest/gtest.h>
+
+namespace firefly {
+namespace {
+
+using RestartedWorkerOrders = ReportedWorker;
+
+// Guards against two runs of a task at the same time: a restarted worker that takes starts before
+// it refuses the renewals of before its restart may still be granted the longest lease by one.
+TEST_F(RestartedWorkerOrders, NoTaskStartsBeforeTheWorkerRefusesEarlierOrders)
+{
+    report(100'000);
+    run(100ms);
+    report(100, {}, 2);
+    run(100ms);
+    submit("a", makeChain(1, 1));
+    run(500ms);
+    EXPECT_TRUE(m_starts.empty());
+    report(700, {}, 2);
+    run(100ms);
+    EXPECT_EQ(m_starts.size(), 1U);
+}
+
+// Guards against two runs of a task at the same time: the start of an owner that can't store
+// anything may reach a later incarnation of its worker, and the next owner doesn't know of it.
+TEST_F(RestartedWorkerOrders, NoTaskStartsOnceAnotherOwnerMayHaveBegun)
+{
+    report(100'000);
+    run(100ms);
+    submit("a", makeChain(2, 1));
+    run(100ms);
+    ASSERT_EQ(m_starts.size(), 1U);
+    acceptStart(m_starts[0], 100'200);
+    m_isStoreDown = true;
+    run(2300ms);
+    report(102'500, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
+    run(300ms);
+    EXPECT_EQ(m_starts.size(), 1U);
+    m_isStoreDown = false;
+    run(300ms);
+    EXPECT_EQ(m_starts.size(), 2U);
+}
+
+// Guards against a task that starts again after its end: an acknowledgement that a link holds
+// reaches the next incarnation of the worker after a start that the link has held as well, and
+// makes it forget an end that no report has listed.
+TEST_F(RestartedWorkerOrders, NoEndIsAcknowledgedWhileAStartMayBeUnderWay)
+{
+    ASSERT_NO_FATAL_FAILURE(finishFirstTask(2));
+    EXPECT_EQ(m_renewal.acknowledgedEndNumber, 0U);
+    acceptStart(m_starts[1], 101'000);
+    report(101'500, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
+    run(100ms);
+    EXPECT_EQ(m_renewal.acknowledgedEndNumber, 1U);
+}
+
+// The same for a start that is sent while the acknowledgement is under way.
+TEST_F(RestartedWorkerOrders, NoTaskStartsBesideAnAcknowledgement)
+{
+    ASSERT_NO_FATAL_FAILURE(finishFirstTask(1));
+    ASSERT_EQ(m_renewal.acknowledgedEndNumber, 1U);
+    EXPECT_EQ(m_renewal.wait, Duration{}) << "starts would wait for the answer";
+    submit("b", makeChain(1, 1));
+    run(200ms);
+    EXPECT_EQ(m_starts.size(), 1U);
+    report(101'700);
+    run(100ms);
+    EXPECT_EQ(m_starts.size(), 2U);
+}
+
+} // namespace
+} // namespace firefly
--- /dev/null
+++ b/test/fakes/ReportedWorker.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Cell/CellScheduler.h"
+#include "fakes/CellWorld.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace firefly {
+
+using namespace std::chrono_literals;
+
+/// An owner whose orders the test answers, with one worker.
+class ReportedWorker : public testing::Test
+{
+protected:
+    ReportedWorker()
+    {
+        m_owner.setEvacuatedZones({});
+        m_owner.beginOwnership(FencesPerEpoch, m_now, m_now);
+        m_owner.finishRestore(m_now, UnixMs);
+        WorkerDescription worker;
+        worker.id = m_worker;
+        worker.service = "svc";
+        worker.endpoint = {"10.0.0.1", 80};
+        worker.capacity = {8000, 64000, 0};
+        worker.incarnationStartUnixMs = 1;
+        m_owner.onWorkerListed(worker, m_now);
+        run(100ms);
+    }
+
+    /// Advances the time by \a span; the journal's appends are stored at once, unless the store
+    /// is down: then the ownership isn't renewed either.
+    void run(Duration span)
+    {
+        constexpr Duration Step = 20ms;
+        for (const TimePoint end = m_now + span; m_now < end; m_now += Step) {
+            m_ordersUntil = m_isStoreDown ? m_ordersUntil : m_now + OrdersAfterRenewal;
+            m_owner.setOrdersUntil(m_ordersUntil);
+            m_owner.tick(m_now, UnixMs);
+            for (const CellAction &it : m_owner.takeActions()) {
+                if (const auto *renewal = std::get_if<RenewLease>(&it)) {
+                    m_renewal = *renewal;
+                } else if (const auto *start = std::get_if<StartTask>(&it)) {
+                    m_starts.push_back(*start);
+                }
+            }
+            while (m_owner.journal().next()) {
+                m_owner.journal().onOutcome(m_isStoreDown ? AppendOutcome::Unknown
+                                                          : AppendOutcome::Stored);
+                if (m_isStoreDown) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Answers the latest renewal, for the given incarnation of the worker.
+    void report(std::int64_t clockMs, const std::vector<EndedRun> &ended = {},
+                std::int64_t incarnation = 1)
+    {
+        LeaseReport report;
+        report.clockMs = clockMs;
+        report.incarnationStartUnixMs = incarnation;
+        report.ended = ended;
+        report.fence = m_renewal.fence;
+        m_owner.onLeaseReport(m_worker, OrderOutcome::Accepted, report, m_now, m_now, UnixMs);
+    }
+
+    void acceptStart(const StartTask &start, std::int64_t clockMs)
+    {
+        m_owner.onStartReply(m_worker, start.task, start.run,
+                             {OrderOutcome::Accepted, clockMs, start.fence}, m_now);
+    }
+
+    /// Submits the job \a id.
+    void submit(const char *id, const JobSpec &spec)
+    {
+        m_owner.submit(JobId(id), spec, m_now, UnixMs, [](CellScheduler::Verdict) {});
+    }
+
+    /// Submits a job of \a count tasks; the end of the first one is reported and stored.
+    void finishFirstTask(std::uint32_t count)
+    {
+        report(100'000);
+        run(100ms);
+        submit("a", makeChain(1, count));
+        run(200ms);
+        ASSERT_EQ(m_starts.size(), count);
+        acceptStart(m_starts[0], 100'300);
+        report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
+        run(1s);
+    }
+
+    static constexpr std::int64_t UnixMs = 1'000'000;
+    /// As by CellElection::ordersUntil(): its timeout, and the longest lease that owners request.
+    static constexpr Duration OrdersAfterRenewal = 2200ms + CellBounds::PreferredLease;
+    const WorkerId m_worker{"w0"};
+    CellScheduler m_owner{CellBounds()};
+    TimePoint m_now{100s};
+    TimePoint m_ordersUntil{};
+    bool m_isStoreDown = false;
+    RenewLease m_renewal;
+    std::vector<StartTask> m_starts;
+};
+
+} // namespace firefly
