--- a/bench/entry/EntryRun.cpp
+++ b/bench/entry/EntryRun.cpp
@@ -200,7 +200,7 @@
     const WriterId writer("entry-1." + std::to_string(m_now.time_since_epoch().count()));
     const auto name = [](std::size_t i) { return JobId("foreign-" + std::to_string(i)); };
     for (std::size_t i = 0; i < n / 2; ++i) {
-        const JobSpec spec{Customer, "rebuild", TaskSize, 1000, std::string(64, 'x')};
+        const BatchJobSpec spec{Customer, "rebuild", TaskSize, 1000, std::string(64, 'x')};
         envelopes.push_back({writer, ++sequence, JobSubmitted{name(i), spec}});
     }
     for (std::size_t i = 0; i < n / 2; ++i) {
--- a/bench/policy/BatchSide.h
+++ b/bench/policy/BatchSide.h
@@ -91,7 +91,7 @@
     struct Job
     {
         BatchArrival arrival;
-        JobSpec spec;
+        BatchJobSpec spec;
         double savedSeconds = 0; ///< Work saved by earlier attempts.
         std::uint64_t attempt = 0;
         std::size_t worker = 0;
--- a/bench/recovery.cpp
+++ b/bench/recovery.cpp
@@ -61,7 +61,7 @@
     {
         const JobId job("job-" + std::to_string(i));
         const WorkerId worker("kochi-worker-" + std::to_string(i % 50));
-        JobSpec spec{CustomerId("kayal"), "rebuild", {4000, 8192, 0, 0}, 600'000, {}};
+        BatchJobSpec spec{CustomerId("kayal"), "rebuild", {4000, 8192, 0, 0}, 600'000, {}};
         spec.payload.assign(PayloadBytes, 'p');
         add(JobSubmitted{job, spec});
         add(JobPlaced{job, 1, worker, Rack, 1});
--- a/examples/fold_the_log.cpp
+++ b/examples/fold_the_log.cpp
@@ -91,6 +91,6 @@
 
     const Job *job = log.state().get<JobLedger>().find(Rebuild);
     std::cout << Rebuild.value() << " is " << toString(job->state) << ": " << job->result << '\n';
-    const bool isFinished = job->state == JobState::Finished;
+    const bool isFinished = job->state == BatchJobState::Finished;
     return isDuplicateDetected && isStaleTermFenced && isFinished ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/src/Adapters/HttpWorkerClient.cpp
+++ b/src/Adapters/HttpWorkerClient.cpp
@@ -112,19 +112,19 @@
     });
 }
 
-void HttpWorkerClient::start(const WorkerInfo &worker, const StartTask &message,
+void HttpWorkerClient::start(const WorkerInfo &worker, const StartAttempt &message,
                              ResultCallback callback)
 {
     post(worker, "tasks", message, std::move(callback));
 }
 
-void HttpWorkerClient::stop(const WorkerInfo &worker, const StopTask &message,
+void HttpWorkerClient::stop(const WorkerInfo &worker, const StopAttempt &message,
                             ResultCallback callback)
 {
     post(worker, "stop", message, std::move(callback));
 }
 
-void HttpWorkerClient::throttle(const WorkerInfo &worker, const ThrottleTask &message,
+void HttpWorkerClient::throttle(const WorkerInfo &worker, const ThrottleAttempt &message,
                                 ResultCallback callback)
 {
     post(worker, "throttle", message, std::move(callback));
--- a/src/Adapters/HttpWorkerClient.h
+++ b/src/Adapters/HttpWorkerClient.h
@@ -24,9 +24,10 @@
     /// rejects the sync.
     void sync(const WorkerInfo &worker, const WorkerSync &message,
               std::function<void(WorkerResult, WorkerSyncReply)> callback);
-    void start(const WorkerInfo &worker, const StartTask &message, ResultCallback callback);
-    void stop(const WorkerInfo &worker, const StopTask &message, ResultCallback callback);
-    void throttle(const WorkerInfo &worker, const ThrottleTask &message, ResultCallback callback);
+    void start(const WorkerInfo &worker, const StartAttempt &message, ResultCallback callback);
+    void stop(const WorkerInfo &worker, const StopAttempt &message, ResultCallback callback);
+    void throttle(const WorkerInfo &worker, const ThrottleAttempt &message,
+                  ResultCallback callback);
     void call(const WorkerInfo &worker, WorkerCall message,
               std::function<void(WorkerCallReply)> callback);
 
--- a/src/Adapters/WorkerJson.cpp
+++ b/src/Adapters/WorkerJson.cpp
@@ -9,10 +9,10 @@
 namespace firefly {
 
 NLOHMANN_JSON_SERIALIZE_ENUM(VmState, {{VmState::Live, "live"}, {VmState::Leaving, "leaving"}})
-NLOHMANN_JSON_SERIALIZE_ENUM(TaskState, {{TaskState::Running, "running"},
-                                         {TaskState::Finished, "finished"},
-                                         {TaskState::Failed, "failed"},
-                                         {TaskState::Stopped, "stopped"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(AttemptState, {{AttemptState::Running, "running"},
+                                            {AttemptState::Finished, "finished"},
+                                            {AttemptState::Failed, "failed"},
+                                            {AttemptState::Stopped, "stopped"}})
 
 // NOLINTBEGIN(readability-identifier-naming)
 FIREFLY_JSON(Endpoint, address, port)
@@ -24,10 +24,10 @@
 FIREFLY_JSON(WorkerSync, worker, term, number, leaseMs, acknowledged)
 FIREFLY_JSON(WorkerSyncReply, accepted, highestTerm, boot, capacity, urgentRunning, urgentSlowdown,
              tasks)
-FIREFLY_JSON(StartTask, worker, term, job, attempt, kind, resources, runtimeMs, progressMs, payload,
-             leaseNumber, boot)
-FIREFLY_JSON(StopTask, worker, term, job, attempt, checkpoint)
-FIREFLY_JSON(ThrottleTask, worker, term, job, attempt, share)
+FIREFLY_JSON(StartAttempt, worker, term, job, attempt, kind, resources, runtimeMs, progressMs,
+             payload, leaseNumber, boot)
+FIREFLY_JSON(StopAttempt, worker, term, job, attempt, checkpoint)
+FIREFLY_JSON(ThrottleAttempt, worker, term, job, attempt, share)
 // NOLINTEND(readability-identifier-naming)
 
 } // namespace firefly
--- a/src/Adapters/WorkerJson.h
+++ b/src/Adapters/WorkerJson.h
@@ -23,11 +23,11 @@
 void from_json(const nlohmann::json &json, WorkerSync &value);
 void to_json(nlohmann::json &json, const WorkerSyncReply &value);
 void from_json(const nlohmann::json &json, WorkerSyncReply &value);
-void to_json(nlohmann::json &json, const StartTask &value);
-void from_json(const nlohmann::json &json, StartTask &value);
-void to_json(nlohmann::json &json, const StopTask &value);
-void from_json(const nlohmann::json &json, StopTask &value);
-void to_json(nlohmann::json &json, const ThrottleTask &value);
-void from_json(const nlohmann::json &json, ThrottleTask &value);
+void to_json(nlohmann::json &json, const StartAttempt &value);
+void from_json(const nlohmann::json &json, StartAttempt &value);
+void to_json(nlohmann::json &json, const StopAttempt &value);
+void from_json(const nlohmann::json &json, StopAttempt &value);
+void to_json(nlohmann::json &json, const ThrottleAttempt &value);
+void from_json(const nlohmann::json &json, ThrottleAttempt &value);
 
 } // namespace firefly
--- a/src/Entry/BatchRunner.cpp
+++ b/src/Entry/BatchRunner.cpp
@@ -253,7 +253,7 @@
     if (job == nullptr || isRecordPending || !term || *term != attempt.term || lease.number == 0) {
         return;
     }
-    if (job->state == JobState::Cancelling) {
+    if (job->state == BatchJobState::Cancelling) {
         pushUnlessPending(id, JobEvicted{id, attempt.number, attempt.term, EvictionReason::Refused,
                                          job->progressMs});
         return;
@@ -262,7 +262,7 @@
     attempt.startLeaseNumber = lease.number;
     attempt.isStartInFlight = true;
     attempt.startedAt = now;
-    StartTask task;
+    StartAttempt task;
     task.worker = attempt.worker;
     task.term = attempt.term;
     task.leaseNumber = lease.number;
@@ -278,7 +278,7 @@
         SendStart{*m_sessions.workers.table().find(attempt.worker), std::move(task)});
 }
 
-void BatchRunner::onStartReply(const StartTask &task, WorkerResult result)
+void BatchRunner::onStartReply(const StartAttempt &task, WorkerResult result)
 {
     const auto it = m_attempts.find(task.job);
     if (it == m_attempts.end() || it->second.number != task.attempt) {
@@ -336,17 +336,17 @@
         return;
     }
     switch (report.state) {
-    case TaskState::Running:
+    case AttemptState::Running:
         onRunning(now, *job, sync, report, actions);
         break;
-    case TaskState::Finished:
+    case AttemptState::Finished:
         pushUnlessPending(job->id,
                           JobFinished{job->id, report.attempt, sync.term, true, report.result});
         break;
-    case TaskState::Failed:
+    case AttemptState::Failed:
         onFailed(*job, sync, report);
         break;
-    case TaskState::Stopped: {
+    case AttemptState::Stopped: {
         const auto it = m_attempts.find(job->id);
         const bool hasStopReason = it != m_attempts.end() && it->second.stopReason.has_value();
         const auto reason = hasStopReason ? *it->second.stopReason : EvictionReason::LeaseLapsed;
@@ -387,7 +387,7 @@
 void BatchRunner::onStaleReport(const WorkerSync &sync, const TaskReport &report, const Job *job,
                                 EntryActions &actions)
 {
-    if (report.state != TaskState::Running) {
+    if (report.state != AttemptState::Running) {
         m_sessions.workers.acknowledge(sync.worker, report.job, report.attempt);
         return;
     }
@@ -395,7 +395,7 @@
         job != nullptr && !job->isEnded() && report.attempt > job->attempt;
     FIREFLY_ASSERT(!isNewerThanPlaced,
                    "a worker must not run an attempt newer than the last one placed in the log");
-    const StopTask task{sync.worker, sync.term, report.job, report.attempt, false};
+    const StopAttempt task{sync.worker, sync.term, report.job, report.attempt, false};
     actions.emplace_back(SendStop{*m_sessions.workers.table().find(sync.worker), task});
 }
 
@@ -441,7 +441,7 @@
 std::optional<EvictionReason> BatchRunner::reasonToStop(const Job &job,
                                                         const WorkerId &worker) const
 {
-    if (job.state == JobState::Cancelling) {
+    if (job.state == BatchJobState::Cancelling) {
         return EvictionReason::PlannedStop;
     }
     const auto &planned = m_sessions.log.state().get<PlannedWorkFold>();
@@ -462,7 +462,7 @@
     }
     attempt.stopReason = reason;
     attempt.stopSentAt = now;
-    const StopTask task{attempt.worker, attempt.term, job, attempt.number, true};
+    const StopAttempt task{attempt.worker, attempt.term, job, attempt.number, true};
     actions.emplace_back(SendStop{*m_sessions.workers.table().find(attempt.worker), task});
 }
 
@@ -525,7 +525,8 @@
     }
     const auto &throttle = std::get<ThrottleAction>(*planned);
     m_attempts.at(throttle.job).throttle = throttle.share;
-    const ThrottleTask task{sync.worker, sync.term, throttle.job, throttle.attempt, throttle.share};
+    const ThrottleAttempt task{sync.worker, sync.term, throttle.job, throttle.attempt,
+                               throttle.share};
     actions.emplace_back(SendThrottle{*m_sessions.workers.table().find(sync.worker), task});
 }
 
@@ -641,7 +642,7 @@
     }
 }
 
-std::optional<std::string> BatchRunner::whyNeverPlaceable(const JobSpec &spec) const
+std::optional<std::string> BatchRunner::whyNeverPlaceable(const BatchJobSpec &spec) const
 {
     const PlanLimits *limits = m_sessions.log.state().get<ListsFold>().limitsOf(spec.customer);
     if (limits == nullptr) {
--- a/src/Entry/BatchRunner.h
+++ b/src/Entry/BatchRunner.h
@@ -64,14 +64,14 @@
     /// Handles the replacement of the folded state by a snapshot.
     void onRestored();
 
-    void onStartReply(const StartTask &task, WorkerResult result);
+    void onStartReply(const StartAttempt &task, WorkerResult result);
     /// Reconciles the attempts with the task list in the worker's reply, which is authoritative for
     /// what runs there.
     void onSyncReply(TimePoint now, const WorkerSync &sync, const WorkerSyncReply &reply,
                      EntryActions &actions);
 
     /// Why no listed worker can ever run \a spec under its customer's plan; none when one can.
-    std::optional<std::string> whyNeverPlaceable(const JobSpec &spec) const;
+    std::optional<std::string> whyNeverPlaceable(const BatchJobSpec &spec) const;
     /// True while a start for a worker of \a shard is unanswered.
     bool hasMessagesInFlight(const ShardId &shard) const;
 
--- a/src/Entry/EntryActions.h
+++ b/src/Entry/EntryActions.h
@@ -42,21 +42,21 @@
 struct SendStart
 {
     WorkerInfo worker;
-    StartTask task;
+    StartAttempt task;
 };
 
 /// Stops a task; not answered, the next sync shows whether it stopped.
 struct SendStop
 {
     WorkerInfo worker;
-    StopTask task;
+    StopAttempt task;
 };
 
 /// Throttles a task; not answered, the next sync shows whether it was throttled.
 struct SendThrottle
 {
     WorkerInfo worker;
-    ThrottleTask task;
+    ThrottleAttempt task;
 };
 
 /// Sends an urgent call to a worker; answered by EntryCore::onCallReply() with the same dispatch
--- a/src/Entry/EntryCore.cpp
+++ b/src/Entry/EntryCore.cpp
@@ -29,14 +29,14 @@
 std::string_view jobStateName(const Job &job)
 {
     switch (job.state) {
-    case JobState::Pending:
+    case BatchJobState::Pending:
         return "pending";
-    case JobState::Placed:
-    case JobState::Cancelling:
+    case BatchJobState::Placed:
+    case BatchJobState::Cancelling:
         return "placed";
-    case JobState::Finished:
+    case BatchJobState::Finished:
         return job.succeeded ? "finished" : "failed";
-    case JobState::Cancelled:
+    case BatchJobState::Cancelled:
         break;
     }
     return "cancelled";
@@ -361,7 +361,7 @@
     m_batch.onSyncReply(now, sent.sync, reply, m_actions);
 }
 
-void EntryCore::onStartReply(TimePoint now, const StartTask &task, WorkerResult result)
+void EntryCore::onStartReply(TimePoint now, const StartAttempt &task, WorkerResult result)
 {
     m_now = now;
     m_batch.onStartReply(task, result);
--- a/src/Entry/EntryCore.h
+++ b/src/Entry/EntryCore.h
@@ -57,7 +57,7 @@
     /// \a reply is meaningful when \a result is Done.
     void onSyncReply(TimePoint now, const SendSync &sent, WorkerResult result,
                      const WorkerSyncReply &reply);
-    void onStartReply(TimePoint now, const StartTask &task, WorkerResult result);
+    void onStartReply(TimePoint now, const StartAttempt &task, WorkerResult result);
     void onCallReply(TimePoint now, std::uint64_t dispatch, const WorkerCallReply &reply);
     void onForwardReply(TimePoint now, std::uint64_t dispatch, const ForwardedResult &result);
 
--- a/src/Jobs/Job.h
+++ b/src/Jobs/Job.h
@@ -11,7 +11,7 @@
 namespace firefly {
 
 /// State of a job in the ledger.
-enum class JobState {
+enum class BatchJobState {
     Pending,    ///< Waits for its first or next placement.
     Placed,     ///< Placed; an attempt may be running.
     Cancelling, ///< Cancelled while placed; the attempt may still be running.
@@ -20,7 +20,7 @@
 };
 
 /// Name of \a state in state dumps and snapshots.
-std::string_view toString(JobState state);
+std::string_view toString(BatchJobState state);
 
 /// Placement of a job's current attempt.
 struct JobPlacement
@@ -36,8 +36,8 @@
 struct Job
 {
     JobId id;
-    JobSpec spec;
-    JobState state = JobState::Pending;
+    BatchJobSpec spec;
+    BatchJobState state = BatchJobState::Pending;
     Offset submittedAt = 0;
     std::uint64_t attempt = 0;             ///< Number of the last attempt; 0 before the first.
     std::optional<JobPlacement> placement; ///< Set while Placed or Cancelling.
@@ -48,8 +48,14 @@
     bool succeeded = false;     ///< Valid once Finished.
     std::string result;
 
-    bool isEnded() const { return state == JobState::Finished || state == JobState::Cancelled; }
-    bool mayBeRunning() const { return state == JobState::Placed || state == JobState::Cancelling; }
+    bool isEnded() const
+    {
+        return state == BatchJobState::Finished || state == BatchJobState::Cancelled;
+    }
+    bool mayBeRunning() const
+    {
+        return state == BatchJobState::Placed || state == BatchJobState::Cancelling;
+    }
 
     bool operator==(const Job &) const = default;
 };
--- a/src/Jobs/JobJson.cpp
+++ b/src/Jobs/JobJson.cpp
@@ -11,13 +11,13 @@
 namespace firefly {
 namespace {
 
-constexpr std::array<JobState, 5> AllStates = {JobState::Pending, JobState::Placed,
-                                               JobState::Cancelling, JobState::Finished,
-                                               JobState::Cancelled};
+constexpr std::array<BatchJobState, 5> AllStates = {
+    BatchJobState::Pending, BatchJobState::Placed, BatchJobState::Cancelling,
+    BatchJobState::Finished, BatchJobState::Cancelled};
 
-JobState parseJobState(std::string_view name)
+BatchJobState parseJobState(std::string_view name)
 {
-    for (const JobState it : AllStates) {
+    for (const BatchJobState it : AllStates) {
         if (toString(it) == name) {
             return it;
         }
@@ -41,18 +41,18 @@
 
 } // namespace
 
-std::string_view toString(JobState state)
+std::string_view toString(BatchJobState state)
 {
     switch (state) {
-    case JobState::Pending:
+    case BatchJobState::Pending:
         return "pending";
-    case JobState::Placed:
+    case BatchJobState::Placed:
         return "placed";
-    case JobState::Cancelling:
+    case BatchJobState::Cancelling:
         return "cancelling";
-    case JobState::Finished:
+    case BatchJobState::Finished:
         return "finished";
-    case JobState::Cancelled:
+    case BatchJobState::Cancelled:
         break;
     }
     return "cancelled";
--- a/src/Jobs/JobLedger.cpp
+++ b/src/Jobs/JobLedger.cpp
@@ -36,14 +36,14 @@
         return FoldResult::Invalid;
     }
     Job &job = it->second;
-    if (job.state != JobState::Pending || record.attempt != job.attempt + 1) {
+    if (job.state != BatchJobState::Pending || record.attempt != job.attempt + 1) {
         return FoldResult::Stale;
     }
     if (currentTerm == 0 || record.term != currentTerm) {
         return FoldResult::Stale;
     }
     update(job, [&](Job &changed) {
-        changed.state = JobState::Placed;
+        changed.state = BatchJobState::Placed;
         changed.attempt = record.attempt;
         changed.placement = JobPlacement{record.worker, record.shard, record.term};
     });
@@ -80,16 +80,16 @@
     if (currentTerm == 0 || record.term != currentTerm) {
         return FoldResult::Stale;
     }
-    const bool wasCancelled = job.state == JobState::Cancelling;
+    const bool wasCancelled = job.state == BatchJobState::Cancelling;
     update(job, [&](Job &changed) {
-        changed.state = JobState::Pending;
+        changed.state = BatchJobState::Pending;
         changed.placement.reset();
         changed.progressMs = std::max(changed.progressMs, record.progressMs);
         ++changed.evictions;
         changed.failures += record.reason == EvictionReason::TaskFailed ? 1 : 0;
     });
     if (wasCancelled) {
-        endJob(job, offset, JobState::Cancelled);
+        endJob(job, offset, BatchJobState::Cancelled);
         removeExpiredJobs(offset);
     }
     return FoldResult::Accepted;
@@ -102,7 +102,7 @@
         return FoldResult::Invalid;
     }
     Job &job = it->second;
-    if (job.state == JobState::Finished && record.attempt == job.attempt) {
+    if (job.state == BatchJobState::Finished && record.attempt == job.attempt) {
         return FoldResult::Duplicate;
     }
     if (!job.mayBeRunning() || record.attempt != job.attempt) {
@@ -110,7 +110,7 @@
     }
     job.succeeded = record.succeeded;
     job.result = record.result;
-    endJob(job, offset, JobState::Finished);
+    endJob(job, offset, BatchJobState::Finished);
     removeExpiredJobs(offset);
     return FoldResult::Accepted;
 }
@@ -123,17 +123,17 @@
     }
     Job &job = it->second;
     switch (job.state) {
-    case JobState::Pending:
-        endJob(job, offset, JobState::Cancelled);
+    case BatchJobState::Pending:
+        endJob(job, offset, BatchJobState::Cancelled);
         removeExpiredJobs(offset);
         return FoldResult::Accepted;
-    case JobState::Placed:
-        update(job, [](Job &changed) { changed.state = JobState::Cancelling; });
+    case BatchJobState::Placed:
+        update(job, [](Job &changed) { changed.state = BatchJobState::Cancelling; });
         return FoldResult::Accepted;
-    case JobState::Finished:
+    case BatchJobState::Finished:
         return FoldResult::Stale;
-    case JobState::Cancelling:
-    case JobState::Cancelled:
+    case BatchJobState::Cancelling:
+    case BatchJobState::Cancelled:
         break;
     }
     return FoldResult::Duplicate;
@@ -155,7 +155,7 @@
     checkInvariants(job);
 }
 
-void JobLedger::endJob(Job &job, Offset offset, JobState state)
+void JobLedger::endJob(Job &job, Offset offset, BatchJobState state)
 {
     FIREFLY_ASSERT(!job.isEnded(), "a job that has ended cannot end again");
     update(job, [&](Job &changed) {
@@ -207,11 +207,11 @@
                 + job->placement->worker.value() + " (shard " + job->placement->shard.value()
                 + ", term " + std::to_string(job->placement->term) + ")";
     }
-    if (job->state == JobState::Pending) {
+    if (job->state == BatchJobState::Pending) {
         text += ", resumes at " + std::to_string(job->progressMs) + " ms of "
                 + std::to_string(job->spec.runtimeMs) + " ms declared";
     }
-    if (job->state == JobState::Finished) {
+    if (job->state == BatchJobState::Finished) {
         text += job->succeeded ? " successfully" : " with a failure";
     }
     text += ", " + std::to_string(job->evictions) + " evictions, submitted at offset "
@@ -223,7 +223,7 @@
 {
     std::size_t cancelling = 0;
     for (const auto &[id, job] : m_jobs) {
-        cancelling += job.state == JobState::Cancelling ? 1 : 0;
+        cancelling += job.state == BatchJobState::Cancelling ? 1 : 0;
     }
     return {{"jobs", m_jobs.size()},
             {"pending", m_index.pending().size()},
--- a/src/Jobs/JobLedger.h
+++ b/src/Jobs/JobLedger.h
@@ -101,7 +101,7 @@
     FoldResult evict(Offset offset, const JobEvicted &record, Term currentTerm);
     template <typename Change>
     void update(Job &job, Change change);
-    void endJob(Job &job, Offset offset, JobState state);
+    void endJob(Job &job, Offset offset, BatchJobState state);
     void removeExpiredJobs(Offset offset);
     void checkInvariants(const Job &job) const;
     bool isOverEndedLimits(Offset offset) const;
--- a/src/Ops/OperatorMessages.h
+++ b/src/Ops/OperatorMessages.h
@@ -78,7 +78,7 @@
 struct JobSubmission
 {
     JobId job; ///< Chosen by the caller so that a retry is safe; generated if empty.
-    JobSpec spec;
+    BatchJobSpec spec;
 };
 
 /// The command was carried out; `job` is the job submitted or cancelled, otherwise empty.
--- a/src/Placement/SizeEstimator.cpp
+++ b/src/Placement/SizeEstimator.cpp
@@ -38,7 +38,7 @@
 
 } // namespace
 
-SizeEstimator::Estimate SizeEstimator::estimate(const JobSpec &spec) const
+SizeEstimator::Estimate SizeEstimator::estimate(const BatchJobSpec &spec) const
 {
     const auto it = m_ratios.find({spec.customer, spec.kind});
     if (it == m_ratios.end()) {
@@ -54,7 +54,8 @@
     return estimate;
 }
 
-void SizeEstimator::recordEnded(const JobSpec &spec, const Resources &peak, std::int64_t runtimeMs)
+void SizeEstimator::recordEnded(const BatchJobSpec &spec, const Resources &peak,
+                                std::int64_t runtimeMs)
 {
     const double processors = ratioOf(peak.milliProcessors, spec.resources.milliProcessors);
     const double memory = ratioOf(peak.memoryMiB, spec.resources.memoryMiB);
@@ -67,7 +68,7 @@
     ++ratios.ended;
 }
 
-void SizeEstimator::recordExceeded(const JobSpec &spec, const Resources &granted)
+void SizeEstimator::recordExceeded(const BatchJobSpec &spec, const Resources &granted)
 {
     Ratios &ratios = m_ratios[{spec.customer, spec.kind}];
     const double memory = ratioOf(granted.memoryMiB, spec.resources.memoryMiB);
--- a/src/Placement/SizeEstimator.h
+++ b/src/Placement/SizeEstimator.h
@@ -27,12 +27,12 @@
     };
 
     /// Expected needs of \a spec: at least one milliprocessor and one MiB once jobs were recorded.
-    Estimate estimate(const JobSpec &spec) const;
+    Estimate estimate(const BatchJobSpec &spec) const;
     /// Records a job of this kind that ended, with its \a peak use and its run time without
     /// slowdown, \a runtimeMs.
-    void recordEnded(const JobSpec &spec, const Resources &peak, std::int64_t runtimeMs);
+    void recordEnded(const BatchJobSpec &spec, const Resources &peak, std::int64_t runtimeMs);
     /// Records a job that its worker stopped because it used more than \a granted.
-    void recordExceeded(const JobSpec &spec, const Resources &granted);
+    void recordExceeded(const BatchJobSpec &spec, const Resources &granted);
 
     nlohmann::json dump() const;
 
--- a/src/Platform/WorkerMessages.h
+++ b/src/Platform/WorkerMessages.h
@@ -16,14 +16,14 @@
 /// the highest term it has received and refuses messages with a lower one.
 
 /// Execution state of a task on its worker.
-enum class TaskState { Running, Finished, Failed, Stopped };
+enum class AttemptState { Running, Finished, Failed, Stopped };
 
 /// One task in a worker's task list.  Ended tasks stay listed until they are acknowledged.
 struct TaskReport
 {
     JobId job;
     std::uint64_t attempt = 0;
-    TaskState state = TaskState::Running;
+    AttemptState state = AttemptState::Running;
     std::int64_t progressMs = 0; ///< Work done, in milliseconds of run time without interference.
     Resources resources;         ///< Resources reserved for the task.
     std::int64_t usedMilliProcessors = 0; ///< Measured use, with a lag.
@@ -60,7 +60,7 @@
 };
 
 /// Starts an attempt of a job under the lease granted by the last sync.
-struct StartTask
+struct StartAttempt
 {
     WorkerId worker;
     Term term = 0;
@@ -79,7 +79,7 @@
 };
 
 /// Stops an attempt; with \a checkpoint its task report keeps the progress.
-struct StopTask
+struct StopAttempt
 {
     WorkerId worker;
     Term term = 0;
@@ -89,7 +89,7 @@
 };
 
 /// Limits an attempt to \a share of its processors; 1 lifts the limit.
-struct ThrottleTask
+struct ThrottleAttempt
 {
     WorkerId worker;
     Term term = 0;
--- a/src/Records/Codec.cpp
+++ b/src/Records/Codec.cpp
@@ -26,7 +26,7 @@
 FIREFLY_JSON(PlansList, planOfCustomer)
 FIREFLY_JSON(PlanLimits, resources, zones, urgentPerSecond, weight)
 FIREFLY_JSON(LimitsList, limitsOfPlan)
-FIREFLY_JSON(JobSpec, customer, kind, resources, runtimeMs, payload)
+FIREFLY_JSON(BatchJobSpec, customer, kind, resources, runtimeMs, payload)
 
 FIREFLY_JSON(ShardClaimed, entry, shard, previousTerm)
 FIREFLY_JSON(ShardReleased, entry, shard, term)
--- a/src/Records/Codec.h
+++ b/src/Records/Codec.h
@@ -35,7 +35,7 @@
 void from_json(const nlohmann::json &json, PlanLimits &value);
 void to_json(nlohmann::json &json, const LimitsList &value);
 void from_json(const nlohmann::json &json, LimitsList &value);
-void to_json(nlohmann::json &json, const JobSpec &value);
-void from_json(const nlohmann::json &json, JobSpec &value);
+void to_json(nlohmann::json &json, const BatchJobSpec &value);
+void from_json(const nlohmann::json &json, BatchJobSpec &value);
 
 } // namespace firefly
--- a/src/Records/Record.h
+++ b/src/Records/Record.h
@@ -72,7 +72,7 @@
 };
 
 /// Declaration of a batch job by its caller.
-struct JobSpec
+struct BatchJobSpec
 {
     CustomerId customer;
     std::string kind; ///< For example "rebuild" or "stratified-run".
@@ -80,14 +80,14 @@
     std::int64_t runtimeMs = 0; ///< Declared run time, often inaccurate.
     std::string payload;
 
-    bool operator==(const JobSpec &) const = default;
+    bool operator==(const BatchJobSpec &) const = default;
 };
 
 /// A batch job was accepted.
 struct JobSubmitted
 {
     JobId job;
-    JobSpec spec;
+    BatchJobSpec spec;
 };
 
 /// An owner decided to run an attempt of a job on one of its workers.
--- a/src/Runtime/ActionRunner.cpp
+++ b/src/Runtime/ActionRunner.cpp
@@ -90,7 +90,7 @@
 void ActionRunner::perform(SendStart action)
 {
     const WorkerInfo worker = action.worker;
-    const StartTask task = action.task;
+    const StartAttempt task = action.task;
     m_workers.start(worker, task, [this, task = std::move(action.task)](WorkerResult result) {
         runStep([&](TimePoint now) { m_core.onStartReply(now, task, result); });
     });
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -83,7 +83,7 @@
         m_fencing.leaseEnd = now + std::chrono::milliseconds(message.leaseMs);
         std::erase_if(m_tasks, [&message](const auto &it) {
             const std::string name = it.first.first.value() + "#" + std::to_string(it.first.second);
-            return it.second.state != TaskState::Running
+            return it.second.state != AttemptState::Running
                    && std::ranges::count(message.acknowledged, name) > 0;
         });
     } else {
@@ -104,7 +104,7 @@
     return reply;
 }
 
-MessageResult StandinWorker::start(const StartTask &message, TimePoint now)
+MessageResult StandinWorker::start(const StartAttempt &message, TimePoint now)
 {
     advanceTo(now);
     if (!acceptTerm(message.term)) {
@@ -153,7 +153,7 @@
     return MessageResult::Done;
 }
 
-MessageResult StandinWorker::stop(const StopTask &message, TimePoint now)
+MessageResult StandinWorker::stop(const StopAttempt &message, TimePoint now)
 {
     advanceTo(now);
     if (!acceptTerm(message.term)) {
@@ -164,15 +164,15 @@
         return MessageResult::UnknownTask;
     }
     Task &task = it->second;
-    if (task.state == TaskState::Running) {
+    if (task.state == AttemptState::Running) {
         task.checkpointProgress = message.checkpoint ? task.progress : task.checkpointProgress;
-        endTask(task, TaskState::Stopped, "stopped", now);
+        endTask(task, AttemptState::Stopped, "stopped", now);
         updateSpeeds(now);
     }
     return MessageResult::Done;
 }
 
-MessageResult StandinWorker::throttle(const ThrottleTask &message, TimePoint now)
+MessageResult StandinWorker::throttle(const ThrottleAttempt &message, TimePoint now)
 {
     advanceTo(now);
     if (!acceptTerm(message.term)) {
@@ -239,8 +239,8 @@
 {
     advanceTo(now);
     for (auto &[key, task] : m_tasks) {
-        if (task.state == TaskState::Running) {
-            endTask(task, TaskState::Stopped, "lost", now);
+        if (task.state == AttemptState::Running) {
+            endTask(task, AttemptState::Stopped, "lost", now);
         }
     }
     for (const auto &[number, call] : m_calls) {
@@ -261,7 +261,7 @@
         Task *next = nullptr;
         TimePoint at = std::min(now, m_fencing.leaseEnd);
         for (auto &[key, task] : m_tasks) {
-            if (task.state == TaskState::Running && finishTime(task) <= at) {
+            if (task.state == AttemptState::Running && finishTime(task) <= at) {
                 next = &task;
                 at = finishTime(task);
             }
@@ -274,15 +274,15 @@
         }
         next->progress = next->requiredProgress;
         const bool hasFailed = next->endsInFailure || m_failsEverything;
-        endTask(*next, hasFailed ? TaskState::Failed : TaskState::Finished,
+        endTask(*next, hasFailed ? AttemptState::Failed : AttemptState::Finished,
                 hasFailed ? "failed" : "finished", at);
         updateSpeeds(at);
     }
     const TimePoint until = std::min(now, m_fencing.leaseEnd);
     for (auto &[key, task] : m_tasks) {
         advanceTask(task, until);
-        if (task.state == TaskState::Running && !hasLease(now)) {
-            endTask(task, TaskState::Stopped, "lapsed", m_fencing.leaseEnd);
+        if (task.state == AttemptState::Running && !hasLease(now)) {
+            endTask(task, AttemptState::Stopped, "lapsed", m_fencing.leaseEnd);
         }
     }
 }
@@ -298,7 +298,7 @@
 {
     Resources sum;
     for (const auto &[key, task] : m_tasks) {
-        if (task.state == TaskState::Running) {
+        if (task.state == AttemptState::Running) {
             sum += task.spec.resources;
         }
     }
@@ -330,7 +330,7 @@
         slowdown += added == slowdowns->second.end() ? 0.0 : added->second * share;
     };
     for (const auto &[key, task] : m_tasks) {
-        if (&task != except && task.state == TaskState::Running) {
+        if (&task != except && task.state == AttemptState::Running) {
             addNeighbour(task.spec.kind, task.share);
         }
     }
@@ -343,7 +343,7 @@
 void StandinWorker::updateSpeeds(TimePoint now)
 {
     for (auto &[key, task] : m_tasks) {
-        if (task.state != TaskState::Running) {
+        if (task.state != AttemptState::Running) {
             continue;
         }
         task.speed = task.share / (slowdownOf(task.spec.kind, &task) * m_slowFactor);
@@ -358,7 +358,7 @@
 
 void StandinWorker::advanceTask(Task &task, TimePoint to) const
 {
-    if (task.state != TaskState::Running || to <= task.updatedAt) {
+    if (task.state != AttemptState::Running || to <= task.updatedAt) {
         return;
     }
     const auto interval = Duration(std::max<std::int64_t>(m_profile.checkpointIntervalUs, 1));
@@ -381,14 +381,15 @@
            + Duration(static_cast<std::int64_t>(remaining / std::max(task.speed, 1e-9)));
 }
 
-void StandinWorker::endTask(Task &task, TaskState state, const char *outcome, TimePoint at)
+void StandinWorker::endTask(Task &task, AttemptState state, const char *outcome, TimePoint at)
 {
     task.state = state;
-    const double progress = state == TaskState::Stopped ? task.checkpointProgress : task.progress;
+    const double progress =
+        state == AttemptState::Stopped ? task.checkpointProgress : task.progress;
     task.progress = progress;
-    if (state == TaskState::Finished) {
+    if (state == AttemptState::Finished) {
         task.result = "result of " + task.spec.job.value();
-    } else if (state == TaskState::Failed) {
+    } else if (state == AttemptState::Failed) {
         task.result = "task failed on " + m_id.value();
     }
     TaskRecord &record = m_records.tasks[task.record];
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -78,11 +78,11 @@
     /// stale message only gets the report.
     WorkerSyncReply sync(const WorkerSync &message, TimePoint now);
     /// Starts a task attempt; Duplicate if the attempt is listed already.
-    MessageResult start(const StartTask &message, TimePoint now);
+    MessageResult start(const StartAttempt &message, TimePoint now);
     /// Stops a running task at its last checkpoint, or at a new one if \a message asks for it.
-    MessageResult stop(const StopTask &message, TimePoint now);
+    MessageResult stop(const StopAttempt &message, TimePoint now);
     /// Sets the share of its processors that a task may use, from 0 to 1.
-    MessageResult throttle(const ThrottleTask &message, TimePoint now);
+    MessageResult throttle(const ThrottleAttempt &message, TimePoint now);
     /// Admits a call if its term is not stale and its resources fit; draws its duration.
     CallAdmission beginCall(const WorkerCall &message, TimePoint now);
     /// Ends a call and returns its outcome: "answered", "failed", or "cut" if the worker rebooted
@@ -125,8 +125,8 @@
 
     struct Task
     {
-        StartTask spec;
-        TaskState state = TaskState::Running;
+        StartAttempt spec;
+        AttemptState state = AttemptState::Running;
         TimePoint startedAt;
         TimePoint updatedAt;
         double progress = 0;           ///< Microseconds of run time without neighbours.
@@ -164,7 +164,7 @@
     void updateSpeeds(TimePoint now);
     void advanceTask(Task &task, TimePoint to) const;
     TimePoint finishTime(const Task &task) const;
-    void endTask(Task &task, TaskState state, const char *outcome, TimePoint at);
+    void endTask(Task &task, AttemptState state, const char *outcome, TimePoint at);
     TaskReport report(const Task &task, TimePoint now) const;
     /// Mean slowdown of the last calls that ended at least the usage lag ago; 1 if there are none.
     double reportedCallSlowdown(TimePoint now) const;
--- a/standins/WorkerService.cpp
+++ b/standins/WorkerService.cpp
@@ -126,11 +126,11 @@
         return;
     }
     if (operation == "tasks") {
-        result = hosted.worker->start(parse<StartTask>(request), now);
+        result = hosted.worker->start(parse<StartAttempt>(request), now);
     } else if (operation == "stop") {
-        result = hosted.worker->stop(parse<StopTask>(request), now);
+        result = hosted.worker->stop(parse<StopAttempt>(request), now);
     } else if (operation == "throttle") {
-        result = hosted.worker->throttle(parse<ThrottleTask>(request), now);
+        result = hosted.worker->throttle(parse<ThrottleAttempt>(request), now);
     }
     sendReply(hosted, responder, result);
 }
--- a/test/BatchPlacement.cpp
+++ b/test/BatchPlacement.cpp
@@ -110,7 +110,7 @@
 TEST(BatchPlacement, CorrectsDeclaredSizesByActualUse)
 {
     SizeEstimator sizes;
-    const JobSpec spec{.kind = "rebuild", .resources = {4000, 4000, 0, 0}, .runtimeMs = 1000};
+    const BatchJobSpec spec{.kind = "rebuild", .resources = {4000, 4000, 0, 0}, .runtimeMs = 1000};
     sizes.recordExceeded(spec, spec.resources);
     EXPECT_GE(sizes.estimate(spec).resources.memoryMiB, 6000);
     for (int i = 0; i < 10; ++i) {
--- a/test/JobLedger.cpp
+++ b/test/JobLedger.cpp
@@ -23,7 +23,7 @@
 protected:
     FoldResult submit(const char *job, const char *payload = "")
     {
-        JobSpec spec;
+        BatchJobSpec spec;
         spec.payload = payload;
         return ledger.apply(++offset, JobSubmitted{JobId(job), spec});
     }
@@ -97,7 +97,7 @@
     EXPECT_EQ(place("a", 2, 20), FoldResult::Accepted);
     EXPECT_EQ(evict("a", 1, 20), FoldResult::Stale);
     EXPECT_EQ(checkpoint("a", 1, 900), FoldResult::Stale);
-    EXPECT_EQ(job("a").state, JobState::Placed);
+    EXPECT_EQ(job("a").state, BatchJobState::Placed);
 }
 
 TEST_F(JobLedgerTest, acceptsAFinishOnceAndNotAfterAnEviction)
@@ -121,10 +121,10 @@
     place("a", 1);
     EXPECT_EQ(cancel("a"), FoldResult::Accepted);
     EXPECT_EQ(cancel("a"), FoldResult::Duplicate);
-    EXPECT_EQ(job("a").state, JobState::Cancelling);
+    EXPECT_EQ(job("a").state, BatchJobState::Cancelling);
     EXPECT_EQ(ledger.placedOn(Worker).size(), 1U);
     EXPECT_EQ(evict("a", 1, 10), FoldResult::Accepted);
-    EXPECT_EQ(job("a").state, JobState::Cancelled);
+    EXPECT_EQ(job("a").state, BatchJobState::Cancelled);
     EXPECT_EQ(place("a", 2), FoldResult::Stale);
 }
 
--- a/test/JoinedWorkerOwnerLoss.cpp
+++ b/test/JoinedWorkerOwnerLoss.cpp
@@ -244,7 +244,7 @@
             const auto &ledger = m_entries[i].core->log().state().get<JobLedger>();
             for (const JobId &id : m_acceptedJobs) {
                 const Job *job = ledger.find(id);
-                if (job != nullptr && job->state == JobState::Finished) {
+                if (job != nullptr && job->state == BatchJobState::Finished) {
                     m_reportedAt.try_emplace(id.value(), m_timeline.now());
                 }
             }
--- a/test/OwnershipCluster.h
+++ b/test/OwnershipCluster.h
@@ -77,7 +77,7 @@
         return true;
     }
 
-    void start(const StartTask &message, TimePoint now)
+    void start(const StartAttempt &message, TimePoint now)
     {
         expire(now);
         const bool sameBoot = !checksBoot || message.boot == bootName();
@@ -443,7 +443,7 @@
         if (!own || term != placed.term) {
             return;
         }
-        StartTask start;
+        StartAttempt start;
         start.term = placed.term;
         start.job = placed.job;
         const WorkerLease lease = memory.authority.lease(placed.shard, placed.worker);
--- a/test/OwnershipFaults.cpp
+++ b/test/OwnershipFaults.cpp
@@ -168,7 +168,7 @@
     cluster.run(30s);
     ASSERT_GT(worker.highestTerm, oldTerm);
 
-    StartTask late;
+    StartAttempt late;
     late.term = oldTerm;
     late.job = JobId("late");
     late.leaseNumber = worker.number;
--- a/test/OwnershipLeases.cpp
+++ b/test/OwnershipLeases.cpp
@@ -124,7 +124,7 @@
         ASSERT_TRUE(worker.sync(sync.term, sync.number, TimePoint(1s), 6s));
         owner.onSyncReply(sync, {true, sync.term, worker.bootName()}, TimePoint(1s));
 
-        StartTask start;
+        StartAttempt start;
         start.term = sync.term;
         start.leaseNumber = owner.lease(Shard, Worker).number;
         start.boot = owner.lease(Shard, Worker).boot;
--- a/test/StandinWorker.cpp
+++ b/test/StandinWorker.cpp
@@ -30,7 +30,7 @@
     MessageResult start(const char *job, std::uint64_t lease, std::int64_t ms, Term term = 5,
                         Resources resources = HalfCapacity)
     {
-        StartTask task;
+        StartAttempt task;
         task.term = term;
         task.job = JobId(job);
         task.attempt = 1;
@@ -87,7 +87,7 @@
     start("j", 1, 0);
     EXPECT_FALSE(sync(5, 1, LeaseMs - 1).accepted);
 
-    EXPECT_EQ(sync(5, 2, LeaseMs).tasks.at(0).state, TaskState::Stopped);
+    EXPECT_EQ(sync(5, 2, LeaseMs).tasks.at(0).state, AttemptState::Stopped);
 }
 
 TEST_F(StandinWorkerTest, startIsRefusedWithoutTheLeaseOfTheLastSync)
@@ -111,7 +111,7 @@
     const WorkerSyncReply reply = sync(6, 1, 9000);
 
     ASSERT_EQ(reply.tasks.size(), 1U);
-    EXPECT_EQ(reply.tasks[0].state, TaskState::Stopped);
+    EXPECT_EQ(reply.tasks[0].state, AttemptState::Stopped);
     EXPECT_EQ(reply.tasks[0].progressMs, 2000);
     EXPECT_EQ(worker.records().tasks[0].endUs, LeaseMs * 1000);
     EXPECT_EQ(worker.records().tasks[0].outcome, "lapsed");
@@ -139,7 +139,7 @@
         sync(5, static_cast<std::uint64_t>(n), n * 1000);
     }
 
-    EXPECT_EQ(sync(5, 11, 10'001).tasks.at(0).state, TaskState::Finished);
+    EXPECT_EQ(sync(5, 11, 10'001).tasks.at(0).state, AttemptState::Finished);
     EXPECT_EQ(sync(5, 12, 10'002).tasks.size(), 1U);
     EXPECT_EQ(worker.records().tasks[0].reportedUs, 10'000'000);
     EXPECT_TRUE(sync(5, 13, 10'003, {"j#1"}).tasks.empty());
--- a/test/fakes/ClusterWorld.h
+++ b/test/fakes/ClusterWorld.h
@@ -773,7 +773,7 @@
     bool isHeldByPlannedStop(const Job &job) const
     {
         const auto &planned = m_entries[0].core->log().state().get<PlannedWorkFold>();
-        return job.state == JobState::Pending
+        return job.state == BatchJobState::Pending
                && !planned.isRunning(job.spec.customer, job.spec.kind);
     }
 
--- a/test/fakes/FakeWorker.h
+++ b/test/fakes/FakeWorker.h
@@ -38,7 +38,7 @@
         return reply;
     }
 
-    void start(const StartTask &message, const std::string &boot)
+    void start(const StartAttempt &message, const std::string &boot)
     {
         const auto known = m_tasks.find(message.job);
         const bool isKnown = known != m_tasks.end() && known->second.attempt >= message.attempt;
@@ -56,7 +56,7 @@
 
     /// Stops the attempt and returns a report that shows it does not run; nothing when the term is
     /// too old.
-    std::optional<TaskReport> stop(const StopTask &message)
+    std::optional<TaskReport> stop(const StopAttempt &message)
     {
         if (!acceptTerm(message.term)) {
             return std::nullopt;
@@ -64,15 +64,15 @@
         TaskReport &task = m_tasks[message.job];
         if (task.attempt < message.attempt) {
             FIREFLY_ASSERT(
-                task.attempt == 0 || task.state != TaskState::Running,
+                task.attempt == 0 || task.state != AttemptState::Running,
                 "an older attempt of the job must have ended before a newer one is stopped");
-            task = TaskReport{message.job, message.attempt, TaskState::Stopped};
-        } else if (task.attempt == message.attempt && task.state == TaskState::Running) {
-            task.state = TaskState::Stopped;
+            task = TaskReport{message.job, message.attempt, AttemptState::Stopped};
+        } else if (task.attempt == message.attempt && task.state == AttemptState::Running) {
+            task.state = AttemptState::Stopped;
             m_audit.onTaskEnded(message.job);
         }
         if (task.attempt > message.attempt) {
-            return TaskReport{message.job, message.attempt, TaskState::Stopped};
+            return TaskReport{message.job, message.attempt, AttemptState::Stopped};
         }
         return task;
     }
@@ -81,12 +81,12 @@
     void advance(std::int64_t ms)
     {
         for (auto &[job, task] : m_tasks) {
-            if (task.state != TaskState::Running) {
+            if (task.state != AttemptState::Running) {
                 continue;
             }
             task.progressMs = std::min(task.progressMs + ms, m_runtimes[job]);
             if (task.progressMs == m_runtimes[job]) {
-                task.state = TaskState::Finished;
+                task.state = AttemptState::Finished;
                 m_audit.onTaskEnded(job);
             }
         }
@@ -96,7 +96,7 @@
     void reboot()
     {
         for (const auto &[job, task] : m_tasks) {
-            if (task.state == TaskState::Running) {
+            if (task.state == AttemptState::Running) {
                 m_audit.onTaskEnded(job);
             }
         }
--- a/test/fakes/LedgerWorld.h
+++ b/test/fakes/LedgerWorld.h
@@ -248,7 +248,7 @@
         }
         const JobId &id = evicted != nullptr ? evicted->job : cancelled->job;
         const Job *job = m_reference.get<JobLedger>().find(id);
-        if (job != nullptr && job->state == JobState::Cancelled) {
+        if (job != nullptr && job->state == BatchJobState::Cancelled) {
             m_shared.audit.onCancelled(id);
         }
     }
--- a/test/fakes/SoakEntry.h
+++ b/test/fakes/SoakEntry.h
@@ -117,7 +117,7 @@
 
     void submit(const JobId &job)
     {
-        JobSpec spec;
+        BatchJobSpec spec;
         spec.runtimeMs = 100;
         m_appends.push(JobSubmitted{job, spec}, AppendPriority::NewWork);
     }
@@ -372,7 +372,7 @@
     {
         const Job &job = *jobs().find(placed.job);
         FakeWorker &worker = workerOf(placed.worker);
-        StartTask start;
+        StartAttempt start;
         start.worker = placed.worker;
         start.term = placed.term;
         start.job = placed.job;
@@ -387,7 +387,7 @@
     {
         const Job &job = *jobs().find(id);
         FakeWorker &worker = workerOf(job.placement->worker);
-        const StopTask stop{worker.id(), m_state.currentTerm(worker.shard()), id, job.attempt};
+        const StopAttempt stop{worker.id(), m_state.currentTerm(worker.shard()), id, job.attempt};
         m_environment.network.send({[this, self = weak_from_this(), &worker, stop] {
             if (const auto report = worker.stop(stop)) {
                 sendReply(self, [this, &worker, report] { onReport(worker, *report); });
@@ -408,7 +408,7 @@
         }
         for (const JobId &it : jobs().placedOn(worker.id())) {
             const Job &job = *jobs().find(it);
-            if (reportedAttempts[it] < job.attempt || job.state == JobState::Cancelling) {
+            if (reportedAttempts[it] < job.attempt || job.state == BatchJobState::Cancelling) {
                 sendStop(it);
             }
         }
@@ -421,10 +421,10 @@
         if (job == nullptr || !job->mayBeRunning() || job->attempt != report.attempt) {
             return;
         }
-        if (report.state == TaskState::Finished) {
+        if (report.state == AttemptState::Finished) {
             m_appends.push(JobFinished{report.job, report.attempt, term, true, "done"},
                            AppendPriority::Fact);
-        } else if (report.state == TaskState::Stopped) {
+        } else if (report.state == AttemptState::Stopped) {
             m_appends.push(JobEvicted{report.job, report.attempt, term, EvictionReason::Pressure,
                                       report.progressMs},
                            AppendPriority::Fact);
