Let no order to a worker's former life do harm in its next one

Cause, three parts of one class: an owner counts on what one incarnation of a worker knows (its clock, its fencing token, the stops that it accepted) while an order that a link holds meets the next. - Leases: an order that names a time of the former clock grants the longest lease from its arrival.

Change: - A worker takes starts only once it has answered an order under a token of its present life, so that it refuses the orders of before. The longest lease counts from that answer; the worker's record tells the next owner, until it is over, and names the incarnation, so that an owner that finds another one counts the same. Others are waited for as before. - The task of an unanswered start starts on no other worker for the lifetime of an order (12 s): what that worker runs ends before a later life of it could carry the order out. On the same worker it starts again at once. A gang follows by its members. - The record of a worker names its starts without an answer. A start is sent once that is stored, at the latest after 50 ms; the next owner binds the task to that worker, or holds it back. - Ends are acknowledged in renewals that don't wait, not while a start on that worker is open, and no start is sent beside; after an unanswered one the token is raised. 64 tokens an epoch, for that. - No start once another owner may have begun (CellElection::startsUntil()).

Why it works: whatever a held order does in a later life, the owner, or the next one, knows of it before it starts the task elsewhere, and no end is forgotten that it hasn't read.

What stays: a start whose record isn't stored within 50 ms; a worker that is no longer listed counts as gone, though it may come back under its id.

--- a/src/Cell/CellDelegations.cpp
+++ b/src/Cell/CellDelegations.cpp
@@ -74,7 +74,7 @@
                 const TaskRef ref{job.get(), 0, s, i};
                 const Duration delay = ref.hasRunBefore() ? DisplacedDelay : FirstStartDelay;
                 if (ref.task().state == TaskState::Pending && now - waitingSince >= delay
-                    && (!job->isGuestPart || isReturnable(ref, now))
+                    && !ref.hasOpenStart(now) && (!job->isGuestPart || isReturnable(ref, now))
                     && !m_placement.hasReservation(ref)) {
                     candidates.push_back({ref, waitingSince});
                 }
--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -58,18 +58,23 @@
     const TimePoint end = clockAt
                           + longestOnClock(std::chrono::milliseconds(grantedDeadlineMs - clockMs))
                           + LeaseMargin;
-    return std::max(end, suspectedLeaseEnd);
+    return std::max(end, earlierGrantsEnd);
 }
 
-void CellWorker::extendSuspectedLease(TimePoint now, Duration maxLease)
+Duration CellWorker::longestGrant(Duration maxLease)
 {
-    suspectedLeaseEnd = now + longestOnClock(maxLease) + LeaseMargin;
+    return longestOnClock(maxLease) + LeaseMargin;
+}
+
+void CellWorker::extendEarlierGrants(TimePoint now, Duration maxLease)
+{
+    earlierGrantsEnd = std::max(earlierGrantsEnd, now + longestGrant(maxLease));
 }
 
 TimePoint CellWorker::startEnd(const CellTask &task) const
 {
     const bool mayStillStart = isRegistered && !isReplaced && !task.acceptedMs;
-    return mayStillStart ? task.startedAt + CellBounds::OrderLifetime : TimePoint{};
+    return mayStillStart ? task.startSentAt + CellBounds::OrderLifetime : TimePoint{};
 }
 
 TimePoint CellWorker::startsEnd() const
@@ -81,6 +86,9 @@
     for (const TaskRef &it : tasks) {
         end = std::max(end, startEnd(it.task()));
     }
+    for (const auto &[task, openEnd] : openStarts) {
+        end = std::max(end, openEnd);
+    }
     return end;
 }
 
@@ -106,7 +114,7 @@
     const char *grants = "own";
     if (!isContacted) {
         grants = "earlier_owner";
-    } else if (leaseEnd() == suspectedLeaseEnd) {
+    } else if (leaseEnd() == earlierGrantsEnd) {
         grants = "earlier_incarnation";
     }
     const auto leftMs =
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace firefly {
 
@@ -51,7 +52,17 @@
     std::int64_t startDeadlineMs = 0; ///< On the worker's clock.
     /// When the worker accepted the start, on its clock; unset while that isn't known.
     std::optional<std::int64_t> acceptedMs;
-    Epoch startFence = 0;      ///< Fencing token of the start.
+    Epoch startFence = 0;    ///< Fencing token of the start.
+    TimePoint startSentAt{}; ///< Latest start order.
+    /// A worker that may yet carry out an earlier start, which has had no answer.  Until \a end
+    /// the task may start nowhere else: what that worker runs ends before a later incarnation of
+    /// it could carry the order out.
+    struct OpenStart
+    {
+        WorkerId worker;
+        TimePoint end{};
+    };
+    std::optional<OpenStart> openStart;
     TimePoint startedAt{};     ///< Acceptance of the start, or first report that lists the run.
     TimePoint stopSentAt{};    ///< Latest stop order.
     TimePoint stopOrderedAt{}; ///< First stop order of this run.
@@ -197,6 +208,11 @@
     const FailureHistory &failures() const { return failureCounter().task().failures; }
     /// True for a task that has run before, so that its clients miss it while it doesn't run.
     bool hasRunBefore() const { return task().run > 0 || job->isFromEarlierOwner; }
+    /// True while only one worker may start the task, see CellTask::openStart.
+    bool hasOpenStart(TimePoint now) const
+    {
+        return task().openStart && now < task().openStart->end;
+    }
     bool operator==(const TaskRef &) const = default;
 };
 
@@ -222,9 +238,10 @@
     bool isLeaseLimited = false;
     /// By the restored record: the only tasks that it may run; unset if any.
     std::optional<std::vector<TaskName>> restoredTasks;
-    TimePoint earlierLeaseEnd{};              ///< When the leases of earlier owners are over.
-    std::vector<TaskName> restoredOpenStarts; ///< WorkerRecord::openStarts, as restored.
-    TimePoint earlierStartsEnd{};             ///< When they can't take effect any more.
+    TimePoint earlierLeaseEnd{}; ///< When the leases of earlier owners are over.
+    /// Starts of earlier owners that the restored record names and no report has shown.
+    std::vector<OrderedStart> restoredStarts;
+    TimePoint earlierStartsEnd{};  ///< When they can't take effect any more.
     TimePoint listedAt{};          ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;      ///< Has answered a renewal of this owner.
     bool hasListedAllEnds = false; ///< Has sent this owner a report that omits no ended run.
@@ -236,14 +253,21 @@
     std::int64_t suspectedStartUnixMs = 0;
     Epoch fenceRaises = 0;      ///< Added to the owner's epoch in the fencing token of its orders.
     Epoch incarnationFence = 0; ///< Lowest fencing token of the starts meant for it.
-    Epoch renewalFence = 0;     ///< Fencing token of the latest renewal.
+    /// Lowest fencing token of the orders since its latest restart, seen or suspected.
+    Epoch restartFence = 0;
+    Epoch renewalFence = 0;   ///< Fencing token of the latest renewal.
     Epoch reportFence = 0;    ///< The same of the latest report: it refuses orders with lower ones.
     std::int64_t clockMs = 0; ///< Reading of the worker's clock at clockAt.
     TimePoint clockAt{};
     std::int64_t grantedDeadlineMs = 0; ///< Latest deadline sent, on the worker's clock.
-    /// When the leases are over that an incarnation which hasn't reported yet has granted; else
-    /// zero.
-    TimePoint suspectedLeaseEnd{};
+    /// When the leases are over that orders meant for an earlier incarnation may have granted to a
+    /// later one; zero if there are none.
+    TimePoint earlierGrantsEnd{};
+    /// Tasks for which CellTask::openStart names this worker, with its end.
+    std::vector<std::pair<TaskName, TimePoint>> openStarts;
+    bool hasNewStarts = false; ///< Starts were sent since its record was last updated.
+    /// A task could have started here but for isAcknowledging().
+    mutable bool hasDeferredStart = false;
     std::uint64_t processedEndNumber = 0;    ///< Highest EndedRun::number applied to the jobs.
     std::uint64_t journaledEndNumber = 0;    ///< Highest number whose records are in the journal.
     std::uint64_t durableEndNumber = 0;      ///< Highest number whose records are durable.
@@ -306,9 +330,24 @@
     TimePoint startEnd(const CellTask &task) const;
     /// The same of all starts, also of those by earlier owners that the restored record names.
     TimePoint startsEnd() const;
-    /// Another incarnation than the known one has answered an order by \a now.  The deadlines sent
-    /// so far grant it the longest lease, since its clock began anew.
-    void extendSuspectedLease(TimePoint now, Duration maxLease);
+    /// Another incarnation than the known one may have got orders of before until \a now.  The
+    /// deadlines sent so far grant it the longest lease, since its clock began anew.
+    void extendEarlierGrants(TimePoint now, Duration maxLease);
+    /// Upper bound of the time for which such a lease lasts.
+    static Duration longestGrant(Duration maxLease);
+    /// True if the incarnation that has reported last refuses all orders of before its start.
+    bool refusesEarlierOrders() const { return reportFence >= restartFence; }
+    /// True while an acknowledgement is under way.  A start sent now could overtake it, and the
+    /// next incarnation could carry out both: it would forget an end that no report has listed.
+    bool isAcknowledging() const { return isRenewing && acknowledgedEndNumber > 0; }
+    /// True while the worker, or a later incarnation of it, may carry out a start that no answer
+    /// or report has confirmed; then it must forget no ended run.
+    bool mayCarryOutStarts(TimePoint now) const
+    {
+        return unconfirmedStarts() > 0 || std::ranges::any_of(openStarts, [now](const auto &it) {
+                   return now < it.second;
+               });
+    }
     /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
     std::optional<std::int64_t> survivedMs(const CellTask &task) const
     {
@@ -331,7 +370,11 @@
     /// False while it should only finish what runs.
     bool acceptsTasks() const { return !info.isDraining && !isEvacuated; }
     /// True if new tasks may start here, as far as it has room for them.
-    bool isUsable() const { return isRegistered && isContacted && isRecorded && acceptsTasks(); }
+    bool isUsable() const
+    {
+        return isRegistered && isContacted && isRecorded && refusesEarlierOrders()
+               && acceptsTasks();
+    }
     ResourceVector freeRoom() const
     {
         ResourceVector room = info.capacity;
--- a/src/Cell/CellMessages.h
+++ b/src/Cell/CellMessages.h
@@ -20,7 +20,7 @@
 /// next one.  The owner raises the token of a worker by one at each restart that it sees or
 /// suspects.  An order carries the token of its time, so that the new incarnation, once it has
 /// answered one under the raised token, refuses what was sent to an earlier one.
-constexpr Epoch FencesPerEpoch = 16;
+constexpr Epoch FencesPerEpoch = 64;
 
 /// Processor demand of unfinished work, as fractions of the cell's capacity.
 struct CellLoad
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -23,6 +23,8 @@
 /// A recorded wait counts as this long at most, in case a clock was wrong.
 constexpr Duration MaxRestoredWait = std::chrono::minutes(10);
 constexpr Duration CleanupInterval = std::chrono::seconds(1);
+/// Longest time for which a start waits until it is recorded.
+constexpr Duration MaxRecordWait = std::chrono::milliseconds(50);
 /// A job has no more value for its client this many objectives after its submission.
 constexpr int MaxUsefulObjectives = 3;
 /// Added to the retention that the platform requires, for requests in flight.
@@ -75,6 +77,7 @@
     m_state.workers.clear();
     m_state.referrals.clear();
     m_state.actions.clear();
+    m_state.unrecordedStarts.clear();
     m_state.epoch = 0;
     m_placement.reset();
     m_guests.reset();
@@ -545,7 +548,7 @@
         m_state.journal.put({JobRecords::interferenceKey(), m_interference.encodeModel(now)});
     }
     m_state.wantsPlacement = m_state.wantsPlacement || m_placement.isIdleTurnDue(now);
-    const bool mayPlace = !m_state.areStartsSuspended && now < m_state.ordersUntil;
+    const bool mayPlace = mayStartTasks(now);
     if (m_state.wantsPlacement && mayPlace && now - m_lastPlacement >= placementInterval()) {
         m_state.wantsPlacement = false;
         m_lastPlacement = now;
@@ -556,12 +559,65 @@
     } else if (mayPlace) {
         m_placement.refill(now, nowUnixMs);
     }
+    recordNewStarts(now);
     recordWaits(now);
     sendDelegations(now);
     sendReturns(now);
     renewLeases(now);
 }
 
+bool CellScheduler::mayStartTasks(TimePoint now) const
+{
+    return !m_state.areStartsSuspended && now < std::min(m_state.ordersUntil, m_state.startsUntil);
+}
+
+void CellScheduler::recordNewStarts(TimePoint now)
+{
+    for (auto &[id, worker] : m_state.workers) {
+        if (std::exchange(worker->hasNewStarts, false)) {
+            m_records.update(*worker, now);
+        }
+    }
+    const bool hasNew =
+        !m_state.unrecordedStarts.empty() && m_state.unrecordedStarts.back().batch == 0;
+    if (hasNew) {
+        ++m_startBatches;
+        for (CellState::UnrecordedStart &it : m_state.unrecordedStarts) {
+            it.batch = it.batch == 0 ? m_startBatches : it.batch;
+        }
+        m_state.journal.whenDurable([this, last = m_startBatches] {
+            sendStarts([last](const CellState::UnrecordedStart &it) {
+                return it.batch != 0 && it.batch <= last;
+            });
+        });
+    }
+    const bool isStoring = m_state.journal.isStoring();
+    sendStarts([now, isStoring](const CellState::UnrecordedStart &it) {
+        return !isStoring || now - it.since >= MaxRecordWait;
+    });
+}
+
+template <typename IsDue>
+void CellScheduler::sendStarts(const IsDue &isDue)
+{
+    std::vector<CellState::UnrecordedStart> waiting;
+    for (CellState::UnrecordedStart &it : std::exchange(m_state.unrecordedStarts, {})) {
+        if (!isDue(it)) {
+            waiting.push_back(std::move(it));
+            continue;
+        }
+        const auto ref = m_state.findTask(it.order.task);
+        const bool isCurrent = ref && ref->task().state == TaskState::Starting
+                               && ref->task().run == it.order.run
+                               && ref->task().worker->info.id == it.order.worker;
+        if (isCurrent) {
+            ref->task().startSentAt = m_now;
+            m_state.actions.emplace_back(std::move(it.order));
+        }
+    }
+    m_state.unrecordedStarts = std::move(waiting);
+}
+
 Duration CellScheduler::placementInterval() const
 {
     // A pass visits every worker, so that larger cells run fewer passes.
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -42,8 +42,13 @@
     void finishRestore(TimePoint now, std::int64_t nowUnixMs);
     /// Drops all state; callbacks of pending requests are invoked.
     void endOwnership();
-    /// Limits the deadlines of leases and starts to \a until.
-    void setOrdersUntil(TimePoint until) { m_state.ordersUntil = until; }
+    /// Limits the deadlines of leases and starts to \a until, and starts no tasks from
+    /// \a startsUntil on.
+    void setOrdersUntil(TimePoint until, TimePoint startsUntil = TimePoint::max())
+    {
+        m_state.ordersUntil = until;
+        m_state.startsUntil = startsUntil;
+    }
     /// Starts no tasks until setEvacuatedZones() is called.
     void suspendStarts() { m_state.areStartsSuspended = true; }
     /// Starts no further tasks on workers of \a zones; what runs there goes on.  Lasts over changes
@@ -290,6 +295,22 @@
     /// Raises the fencing token of \a worker, which has restarted or seems to, and repeats the
     /// stops of unconfirmed starts, which the new incarnation doesn't know.
     void fenceEarlierOrders(CellWorker &worker);
+    /// Raises the fencing token of \a worker, which gets no starts until it has answered an order
+    /// under the new token and so refuses the orders of before.
+    void raiseFence(CellWorker &worker);
+    /// Lets only \a worker start the task \a ref until \a end, see CellTask::openStart.
+    static void addOpenStart(const TaskRef &ref, CellWorker &worker, TimePoint end);
+    /// Ends that for the tasks of \a worker.
+    void clearOpenStarts(CellWorker &worker);
+    void dropExpiredOpenStarts(CellWorker &worker, TimePoint now);
+    /// Judges the starts of earlier owners that the record of \a worker names, by a \a report.
+    void settleRestoredStarts(CellWorker &worker, const LeaseReport &report);
+    bool mayStartTasks(TimePoint now) const;
+    /// Records the new starts and sends those that are recorded, or have waited for that for long.
+    void recordNewStarts(TimePoint now);
+    /// Sends the unrecorded starts for which \a isDue holds.
+    template <typename IsDue>
+    void sendStarts(const IsDue &isDue);
     /// Releases the runs on \a worker, whose lease is over, but not those that may still start.
     void releaseTasks(CellWorker &worker, std::int64_t nowUnixMs);
     /// Records the \a suspects, whose crash histories have grown, and gives up the jobs of the
@@ -350,8 +371,9 @@
     std::map<std::string, Epoch> m_fenceRaisesOfErased; ///< CellWorker::fenceRaises, by id.
     std::set<std::string> m_returningJobs; ///< Guests' parts with unconfirmed returns, by id.
     std::unordered_map<std::string, JobProgress> m_restoredProgress;
-    TimePoint m_now{};               ///< Time of the latest input.
-    std::int64_t m_unixMsAtZero = 0; ///< Wall-clock time at the zero of the steady clock.
+    TimePoint m_now{};                ///< Time of the latest input.
+    std::int64_t m_unixMsAtZero = 0;  ///< Wall-clock time at the zero of the steady clock.
+    std::uint64_t m_startBatches = 0; ///< Counts the calls of recordNewStarts() with new starts.
     TimePoint m_lastPlacement{};
     TimePoint m_lastCleanup{};
     TimePoint m_lastWaitingUpdate{};
--- a/src/Cell/CellState.h
+++ b/src/Cell/CellState.h
@@ -48,16 +48,26 @@
 {
     CellBounds bounds;
     Epoch epoch = 0;
-    TimePoint ordersUntil{};    ///< End of all leases and starts; another owner may act afterwards.
-    TimePoint locateUntil{};    ///< All orders of earlier owners have expired by then.
-    bool isLocating = false;    ///< Some worker may run tasks of an earlier owner unseen.
-    bool isFenced = false;      ///< A worker has seen the epoch of a later owner.
-    bool needsNewEpoch = false; ///< A worker has used up the fencing tokens of this epoch.
+    TimePoint ordersUntil{}; ///< End of all leases and starts; another owner may act afterwards.
+    /// Starts end here: a later one might not be recorded for the next owner.
+    TimePoint startsUntil = TimePoint::max();
+    TimePoint locateUntil{};         ///< All orders of earlier owners have expired by then.
+    bool isLocating = false;         ///< Some worker may run tasks of an earlier owner unseen.
+    bool isFenced = false;           ///< A worker has seen the epoch of a later owner.
+    bool needsNewEpoch = false;      ///< A worker has used up the fencing tokens of this epoch.
     bool areStartsSuspended = false; ///< The evacuated zones aren't known yet.
     std::set<std::string> evacuatedZones;
     bool wantsPlacement = false;                                    ///< A placement pass is due.
     std::unordered_map<std::string, std::unique_ptr<CellJob>> jobs; ///< By id.
     std::map<std::string, std::unique_ptr<CellWorker>> workers;     ///< By id.
+    /// A start that waits until the store holds it, for the next owner to know of.
+    struct UnrecordedStart
+    {
+        StartTask order;
+        TimePoint since{};
+        std::uint64_t batch = 0; ///< Of CellScheduler::recordNewStarts(); 0 before.
+    };
+    std::vector<UnrecordedStart> unrecordedStarts;
     /// A job that was handed over to another cell.
     struct Referral
     {
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -12,6 +12,8 @@
 constexpr Duration RenewalDelay = std::chrono::milliseconds(25);
 /// The same while ended runs aren't durable yet, since the worker then answers without a long poll.
 constexpr Duration UnflushedRenewalDelay = std::chrono::milliseconds(700);
+/// The same while they mustn't be acknowledged, as an unanswered start may still be carried out.
+constexpr Duration OpenStartRenewalDelay = std::chrono::milliseconds(300);
 /// Time after the first stop order for which a worker is asked often; it may never end the run.
 constexpr Duration AwaitedEndTime = std::chrono::milliseconds(2000);
 /// Delay before a failed long-running task is started again.
@@ -32,7 +34,13 @@
 void CellScheduler::applyLeaseReport(CellWorker &worker, const LeaseReport &report,
                                      TimePoint sentAt, TimePoint now, std::int64_t nowUnixMs)
 {
+    // The first report by which the worker refuses earlier orders bounds the leases that these have
+    // granted.  An incarnation that the previous owner knew has got none since.
+    bool mayHaveEarlierGrants = !worker.refusesEarlierOrders();
     if (report.incarnationStartUnixMs != worker.incarnationStartUnixMs) {
+        mayHaveEarlierGrants =
+            worker.isContacted || !worker.isRestored || !worker.record
+            || worker.record->incarnationStartUnixMs != report.incarnationStartUnixMs;
         logIncarnation(worker, report, sentAt);
         beginIncarnation(worker, report.incarnationStartUnixMs, sentAt, nowUnixMs);
     }
@@ -62,7 +70,11 @@
         m_state.wantsPlacement = true;
     }
     ++worker.reportCount;
+    m_state.wantsPlacement = m_state.wantsPlacement || !worker.refusesEarlierOrders();
     worker.reportFence = report.fence;
+    if (mayHaveEarlierGrants) {
+        worker.extendEarlierGrants(now, m_state.bounds.maxLease);
+    }
     worker.hasUntrackedRuns = false;
     for (const RunningTask &row : report.running) {
         applyRunningTask(worker, row, now);
@@ -73,6 +85,7 @@
             applyEndedRun(worker, row, now, nowUnixMs);
         }
     }
+    settleRestoredStarts(worker, report);
     if (report.mayOmitEnds) {
         m_state.logDecision("report may omit ended runs", worker,
                             "listed_to=" + std::to_string(worker.processedEndNumber)
@@ -84,7 +97,7 @@
     }
     adjustFillers(worker, now);
     acknowledgeEndedRuns(worker, now);
-    if (worker.reportFence < m_state.fenceOf(worker)) {
+    if (!worker.refusesEarlierOrders()) {
         worker.nextRenewal = now; // Until it answers, it takes orders to an earlier incarnation.
     }
     m_records.update(worker, now);
@@ -118,14 +131,13 @@
     releaseEarlierRuns(worker, Successor::SameId, sentAt, nowUnixMs);
     worker.incarnationStartUnixMs = incarnationStartUnixMs;
     worker.grantedDeadlineMs = 0;
-    worker.suspectedLeaseEnd = {};
     worker.lastSignMs = 0;
     worker.processedEndNumber = 0;
     worker.journaledEndNumber = 0;
     worker.durableEndNumber = 0;
     worker.forgottenEndNumber = 0;
-    const auto mayStillStart = [fence = m_state.fenceOf(worker)](const TaskRef &it) {
-        return !it.task().acceptedMs && it.task().startFence == fence;
+    const auto mayStillStart = [fence = worker.restartFence](const TaskRef &it) {
+        return !it.task().acceptedMs && it.task().startFence >= fence;
     };
     if (isRestart
         && (!worker.isRestartSuspected || std::ranges::any_of(worker.tasks, mayStillStart))) {
@@ -283,14 +295,59 @@
         // That this incarnation would refuse a start under way, by its deadline or token, says
         // nothing of the next one; an accepted stop, sent after the start, has followed it.
         const bool isOver = task.state == TaskState::Unsettled
-                            && m_now >= task.startedAt + CellBounds::OrderLifetime;
+                            && m_now >= task.startSentAt + CellBounds::OrderLifetime;
         if (isMissing || isOver) {
             m_state.logDecision("run missing", it,
                                 "running=" + std::to_string(report.running.size())
                                     + " ended=" + std::to_string(report.ended.size()) + " stopping="
                                     + std::to_string(task.state == TaskState::Stopping ? 1 : 0));
+            const TimePoint startEnd = task.startSentAt + CellBounds::OrderLifetime;
+            const bool isOpen = !task.acceptedMs && m_now < startEnd;
             TaskLedger::release(it);
             m_state.wantsPlacement = true;
+            if (isOpen) {
+                addOpenStart(it, worker, startEnd);
+                if (mayStartTasks(m_now)) {
+                    m_placement.restart(it, worker, m_now);
+                }
+            }
+        }
+    }
+}
+
+void CellScheduler::settleRestoredStarts(CellWorker &worker, const LeaseReport &report)
+{
+    if (worker.restoredStarts.empty()) {
+        return;
+    }
+    const auto isShown = [&report](const OrderedStart &start) {
+        const auto isLater = [&start](const auto &row) {
+            return row.task == start.task && row.run >= start.run;
+        };
+        return std::ranges::any_of(report.running, isLater)
+               || std::ranges::any_of(report.ended, isLater);
+    };
+    std::erase_if(worker.restoredStarts, isShown);
+    if (report.mayOmitEnds) {
+        return;
+    }
+    for (const OrderedStart &it : std::exchange(worker.restoredStarts, {})) {
+        const auto ref = findBegunTask(it.task);
+        if (!ref) {
+            continue;
+        }
+        // An owner acknowledges no end beside an open start.  So the end of a later run of the task
+        // may be the one that this report lists, and has to stay.
+        const bool isOpen = it.run == WorkerRecords::AnyRun;
+        if (!isOpen && (ref->task().state == TaskState::Done || isFinal(ref->job->state))) {
+            continue;
+        }
+        const CellTask &task = ref->task();
+        const bool hasFailed = std::ranges::any_of(
+            task.failedRuns, [&it](std::uint32_t run) { return run >= it.run; });
+        const bool isSuperseded = task.worker && task.worker != &worker && task.run > it.run;
+        if (!hasFailed && !isSuperseded) {
+            addOpenStart(*ref, worker, worker.earlierStartsEnd);
         }
     }
 }
@@ -324,7 +381,9 @@
 void CellScheduler::acknowledgeEndedRuns(CellWorker &worker, TimePoint now)
 {
     if (worker.processedEndNumber == worker.durableEndNumber) {
-        worker.nextRenewal = now + RenewalDelay;
+        const bool isHeldBack = worker.processedEndNumber > worker.forgottenEndNumber
+                                && !worker.openStarts.empty() && !awaitsEnd(worker, now);
+        worker.nextRenewal = now + (isHeldBack ? OpenStartRenewalDelay : RenewalDelay);
         return;
     }
     worker.nextRenewal =
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -138,10 +138,11 @@
     return task.state == TaskState::Pending && task.notBefore <= now && !isUnstoredSuspect(ref);
 }
 
-/// True if workers that would take other tasks of its step may not take \a task.
-bool hasOwnObstacles(const CellTask &task, TimePoint now)
+/// True if workers that would take other tasks of its step may not take \a ref.
+bool hasOwnObstacles(const TaskRef &ref, TimePoint now)
 {
-    return CrashDetector::isSuspect(task) || task.failures.isPaused(now);
+    const CellTask &task = ref.task();
+    return CrashDetector::isSuspect(task) || task.failures.isPaused(now) || ref.hasOpenStart(now);
 }
 
 void beginWait(CellTask &task, TimePoint now)
@@ -277,6 +278,14 @@
     return best != nullptr;
 }
 
+bool Placement::restart(const TaskRef &ref, CellWorker &worker, TimePoint now)
+{
+    CellWorker *const workers[] = {&worker};
+    const bool canStart = isStartable(ref, now) && ref.job->isDurable && !isFinal(ref.job->state)
+                          && !ref.spec().isGang;
+    return canStart && startOnOneOf(workers, ref, now);
+}
+
 const CellJob *Placement::startLongestIdle(std::span<CellJob *const> jobs, int priority,
                                            TimePoint now, std::int64_t nowUnixMs)
 {
@@ -551,7 +560,7 @@
     }
     if (CellWorker *worker = chooseWorkerForDisplaced(ref, now)) {
         startOrAwaitRack(ref, *worker, now);
-    } else if (!hasOwnObstacles(ref.task(), now)) {
+    } else if (!hasOwnObstacles(ref, now)) {
         recordUnplaceable(ref);
     }
 }
@@ -593,7 +602,7 @@
         }
         CellWorker *worker =
             isDisplaced(ref) ? chooseWorkerForDisplaced(ref, now) : chooseWorker(ref, now);
-        if (!worker && hasOwnObstacles(ref.task(), now)) {
+        if (!worker && hasOwnObstacles(ref, now)) {
             onUnplaceable(ref, now);
             continue;
         }
@@ -778,8 +787,11 @@
     static constexpr std::pair<Obstacle, const char *> Names[] = {
         {Obstacle::Unavailable, "unavailable"},
         {Obstacle::Unrecorded, "unrecorded"},
+        {Obstacle::Restarted, "restarted"},
         {Obstacle::Evacuated, "evacuated"},
         {Obstacle::Unresponsive, "unresponsive"},
+        {Obstacle::Acknowledged, "acknowledged"},
+        {Obstacle::OpenStart, "open_start"},
         {Obstacle::Avoided, "avoided"},
         {Obstacle::Capacity, "full"},
         {Obstacle::MissedTarget, "missed_target"},
@@ -902,6 +914,8 @@
     m_placeWaits.onPlaced(ref, worker, now);
     CellTask &task = ref.task();
     task.startedAt = now;
+    task.startSentAt = now;
+    worker.hasNewStarts = true;
     CrashDetector::onStart(ref, worker, now);
     task.waitingSince = {};
     const Duration left = std::min(StartValidity, m_state.ordersUntil - now);
@@ -916,7 +930,7 @@
     order.checkpoint = task.checkpoint;
     order.fence = m_state.fenceOf(worker);
     task.startFence = order.fence;
-    m_state.actions.emplace_back(std::move(order));
+    m_state.unrecordedStarts.push_back({std::move(order), now});
 }
 
 } // namespace firefly
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -42,6 +42,9 @@
     /// a reservation there, then the displaced tasks that precede all other pending ones, in the
     /// order of their waits.  O(workers + tasks + displaced tasks x such workers).
     void refill(TimePoint now, std::int64_t nowUnixMs);
+    /// Starts the task \a ref, which has lost its run on \a worker, there again if it can run
+    /// there; a gang, which starts as a whole, doesn't.  Returns whether it starts.
+    bool restart(const TaskRef &ref, CellWorker &worker, TimePoint now);
     /// True if capacity is kept for \a ref.
     bool hasReservation(const TaskRef &ref) const { return m_reservations.contains(ref); }
     /// True if a pass is due for jobs of fillers without a run, even if nothing has changed.
--- a/src/Cell/PlacementRules.cpp
+++ b/src/Cell/PlacementRules.cpp
@@ -43,12 +43,18 @@
     if (!worker.isRecorded) {
         return Obstacle::Unrecorded;
     }
+    if (!worker.refusesEarlierOrders()) {
+        return Obstacle::Restarted;
+    }
     if (worker.isEvacuated) {
         return Obstacle::Evacuated;
     }
     if (worker.renewFailures > 0) {
         return Obstacle::Unresponsive;
     }
+    if (ref.hasOpenStart(now) && ref.task().openStart->worker != worker.info.id) {
+        return Obstacle::OpenStart;
+    }
     if (worker.isPaused(now) || ref.failures().isPausedOn(worker.info.id, now)) {
         return Obstacle::Avoided;
     }
@@ -79,6 +85,10 @@
     if (spec.isFiller && !hasUnusedCpuFor(worker, spec)) {
         return Obstacle::IdleCpu;
     }
+    if (worker.isAcknowledging()) {
+        worker.hasDeferredStart = true;
+        return Obstacle::Acknowledged;
+    }
     return std::nullopt;
 }
 
--- a/src/Cell/PlacementRules.h
+++ b/src/Cell/PlacementRules.h
@@ -13,8 +13,11 @@
 enum class Obstacle {
     Unavailable,  ///< Not registered, not contacted yet, draining, or of another service.
     Unrecorded,   ///< Its record isn't stored yet: a next owner wouldn't ask it for its runs.
+    Restarted,    ///< It may still accept orders that were meant for an earlier incarnation.
     Evacuated,    ///< Its zone is evacuated.
     Unresponsive, ///< Its last renewal failed.
+    Acknowledged, ///< An acknowledgement is under way, which the start could overtake.
+    OpenStart,    ///< Another worker may still carry out an unanswered start of the task.
     Avoided,      ///< It refused a start, or failed runs of this task or of several jobs lately.
     Capacity,
     MissedTarget, ///< A serving task missed its target there a short time ago: no fillers.
--- a/src/Cell/TaskLocation.cpp
+++ b/src/Cell/TaskLocation.cpp
@@ -52,8 +52,9 @@
         if (canJudgeSilence && worker->renewFailures > 0 && now >= worker->leaseEnd()) {
             logEarlierLeaseOver(*worker, now);
             if (!worker->isContacted && now < worker->startsEnd()) {
-                const std::vector<TaskName> &starts = worker->restoredOpenStarts;
-                hidden.tasks.insert(starts.begin(), starts.end());
+                for (const OrderedStart &it : worker->restoredStarts) {
+                    hidden.tasks.insert(it.task);
+                }
                 ++hidden.workers;
             }
             continue;
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -141,7 +141,7 @@
         || *reply.clockMs >= worker.clockAtLeast(now) - toMs(ClockTolerance)) {
         return;
     }
-    worker.extendSuspectedLease(now, m_state.bounds.maxLease);
+    worker.extendEarlierGrants(now, m_state.bounds.maxLease);
     if (worker.isRestartSuspected) {
         return;
     }
@@ -239,7 +239,7 @@
     // accepted it; the next report decides.
     CellTask &task = ref->task();
     if (task.state == TaskState::Unsettled && task.run == order.run
-        && task.worker->info.id == order.worker && order.fence == m_state.fenceOf(*task.worker)) {
+        && task.worker->info.id == order.worker && order.fence >= task.worker->restartFence) {
         task.state = TaskState::Stopping;
         task.startedAt = now;
     }
@@ -290,6 +290,10 @@
         worker->isReplaced = worker->isReplaced || outcome == OrderOutcome::OtherIncarnation;
         worker->isRefusing = worker->isRefusing || outcome == OrderOutcome::Refused;
         worker->nextRenewal = now + renewalBackoff(worker->renewFailures);
+        if (outcome == OrderOutcome::Unknown && worker->acknowledgedEndNumber > 0) {
+            raiseFence(*worker); // It may arrive in a later incarnation, beside starts there.
+            worker->acknowledgedEndNumber = 0;
+        }
         if (outcome == OrderOutcome::OtherIncarnation) {
             applySuspicions(m_crashDetector.onReplaced(*worker, now), nowUnixMs);
             releaseEarlierRuns(*worker, Successor::OtherId, sentAt, nowUnixMs);
@@ -300,7 +304,13 @@
         worker->forgottenEndNumber =
             std::max(worker->forgottenEndNumber, worker->acknowledgedEndNumber);
     }
+    const bool wasAcknowledging = std::exchange(worker->acknowledgedEndNumber, 0) > 0;
     applyLeaseReport(*worker, report, sentAt, now, nowUnixMs);
+    if (wasAcknowledging && report.ended.empty()) {
+        worker->nextRenewal = now; // That one can wait for the next end.
+    }
+    m_state.wantsPlacement =
+        m_state.wantsPlacement || std::exchange(worker->hasDeferredStart, false);
 }
 
 void CellScheduler::renewLeases(TimePoint now)
@@ -325,9 +335,11 @@
     order.fence = m_state.fenceOf(worker);
     // After a failed renewal the next one may reach a new incarnation, which numbers ends from 1.
     const bool mayBeRestarted = worker.isRestartSuspected || worker.renewFailures > 0;
-    // Each batch of ends is acknowledged once, as a renewal may be held until the next incarnation.
+    // Each batch of ends is acknowledged once, and not while a start may be under way: both may be
+    // held until the next incarnation.
     const bool isForgotten = worker.durableEndNumber <= worker.forgottenEndNumber;
-    order.acknowledgedEndNumber = mayBeRestarted || isForgotten ? 0 : worker.durableEndNumber;
+    const bool mayAcknowledge = !mayBeRestarted && !isForgotten && !worker.mayCarryOutStarts(now);
+    order.acknowledgedEndNumber = mayAcknowledge ? worker.durableEndNumber : 0;
     worker.acknowledgedEndNumber = order.acknowledgedEndNumber;
     // Renewals to a worker that doesn't answer may still arrive; were they to extend its lease, its
     // tasks could never be restarted elsewhere.
@@ -338,8 +350,10 @@
         order.deadlineMs = worker.clockAtLeast(now) + toMs(lease);
         worker.grantedDeadlineMs = std::max(worker.grantedDeadlineMs, *order.deadlineMs);
     }
-    if (isAnswering && worker.durableEndNumber == worker.processedEndNumber
-        && worker.reportFence == order.fence) {
+    // A worker that lists ends answers at once, and starts wait for the answer to an
+    // acknowledgement.
+    if (isAnswering && worker.processedEndNumber == worker.forgottenEndNumber
+        && worker.refusesEarlierOrders()) {
         order.wait = longPollWait(worker);
     }
     worker.renewalFence = order.fence;
@@ -410,6 +424,10 @@
         // The platform's list tells of a worker that has left, whether or not others are heard.
         const bool isSilenceCertain =
             hearsMost || !worker.isRegistered || isSilentBesideOthers(worker, now);
+        if (worker.hasLeft || worker.isReplaced) {
+            clearOpenStarts(worker);
+        }
+        dropExpiredOpenStarts(worker, now);
         const bool isExpired =
             canJudge && hasRenewalResult && isSilenceCertain && now >= worker.leaseEnd();
         if (isExpired && !worker.tasks.empty()) {
@@ -491,6 +509,9 @@
             TaskLedger::release(it);
         }
     }
+    if (successor == Successor::OtherId) {
+        clearOpenStarts(worker);
+    }
     m_state.wantsPlacement = true;
 }
 
@@ -505,12 +526,45 @@
             task.stopSentAt = {};
         }
     }
+    raiseFence(worker);
+}
+
+void CellScheduler::raiseFence(CellWorker &worker)
+{
     if (worker.fenceRaises + 1 < FencesPerEpoch) {
         ++worker.fenceRaises;
     } else {
         m_state.logDecision("fencing tokens used up", worker, {});
         m_state.needsNewEpoch = true;
     }
+    worker.restartFence = m_state.fenceOf(worker);
+}
+
+void CellScheduler::addOpenStart(const TaskRef &ref, CellWorker &worker, TimePoint end)
+{
+    ref.task().openStart = {worker.info.id, end};
+    const TaskName name = ref.name();
+    std::erase_if(worker.openStarts, [&name](const auto &it) { return it.first == name; });
+    worker.openStarts.emplace_back(name, end);
+}
+
+void CellScheduler::clearOpenStarts(CellWorker &worker)
+{
+    for (const auto &[name, end] : std::exchange(worker.openStarts, {})) {
+        const auto ref = m_state.findTask(name);
+        if (ref && ref->task().openStart && ref->task().openStart->worker == worker.info.id) {
+            ref->task().openStart.reset();
+            m_state.wantsPlacement = true;
+        }
+    }
+}
+
+void CellScheduler::dropExpiredOpenStarts(CellWorker &worker, TimePoint now)
+{
+    const auto isOver = [now](const auto &it) { return now >= it.second; };
+    if (std::erase_if(worker.openStarts, isOver) > 0) {
+        m_state.wantsPlacement = true;
+    }
 }
 
 void CellScheduler::releaseTasks(CellWorker &worker, std::int64_t nowUnixMs)
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -12,6 +12,8 @@
 /// Interval of the records of the remaining lease of a silent worker; a change of owner prolongs
 /// the wait for it by this much at most.
 constexpr Duration LeaseRecordInterval = std::chrono::milliseconds(500);
+/// Age of a record from which on it is put again without the starts that were answered since.
+constexpr Duration StartRecordInterval = std::chrono::milliseconds(1000);
 
 std::string addressOf(const CellWorker &worker)
 {
@@ -29,19 +31,38 @@
 /// Tasks that may still start on a silent worker, by unanswered orders of this or earlier owners.
 std::vector<TaskName> openStartsOn(const CellWorker &worker)
 {
-    if (!worker.isContacted) {
-        return worker.restoredOpenStarts;
-    }
     std::vector<TaskName> names;
-    for (const TaskRef &it : worker.tasks) {
-        if (worker.startEnd(it.task()) != TimePoint{}) {
-            names.push_back(it.name());
+    if (!worker.isContacted) {
+        std::ranges::transform(worker.restoredStarts, std::back_inserter(names),
+                               &OrderedStart::task);
+    } else {
+        std::ranges::transform(worker.openStarts, std::back_inserter(names),
+                               [](const auto &it) { return it.first; });
+        for (const TaskRef &it : worker.tasks) {
+            if (worker.startEnd(it.task()) != TimePoint{}) {
+                names.push_back(it.name());
+            }
         }
     }
     std::ranges::sort(names);
+    const auto repeated = std::ranges::unique(names);
+    names.erase(repeated.begin(), repeated.end());
     return names;
 }
 
+/// Starts on a worker that no answer or report has confirmed yet.
+std::vector<OrderedStart> recentStartsOn(const CellWorker &worker)
+{
+    std::vector<OrderedStart> starts;
+    for (const TaskRef &it : worker.tasks) {
+        if (!it.task().acceptedMs) {
+            starts.push_back({it.name(), it.task().run});
+        }
+    }
+    std::ranges::sort(starts, {}, &OrderedStart::task);
+    return starts;
+}
+
 /// Remaining time until \a end, in ms, rounded up.
 std::int64_t msUntil(TimePoint end, TimePoint now)
 {
@@ -59,12 +80,43 @@
     return record && record->leaseLeftMs;
 }
 
-/// True if \a to differs from \a from in the remaining lease alone.
+/// True if \a to differs from \a from in the remaining times alone.
 bool differsInLeaseOnly(const std::optional<WorkerRecord> &from,
                         const std::optional<WorkerRecord> &to)
 {
-    return limitsLease(from) && limitsLease(to) && from->address == to->address
-           && from->tasks == to->tasks && from->openStarts == to->openStarts;
+    if (!limitsLease(from) || !limitsLease(to)) {
+        return false;
+    }
+    WorkerRecord other = *from;
+    other.leaseLeftMs = to->leaseLeftMs;
+    other.startsLeftMs = to->startsLeftMs;
+    return other == *to;
+}
+
+/// True if \a to differs from \a from, both without limits, in what it says of starts alone, and
+/// in that it may no longer tell of earlier grants.
+bool differsInStartsOnly(const std::optional<WorkerRecord> &from,
+                         const std::optional<WorkerRecord> &to)
+{
+    if (!isOpen(from) || !isOpen(to)) {
+        return false;
+    }
+    WorkerRecord other = *from;
+    other.openStarts = to->openStarts;
+    other.startsLeftMs = to->startsLeftMs;
+    other.recentStarts = to->recentStarts;
+    other.earlierGrantsMs = to->earlierGrantsMs == 0 ? 0 : other.earlierGrantsMs;
+    return other == *to;
+}
+
+/// True if \a from names each start that \a to does.
+bool coversStarts(const WorkerRecord &from, const WorkerRecord &to)
+{
+    const auto isNamed = [&from](const OrderedStart &it) {
+        return std::ranges::find(from.recentStarts, it) != from.recentStarts.end();
+    };
+    return std::ranges::includes(from.openStarts, to.openStarts)
+           && std::ranges::all_of(to.recentStarts, isNamed);
 }
 
 } // namespace
@@ -77,7 +129,10 @@
 {
     worker.isRestored = true;
     worker.restoredTasks = record.tasks;
-    worker.restoredOpenStarts = record.openStarts;
+    worker.restoredStarts = record.recentStarts;
+    for (const TaskName &it : record.openStarts) {
+        worker.restoredStarts.push_back({it, AnyRun});
+    }
     worker.record = std::move(record);
     worker.isRecorded = isOpen(worker.record);
     worker.isLeaseLimited = limitsLease(worker.record);
@@ -88,13 +143,22 @@
     for (auto &[id, worker] : m_state.workers) {
         worker->earlierLeaseEnd = m_state.locateUntil;
         worker->recordedAt = now;
+        if (!worker->record) {
+            continue;
+        }
+        // The record may have been put at any time before it was read.
+        const WorkerRecord &record = *worker->record;
+        if (record.earlierGrantsMs > 0) {
+            worker->earlierGrantsEnd = now + std::chrono::milliseconds(record.earlierGrantsMs);
+            worker->earlierLeaseEnd = std::max(worker->earlierLeaseEnd, worker->earlierGrantsEnd);
+        }
         if (worker->isLeaseLimited) {
-            // The record may have been put at any time before it was read.
-            const Duration left = std::chrono::milliseconds(*worker->record->leaseLeftMs);
+            const Duration left = std::chrono::milliseconds(*record.leaseLeftMs);
             worker->earlierLeaseEnd = std::min(worker->earlierLeaseEnd, now + left);
-            worker->earlierStartsEnd =
-                now + std::chrono::milliseconds(worker->record->startsLeftMs);
         }
+        const Duration startsLeft = std::chrono::milliseconds(record.startsLeftMs);
+        worker->earlierStartsEnd =
+            now + (record.recentStarts.empty() ? startsLeft : CellBounds::OrderLifetime);
     }
 }
 
@@ -113,6 +177,10 @@
         && now - worker.recordedAt < LeaseRecordInterval) {
         return;
     }
+    if (differsInStartsOnly(worker.record, required) && coversStarts(*worker.record, *required)
+        && now - worker.recordedAt < StartRecordInterval) {
+        return;
+    }
     put(worker, std::move(required), now);
 }
 
@@ -123,10 +191,20 @@
     }
 }
 
-std::optional<WorkerRecord> WorkerRecords::requiredRecord(const CellWorker &worker, TimePoint now)
+std::optional<WorkerRecord> WorkerRecords::requiredRecord(const CellWorker &worker,
+                                                          TimePoint now) const
 {
     WorkerRecord record;
     record.address = addressOf(worker);
+    record.incarnationStartUnixMs = worker.record ? worker.record->incarnationStartUnixMs : 0;
+    if (worker.isContacted) {
+        record.incarnationStartUnixMs = worker.incarnationStartUnixMs;
+    }
+    if (now < worker.earlierGrantsEnd) {
+        record.earlierGrantsMs = std::chrono::ceil<std::chrono::milliseconds>(
+                                     CellWorker::longestGrant(m_state.bounds.maxLease))
+                                     .count();
+    }
     const bool mayStartTasks = !worker.info.isDraining && !worker.hasLeft;
     if (!worker.isContacted && !worker.isRestored) {
         // No owner has started anything there.
@@ -174,6 +252,20 @@
     if (!mayStartTasks && areTasksKnown) {
         record.tasks = tasksOn(worker);
     }
+    if (!worker.restoredStarts.empty()) {
+        // Those of earlier owners aren't settled yet.
+        record.openStarts = worker.record->openStarts;
+        record.startsLeftMs = worker.record->startsLeftMs;
+        record.recentStarts = worker.record->recentStarts;
+        return record;
+    }
+    std::ranges::transform(worker.openStarts, std::back_inserter(record.openStarts),
+                           [](const auto &it) { return it.first; });
+    std::ranges::sort(record.openStarts);
+    if (!record.openStarts.empty()) {
+        record.startsLeftMs = msUntil(now + CellBounds::OrderLifetime, now);
+    }
+    record.recentStarts = recentStartsOn(worker);
     return record;
 }
 
@@ -187,11 +279,11 @@
                                 + " lease_left_ms=" + std::to_string(*record->leaseLeftMs)
                                 + " listed=" + std::to_string(worker.isRegistered ? 1 : 0));
     }
+    // Any of the records that were put may be the one that the next owner reads.
+    worker.isRecorded = worker.isRecorded && differsInStartsOnly(worker.record, record);
     worker.record = std::move(record);
     worker.recordedAt = now;
     worker.recordNumber = ++m_count;
-    // Any of the records that were put may be the one that the next owner reads.
-    worker.isRecorded = false;
     worker.isLeaseLimited = worker.isLeaseLimited || limitsLease(worker.record);
     std::optional<std::string> value;
     if (worker.record) {
@@ -208,9 +300,9 @@
     if (!worker || worker->recordNumber != number) {
         return;
     }
-    worker->isRecorded = isOpen(worker->record);
+    const bool wasRecorded = std::exchange(worker->isRecorded, isOpen(worker->record));
     worker->isLeaseLimited = limitsLease(worker->record);
-    if (worker->isRecorded) {
+    if (worker->isRecorded && !wasRecorded) {
         m_state.wantsPlacement = true;
         m_state.logDecision("worker recorded", *worker, {});
     }
--- a/src/Cell/WorkerRecords.h
+++ b/src/Cell/WorkerRecords.h
@@ -3,6 +3,7 @@
 #include "Cell/CellState.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 
 namespace firefly {
@@ -17,6 +18,10 @@
 class WorkerRecords
 {
 public:
+    /// Stands in CellWorker::restoredStarts for the run of an unanswered start, which no report
+    /// settles.
+    static constexpr std::uint32_t AnyRun = std::numeric_limits<std::uint32_t>::max();
+
     explicit WorkerRecords(CellState &state);
 
     /// Applies a \a record of an earlier owner.
@@ -30,7 +35,7 @@
     void remove(CellWorker &worker, TimePoint now);
 
 private:
-    static std::optional<WorkerRecord> requiredRecord(const CellWorker &worker, TimePoint now);
+    std::optional<WorkerRecord> requiredRecord(const CellWorker &worker, TimePoint now) const;
     void put(CellWorker &worker, std::optional<WorkerRecord> record, TimePoint now);
     void onDurable(const WorkerId &id, std::uint64_t number);
 
--- a/src/Cell/ZoneEvacuation.cpp
+++ b/src/Cell/ZoneEvacuation.cpp
@@ -24,33 +24,45 @@
 
 void CellScheduler::withdrawStarts()
 {
-    const auto findStart = [this](const CellAction &action) -> std::optional<TaskRef> {
-        const auto *order = std::get_if<StartTask>(&action);
-        return order ? m_state.findTask(order->task) : std::nullopt;
+    std::vector<TaskRef> starts;
+    const auto addStart = [this, &starts](const StartTask &order) {
+        const auto ref = m_state.findTask(order.task);
+        if (ref && ref->task().state == TaskState::Starting && ref->task().run == order.run) {
+            starts.push_back(*ref);
+        }
     };
+    for (const CellAction &it : m_state.actions) {
+        if (const auto *order = std::get_if<StartTask>(&it)) {
+            addStart(*order);
+        }
+    }
+    for (const CellState::UnrecordedStart &it : m_state.unrecordedStarts) {
+        addStart(it.order);
+    }
     // The members of a gang start together or not at all.
     using GangId = std::tuple<const CellJob *, std::uint32_t, std::uint32_t>;
     const auto gangOf = [](const TaskRef &ref) {
         return GangId(ref.job, ref.occurrence, ref.step);
     };
     std::set<GangId> withdrawnGangs;
-    for (const CellAction &it : m_state.actions) {
-        const auto ref = findStart(it);
-        if (ref && ref->spec().isGang && ref->task().worker && ref->task().worker->isEvacuated) {
-            withdrawnGangs.insert(gangOf(*ref));
+    for (const TaskRef &it : starts) {
+        if (it.spec().isGang && it.task().worker->isEvacuated) {
+            withdrawnGangs.insert(gangOf(it));
         }
     }
-    std::erase_if(m_state.actions, [&](const CellAction &action) {
-        const auto ref = findStart(action);
-        if (!ref || ref->task().state != TaskState::Starting) {
-            return false;
-        }
-        if (!ref->task().worker->isEvacuated && !withdrawnGangs.contains(gangOf(*ref))) {
-            return false;
+    std::set<TaskName> withdrawn;
+    for (const TaskRef &it : starts) {
+        if (it.task().worker->isEvacuated || withdrawnGangs.contains(gangOf(it))) {
+            withdrawn.insert(it.name());
+            TaskLedger::release(it);
         }
-        TaskLedger::release(*ref);
-        return true;
+    }
+    std::erase_if(m_state.actions, [&withdrawn](const CellAction &action) {
+        const auto *order = std::get_if<StartTask>(&action);
+        return order && withdrawn.contains(order->task);
     });
+    std::erase_if(m_state.unrecordedStarts,
+                  [&withdrawn](const auto &it) { return withdrawn.contains(it.order.task); });
 }
 
 double CellScheduler::evacuatedMilliCpu() const
--- a/src/CellLease/CellElection.h
+++ b/src/CellLease/CellElection.h
@@ -117,6 +117,8 @@
     Epoch epoch() const { return m_claim.epoch; }
     /// Latest deadline that orders of this process may have; zero when it may give none.
     TimePoint ordersUntil() const;
+    /// Another process may own the cell from then on, though the orders of this one may go on.
+    TimePoint startsUntil() const { return std::min(ordersUntil(), m_renewedAt + OwnerTimeout); }
     /// Time by which all orders of earlier owners have expired.
     TimePoint earlierOrdersExpiry() const { return m_earlierOrdersExpiry; }
     const OwnershipClaim &claim() const { return m_claim; }
--- a/src/Node/CellHost.cpp
+++ b/src/Node/CellHost.cpp
@@ -175,7 +175,7 @@
             storeRetries.onSuccess();
         }
         if (isServing && orders && partition) {
-            scheduler.setOrdersUntil(election.ordersUntil());
+            scheduler.setOrdersUntil(election.ordersUntil(), election.startsUntil());
             scheduler.tick(now, unixMs());
             delegateTasks(now);
             orders->sendAll();
@@ -386,7 +386,7 @@
             return;
         }
         // An announcement that the owner leaves limits all orders from now on.
-        scheduler.setOrdersUntil(election.ordersUntil());
+        scheduler.setOrdersUntil(election.ordersUntil(), election.startsUntil());
         const bool isNew = append->claim.epoch != election.epoch();
         if (isNew) {
             claimSentAt = now;
--- a/src/Workload/JobRecords.cpp
+++ b/src/Workload/JobRecords.cpp
@@ -83,6 +83,26 @@
     return names;
 }
 
+json encodeStarts(std::span<const OrderedStart> starts)
+{
+    json rows = json::array();
+    for (const OrderedStart &it : starts) {
+        rows.push_back(
+            {it.task.job.value(), it.task.occurrence, it.task.step, it.task.index, it.run});
+    }
+    return rows;
+}
+
+std::vector<OrderedStart> decodeStarts(const json &rows)
+{
+    std::vector<OrderedStart> starts;
+    const std::vector<TaskName> names = decodeNames(rows);
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        starts.push_back({names[i], rows.at(i).at(4).get<std::uint32_t>()});
+    }
+    return starts;
+}
+
 } // namespace
 
 std::string specKey(const JobId &job)
@@ -115,9 +135,6 @@
 
 std::string encodeWorker(const WorkerRecord &record)
 {
-    if (!record.tasks && !record.leaseLeftMs) {
-        return record.address;
-    }
     // Builds that know no limits take them for a part of the host name, so that the worker is
     // silent to them and they wait for the longest lease.
     json limits = json::object();
@@ -131,6 +148,18 @@
         limits["open_starts"] = encodeNames(record.openStarts);
         limits["starts_left_ms"] = record.startsLeftMs;
     }
+    if (record.incarnationStartUnixMs != 0) {
+        limits["incarnation"] = record.incarnationStartUnixMs;
+    }
+    if (record.earlierGrantsMs != 0) {
+        limits["earlier_grants_ms"] = record.earlierGrantsMs;
+    }
+    if (!record.recentStarts.empty()) {
+        limits["recent_starts"] = encodeStarts(record.recentStarts);
+    }
+    if (limits.empty()) {
+        return record.address;
+    }
     return limits.dump() + LimitsEnd + record.address;
 }
 
@@ -155,6 +184,11 @@
             record.openStarts = decodeNames(*it);
             record.startsLeftMs = limits.at("starts_left_ms").get<std::int64_t>();
         }
+        record.incarnationStartUnixMs = limits.value("incarnation", std::int64_t{0});
+        record.earlierGrantsMs = limits.value("earlier_grants_ms", std::int64_t{0});
+        if (const auto it = limits.find("recent_starts"); it != limits.end()) {
+            record.recentStarts = decodeStarts(*it);
+        }
     } catch (const json::exception &e) {
         throw JobRecordError(std::string("worker record: ") + e.what());
     }
--- a/src/Workload/JobRecords.h
+++ b/src/Workload/JobRecords.h
@@ -81,6 +81,14 @@
     std::optional<int> home; ///< Unset in records of earlier versions.
 };
 
+/// A run of a task that an owner has ordered.
+struct OrderedStart
+{
+    TaskName task;
+    std::uint32_t run = 0;
+    bool operator==(const OrderedStart &) const = default;
+};
+
 /// What the next owner of a cell may rely on about one of its workers.
 struct WorkerRecord
 {
@@ -94,6 +102,13 @@
     /// \a startsLeftMs from when the record was put.
     std::vector<TaskName> openStarts;
     std::int64_t startsLeftMs = 0;
+    /// The incarnation that the owner knew; 0 if none.
+    std::int64_t incarnationStartUnixMs = 0;
+    /// Longest time, from when the record was put, of leases that orders to an earlier incarnation
+    /// have granted this one; 0 if there are none.
+    std::int64_t earlierGrantsMs = 0;
+    /// Starts that were sent shortly before the record was put and had no answer yet.
+    std::vector<OrderedStart> recentStarts;
 
     bool operator==(const WorkerRecord &) const = default;
 };
