Count the end of an earlier run while a later one is placed

Cause: a worker that the owner can't reach ends a run as done. Its lease is taken for over, the task starts again elsewhere, and then the worker lists the end. The owner acknowledged it, so that no other owner can read it again, and dropped it, as the task was placed elsewhere; the job waited for the later run, which may be paused beside serving tasks for as long as these are disturbed.

That an earlier run of these tasks was done is inferred from that and from the code: no line told it.

Change: the task is marked, the end is recorded, and the later run is stopped once the store holds it. The task is done when that run has left its worker, so that its capacity counts until then; its failure doesn't count. Gangs are left as they were. The line `earlier run done` tells of it.

--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -65,6 +65,9 @@
     TimePoint movedAt{};                ///< Latest stop that Defragmenter ordered; zero if none.
     TimePoint nextWaitReport{}; ///< Earliest next log line about the wait; valid while it waits.
     std::uint64_t lastListedReport = 0; ///< Latest report with the run, by reportCount.
+    /// An earlier run has ended as done: the task is done once the present one has left its worker.
+    bool hasEarlierEnd = false;
+    bool isEarlierEndDurable = false; ///< The store holds that; the present run is stopped.
     int percent = 0;
     int pace = 100;              ///< Percent of its demand that a filler may use.
     bool isPaceKnown = true;     ///< False if an order of an earlier owner may have set another.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -438,7 +438,7 @@
             const StepRun &step = job.occurrences[k].steps[s];
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const CellTask &task = step.tasks[i];
-                const bool isDone = task.state == TaskState::Done;
+                const bool isDone = task.state == TaskState::Done || task.hasEarlierEnd;
                 const TimePoint wait = waitToRecord(job, task);
                 const bool isWaiting = wait != TimePoint{};
                 const bool isReturned = !job.isGuestPart && task.firstRun > 0;
--- a/src/Cell/CellScheduler.h
+++ b/src/Cell/CellScheduler.h
@@ -324,6 +324,11 @@
     void applyEndedRun(CellWorker &worker, const EndedRun &row, TimePoint now,
                        std::int64_t nowUnixMs);
     void completeTask(const TaskRef &ref, std::int64_t nowUnixMs);
+    /// Counts the end as done of \a run, which \a worker lists while a later run of the task is
+    /// placed: that run is stopped once the store holds the end.
+    void noteEarlierEnd(const TaskRef &ref, const CellWorker &worker, std::uint32_t run);
+    /// Takes the task off its worker; one with an earlier end is done then.
+    void releaseTask(const TaskRef &ref);
     void recordTaskFailure(const TaskRef &ref, const CellWorker &worker, std::uint32_t run,
                            std::int64_t nowUnixMs);
     void releaseMissingTasks(CellWorker &worker, const LeaseReport &report, TimePoint sentAt);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -4,6 +4,7 @@
 #include "Cell/TaskLedger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace firefly {
 namespace {
@@ -183,7 +184,7 @@
     if (!row.checkpoint.empty()) {
         task.checkpoint = row.checkpoint;
     }
-    if (isEnded && task.state == TaskState::Running) {
+    if ((isEnded || task.isEarlierEndDurable) && task.state == TaskState::Running) {
         sendStop(*ref);
     }
 }
@@ -207,11 +208,16 @@
         if (isCurrent || isUnplaced) {
             worker.failedTasks.clear();
             completeTask(*ref, nowUnixMs);
+        } else if (isPlaced(task.state) && !ref->spec().isGang) {
+            noteEarlierEnd(*ref, worker, row.run);
         }
         return;
     }
     if (isCurrent) {
-        TaskLedger::release(*ref);
+        releaseTask(*ref);
+    }
+    if (task.hasEarlierEnd) {
+        return;
     }
     if (isCurrent || isUnplaced) {
         task.run = std::max(task.run, row.run);
@@ -249,6 +255,35 @@
     }
 }
 
+void CellScheduler::noteEarlierEnd(const TaskRef &ref, const CellWorker &worker, std::uint32_t run)
+{
+    if (std::exchange(ref.task().hasEarlierEnd, true)) {
+        return;
+    }
+    m_state.logDecision("earlier run done", ref,
+                        "on=" + worker.info.id.value() + " listed_run=" + std::to_string(run));
+    if (isFinal(ref.job->state)) {
+        return;
+    }
+    recordProgress(*ref.job);
+    // The next owner may need the later run until then.
+    m_state.journal.whenDurable([this, name = ref.name()] {
+        const auto stored = m_state.findTask(name);
+        if (stored && stored->task().hasEarlierEnd && isPlaced(stored->task().state)) {
+            stored->task().isEarlierEndDurable = true;
+            sendStop(*stored);
+        }
+    });
+}
+
+void CellScheduler::releaseTask(const TaskRef &ref)
+{
+    TaskLedger::release(ref);
+    if (ref.task().hasEarlierEnd) {
+        completeTask(ref, toUnixMs(m_now));
+    }
+}
+
 void CellScheduler::recordTaskFailure(const TaskRef &ref, const CellWorker &worker,
                                       std::uint32_t run, std::int64_t nowUnixMs)
 {
@@ -289,7 +324,7 @@
                                 "running=" + std::to_string(report.running.size())
                                     + " ended=" + std::to_string(report.ended.size()) + " stopping="
                                     + std::to_string(task.state == TaskState::Stopping ? 1 : 0));
-            TaskLedger::release(it);
+            releaseTask(it);
             m_state.wantsPlacement = true;
         }
     }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -191,7 +191,7 @@
         task.startedAt = now;
         task.progressMs = reply.clockMs.value_or(worker->clockAtLeast(now));
         task.acceptedMs = task.progressMs;
-        if (isFinal(ref->job->durableState)) {
+        if (isFinal(ref->job->durableState) || task.isEarlierEndDurable) {
             sendStop(*ref);
         }
         return;
@@ -223,7 +223,7 @@
     case OrderOutcome::BadTicket:
         break;
     }
-    TaskLedger::release(*ref);
+    releaseTask(*ref);
     m_state.wantsPlacement = true;
 }
 
@@ -488,7 +488,7 @@
     }
     for (const TaskRef &it : earlier) {
         if (successor == Successor::OtherId || it.task().acceptedMs) {
-            TaskLedger::release(it);
+            releaseTask(it);
         }
     }
     m_state.wantsPlacement = true;
@@ -529,7 +529,7 @@
         nowUnixMs);
     for (const TaskRef &it : lost) {
         m_state.logDecision("lease over", it, worker.describeLoss(it.task(), m_now));
-        TaskLedger::release(it);
+        releaseTask(it);
     }
     m_state.wantsPlacement = true;
 }
