Resume paused fillers without checkpoints on trial

What callers saw: batch jobs that never end, as one of their tasks stays paused beside a serving task, over several owners, with most of the cell free.

Cause: InterferenceGuard resumes a paused filler only where the model expects no harm, and moves only fillers with checkpoints. The model learns nothing about a filler that doesn't work, so others wait for good. The job isn't idle either, since the paused task is placed, so that its other tasks get no trial.

Change: such a filler is resumed after a pause of 3 s while no serving task of its worker misses its target, one at a time; the guard pauses it again if it does harm. It counts as a trial of its worker, so that FillerTrials adds none.

Not mended: fillers beside a serving task that misses its target by itself.

--- a/src/Cell/InterferenceGuard.cpp
+++ b/src/Cell/InterferenceGuard.cpp
@@ -38,6 +38,9 @@
 constexpr Duration RecoveryTime = std::chrono::milliseconds(1000);
 /// A filler paused for longer is moved to another worker, if it has checkpoints.
 constexpr Duration MaxPause = std::chrono::milliseconds(1500);
+/// Other paused fillers are resumed on trial after this time, one at a time on a worker, as nothing
+/// else would end their jobs.  Covers the reaction to a missed target, as between other trials.
+constexpr Duration PausedTrialInterval = std::chrono::milliseconds(3000);
 /// Weight of the newest report in the moving average of the tail, and the time after which the
 /// average reflects a change.
 constexpr double NewestTailWeight = 0.4;
@@ -224,6 +227,10 @@
             adjustments.push_back({it, Action::Pace, FullPace});
         } else if (it.spec().isCheckpointing && now - it.task().paceChangedAt > MaxPause) {
             adjustments.push_back({it, Action::Stop, 0});
+        } else if (now - it.task().paceChangedAt >= PausedTrialInterval
+                   && now >= worker.trialUntil) {
+            worker.trialUntil = now + PausedTrialInterval;
+            adjustments.push_back({it, Action::Pace, FullPace});
         } else {
             continue;
         }
--- a/src/Cell/InterferenceGuard.h
+++ b/src/Cell/InterferenceGuard.h
@@ -60,7 +60,8 @@
     /// checkpoints.
     void removeStrongestFiller(CellWorker &worker, const TaskRef &victim, TimePoint now,
                                std::vector<Adjustment> &adjustments);
-    /// Resumes one throttled filler, or moves one that has been paused for too long.
+    /// Resumes one throttled filler, or moves one that has been paused for too long; if it has no
+    /// checkpoints, it is resumed on trial.
     void resumeOrMove(CellWorker &worker, TimePoint now, std::vector<Adjustment> &adjustments);
     void refreshEffects(TimePoint now);
     void refreshForecasts(CellWorker &worker, TimePoint now);
