--- a/src/Adapters/CurlLoop.cpp
+++ b/src/Adapters/CurlLoop.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <cctype>
 #include <map>
@@ -101,6 +102,17 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/// Called by libcurl for each new socket: from then on each close resets the connection, also the
+/// kernel's own at the end of the process, so that nothing of an unfinished request is delivered
+/// afterwards.
+int onSocketCreated(void * /*user*/, curl_socket_t fd, curlsocktype /*purpose*/)
+{
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    // Without the option requests may be late, as they may be anyway behind a proxy.
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    return CURL_SOCKOPT_OK;
+}
+
 void setMethod(const Transfer &transfer)
 {
     const HttpExchange &exchange = transfer.exchange;
@@ -151,6 +163,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocketCreated);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
 }
--- a/src/Adapters/CurlLoop.h
+++ b/src/Adapters/CurlLoop.h
@@ -30,6 +30,10 @@
 /// libcurl's automatic retry after a reused connection breaks is suppressed and reported as
 /// ExchangeState::Uncertain.  Timeouts follow the machine's clock, even while Clock is
 /// paused.
+///
+/// Connections end with a TCP reset, also at the end of the process: what the link still holds of a
+/// request that failed, timed out or was cancelled is discarded instead of being carried out late.
+/// Of a complete exchange nothing is under way any more.
 class CurlLoop
 {
 public:
