--- a/soak/LinkProxy.cpp
+++ b/soak/LinkProxy.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <sys/socket.h>
 
 #include <array>
 #include <limits>
@@ -63,9 +64,17 @@
     void deliver(asio::error_code ec, std::size_t n)
     {
         if (isBlocked()) {
+            isHeldBack = true;
             deliverAfter(BlockedPollInterval, ec, n);
             return;
         }
+        const bool isDropped =
+            std::exchange(isHeldBack, false) && proxy.dropsHeldDataOnReset && hasSenderReset(ec);
+        if (isDropped) {
+            reset(*source);
+            reset(*sink);
+            return;
+        }
         asio::error_code ignored; // If the peer has closed, the other direction ends by itself.
         if (ec) {
             sink->shutdown(tcp::socket::shutdown_send, ignored);
@@ -82,11 +91,25 @@
                           });
     }
 
+    /// True if the sender has reset the connection, given the result of the last read: a reset that
+    /// came after the data shows only at the socket.
+    bool hasSenderReset(asio::error_code readResult) const
+    {
+        if (readResult) {
+            return readResult != asio::error::eof;
+        }
+        int error = 0;
+        socklen_t size = sizeof(error);
+        ::getsockopt(source->native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+        return error != 0;
+    }
+
     const LinkProxy &proxy;
     SocketPtr source;
     SocketPtr sink;
     std::uint64_t connection;
     bool isToServer;
+    bool isHeldBack = false; ///< The data in buf has been held back.
     asio::steady_timer timer;
     std::array<char, BufferBytes> buf{};
 };
@@ -152,13 +175,16 @@
 
 void LinkProxy::reset(const OpenSocket &it)
 {
-    const SocketPtr socket = it.socket.lock();
-    if (!socket || !socket->is_open()) {
-        return;
+    if (const SocketPtr socket = it.socket.lock()) {
+        reset(*socket);
     }
+}
+
+void LinkProxy::reset(Socket &socket)
+{
     asio::error_code ignored; // A closed socket needs no reset.
-    socket->set_option(tcp::socket::linger(true, 0), ignored);
-    socket->close(ignored);
+    socket.set_option(tcp::socket::linger(true, 0), ignored);
+    socket.close(ignored);
 }
 
 void LinkProxy::holdRequests(Held connections)
--- a/soak/LinkProxy.h
+++ b/soak/LinkProxy.h
@@ -15,7 +15,8 @@
 /// TCP proxy that injects faults into the connections that it forwards.
 ///
 /// Data that was held back while a direction was blocked is delivered once it is unblocked, even if
-/// the sender has closed meanwhile: the receiver then carries out a request late.
+/// the sender has closed meanwhile: the receiver then carries out a request late.  Whether this
+/// also holds after a reset by the sender depends on dropsHeldDataOnReset.
 class LinkProxy
 {
 public:
@@ -26,6 +27,9 @@
     bool isResponseBlocked = false; ///< Holds back data to the client.
     bool isRefusing = false;        ///< Closes new connections at once.
     Duration delay{};               ///< Added to each block of data in both directions.
+    /// A reset by the sender discards what is held back, as on a plain network link; otherwise it
+    /// is delivered, as by a queue or proxy on the way.
+    bool dropsHeldDataOnReset = false;
     /// Resets all open connections.
     void reset();
 
@@ -55,6 +59,7 @@
         return connection >= m_heldBegin && connection < m_heldEnd;
     }
     static void reset(const OpenSocket &it);
+    static void reset(Socket &socket);
     void accept();
     void connect(const SocketPtr &client);
 
--- a/soak/SoakFleet.cpp
+++ b/soak/SoakFleet.cpp
@@ -38,6 +38,8 @@
 constexpr Duration MinWorkTime = std::chrono::milliseconds(100);
 constexpr Duration MaxWorkTime = std::chrono::milliseconds(2500);
 constexpr double FailureShare = 0.08;
+/// Spreads the seeds of the kinds of links away from those of the faults.
+constexpr std::uint64_t LinkKindSeedOffset = 1U << 22U;
 
 /// Loopback network derived from \a pid, so that concurrent soaks can use the same fixed ports.
 std::string networkPrefix(pid_t pid)
@@ -75,6 +77,7 @@
     for (int i = 0; i < options.nodes; ++i) {
         addNode(i, options);
     }
+    drawLinkKinds(options.seed);
     if (options.cells > 1) {
         publishLayout(options.cells);
     }
@@ -132,6 +135,32 @@
     workers.push_back(std::move(soakWorker));
 }
 
+void SoakFleet::drawLinkKinds(std::uint64_t seed)
+{
+    using NamedLink = std::pair<std::string, LinkProxy *>;
+    std::vector<NamedLink> toWorkers;
+    std::vector<NamedLink> toStore;
+    std::vector<NamedLink> toNodes;
+    for (const SoakWorker &it : workers) {
+        toWorkers.emplace_back(it.id, it.link.get());
+    }
+    for (const SoakNode &it : nodes) {
+        toStore.emplace_back(it.settings.node + " to the store", it.store.get());
+        toNodes.emplace_back("callers to " + it.settings.node, it.callers.get());
+    }
+    std::mt19937_64 kindRandom(seed + LinkKindSeedOffset);
+    std::string names;
+    for (std::vector<NamedLink> *group : {&toWorkers, &toStore, &toNodes}) {
+        std::ranges::shuffle(*group, kindRandom);
+        // At least half of each kind of link delivers late, which is harder on the processes.
+        for (const auto &[name, link] : std::span(*group).first(group->size() / 2)) {
+            link->dropsHeldDataOnReset = true;
+            names += (names.empty() ? "" : ", ") + name;
+        }
+    }
+    log("links that drop held data at a reset: " + names);
+}
+
 /// Splits the few workers into several cells, as in a large fleet; without a stored layout the
 /// processes would put them all into one cell.
 void SoakFleet::publishLayout(int cells)
--- a/soak/SoakFleet.h
+++ b/soak/SoakFleet.h
@@ -103,6 +103,8 @@
     void addNode(int number, const SoakOptions &options);
     void addWorker(int number, int cells);
     void publishLayout(int cells);
+    /// Draws which links drop what they hold when its sender resets the connection.
+    void drawLinkKinds(std::uint64_t seed);
     void tick();
     void registerWorkers(TimePoint now);
     std::string address(int host) const;
