--- a/test/ConnectionResets.cpp
+++ b/test/ConnectionResets.cpp
@@ -27,7 +27,7 @@
 /// More than the buffers of both sockets hold, so that a part stays unacknowledged.
 constexpr std::size_t LargeBodyBytes = 32U << 20U;
 /// Size of the server's receive buffer, which can't hold the whole of a large request.
-constexpr int SmallWindowBytes = 16384;
+constexpr std::size_t SmallWindowBytes = 16384;
 
 /// Loopback server that accepts one connection and reads nothing until it is told to.
 class PassiveServer
@@ -37,7 +37,8 @@
         : m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , m_socket(context)
     {
-        m_acceptor.set_option(asio::socket_base::receive_buffer_size(SmallWindowBytes));
+        m_acceptor.set_option(
+            asio::socket_base::receive_buffer_size(static_cast<int>(SmallWindowBytes)));
         m_acceptor.async_accept(m_socket, [this](asio::error_code ec) { m_hasConnection = !ec; });
     }
 
