Erase repeated names by std::unique, which the linter's front end can compile

clang-tidy 14 can't compile std::ranges::subrange of this standard library, so that the linter failed on WorkerRecords.cpp.

--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -45,8 +45,7 @@
         }
     }
     std::ranges::sort(names);
-    const auto repeated = std::ranges::unique(names);
-    names.erase(repeated.begin(), repeated.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
     return names;
 }
 
