--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -251,7 +251,7 @@
     if (!mayStartTasks && areTasksKnown) {
         record.tasks = tasksOn(worker);
     }
-    if (!worker.restoredStarts.empty()) {
+    if (!worker.restoredStarts.empty() && worker.record) {
         // Those of earlier owners aren't settled yet.
         record.openStarts = worker.record->openStarts;
         record.startsLeftMs = worker.record->startsLeftMs;
--- a/test/EarlierRunDone.cpp
+++ b/test/EarlierRunDone.cpp
@@ -58,6 +58,19 @@
         ASSERT_FALSE(earlier->hasEndedRuns());
     }
 
+    /// Replaces the owner once it has acknowledged the end, whose worker leaves.
+    void expectNextOwnerFinishesJob()
+    {
+        earlier->isReachable = true;
+        runToAcknowledgement();
+        world.removeWorker(world.audit.starts[first].front().worker);
+        world.replaceOwner(world.now + 1s);
+        world.run(9s);
+        EXPECT_EQ(world.audit.starts[first].size(), 2U);
+        EXPECT_TRUE(world.isFinished(JobId("a")));
+        EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
+    }
+
     CellWorld world{GetParam(), 2};
     const TaskName first{JobId("a"), 0, 0, 0};
     const TaskName next{JobId("a"), 0, 1, 0};
@@ -96,14 +109,7 @@
 
 TEST_P(EarlierRunDone, TheNextOwnerKnowsTheEnd)
 {
-    earlier->isReachable = true;
-    runToAcknowledgement();
-    world.removeWorker(world.audit.starts[first].front().worker);
-    world.replaceOwner(world.now + 1s);
-    world.run(9s);
-    EXPECT_EQ(world.audit.starts[first].size(), 2U);
-    EXPECT_TRUE(world.isFinished(JobId("a")));
-    EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
+    expectNextOwnerFinishesJob();
 }
 
 class EarlierRunDoneOfLastTask : public EarlierRunDone
@@ -117,14 +123,7 @@
 // lost before the later run had left its worker.
 TEST_P(EarlierRunDoneOfLastTask, TheNextOwnerCompletesTheJob)
 {
-    earlier->isReachable = true;
-    runToAcknowledgement();
-    world.removeWorker(world.audit.starts[first].front().worker);
-    world.replaceOwner(world.now + 1s);
-    world.run(9s);
-    EXPECT_EQ(world.audit.starts[first].size(), 2U);
-    EXPECT_TRUE(world.isFinished(JobId("a")));
-    EXPECT_EQ(world.audit.violations, std::vector<std::string>{});
+    expectNextOwnerFinishesJob();
 }
 
 // A failure of the later run says nothing of the job, which has the result of the earlier one.
--- a/test/RestartedWorkerLeaseOverOwners.cpp
+++ b/test/RestartedWorkerLeaseOverOwners.cpp
@@ -34,6 +34,22 @@
     }
 }
 
+/// Cuts the worker off and ends its owner; another worker joins for the task.
+void loseWorkerAndOwner(CellWorld &world)
+{
+    world.workers.at("w0")->isReachable = false;
+    world.joinWorker(0ms);
+    world.loseOwner(500ms);
+}
+
+/// Expects that the task has run on both workers, one after the other.
+void expectOneRunAtATime(CellWorld &world, std::uint32_t seed)
+{
+    EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
+        << "seed " << seed;
+}
+
 // Guards against two runs of a task at the same time: a renewal by the clock of a worker's former
 // life grants its next life the longest lease, and the next owner waited only for the shorter one
 // that owners ask for.
@@ -42,13 +58,9 @@
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         CellWorld world(seed, 1);
         startAfterHeldRenewals(world);
-        world.workers.at("w0")->isReachable = false;
-        world.joinWorker(0ms);
-        world.loseOwner(500ms);
+        loseWorkerAndOwner(world);
         world.run(16s);
-        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
-        EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
-            << "seed " << seed;
+        expectOneRunAtATime(world, seed);
     }
 }
 
@@ -58,15 +70,11 @@
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
         CellWorld world(seed, 1);
         startAfterHeldRenewals(world);
-        world.workers.at("w0")->isReachable = false;
-        world.joinWorker(0ms);
-        world.loseOwner(500ms);
+        loseWorkerAndOwner(world);
         world.run(1500ms);
         world.loseOwner(500ms);
         world.run(20s);
-        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
-        EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
-            << "seed " << seed;
+        expectOneRunAtATime(world, seed);
     }
 }
 
@@ -77,13 +85,9 @@
         CellWorld world(seed, 1);
         startAfterHeldRenewals(world);
         world.run(11s); // Longer than the lease of before; the worker stays in touch.
-        world.workers.at("w0")->isReachable = false;
-        world.joinWorker(0ms);
-        world.loseOwner(500ms);
+        loseWorkerAndOwner(world);
         world.run(7500ms);
-        EXPECT_EQ(world.audit.violations, std::vector<std::string>{}) << "seed " << seed;
-        EXPECT_EQ(world.audit.startedOn[Task], (std::vector<std::string>{"w0", "n1"}))
-            << "seed " << seed;
+        expectOneRunAtATime(world, seed);
     }
 }
 
