Keep the room of unanswered starts and of stray runs

Other tasks took the room, and then the start was carried out, or the run was still there.

Change: an open start keeps the reservation of its task, also when the job is gone by then, and the sum of the stray runs of the latest report counts as taken: CellWorker::freeRoom(). The task itself may use the room of its own open start (CapacityReservations::availableTo()). Runs of jobs that the owner doesn't know hold none, as their size isn't known.

Why it works: what may run on a worker by the orders that the owner knows of is counted until the order can't be carried out any more, which is when OpenStart::end lets the task start elsewhere.

--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -123,11 +123,16 @@
 ResourceVector CapacityReservations::availableTo(const TaskRef &ref, const CellWorker &worker) const
 {
     ResourceVector available = worker.freeRoom();
+    const TaskName name = ref.name();
+    const auto openStart = std::ranges::find(worker.openStarts, name, &CellWorker::OpenStart::task);
+    if (openStart != worker.openStarts.end()) {
+        available.add(openStart->reservation);
+    }
     if (worker.held == ResourceVector{}) {
         return available;
     }
     available.subtract(worker.held);
-    const Entry *own = find(ref.name());
+    const Entry *own = find(name);
     if (own && own->worker == worker.info.id) {
         available.add(own->amount);
     }
--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -87,12 +87,27 @@
     for (const TaskRef &it : tasks) {
         end = std::max(end, startEnd(it.task()));
     }
-    for (const auto &[task, openEnd] : openStarts) {
-        end = std::max(end, openEnd);
+    for (const OpenStart &it : openStarts) {
+        end = std::max(end, it.end);
     }
     return end;
 }
 
+ResourceVector CellWorker::freeRoom() const
+{
+    ResourceVector room = info.capacity;
+    room.subtract(reserved);
+    room.subtract(untracked);
+    for (const OpenStart &it : openStarts) {
+        const bool isReserved = std::ranges::any_of(
+            tasks, [&it](const TaskRef &placed) { return placed.name() == it.task; });
+        if (!isReserved) {
+            room.subtract(it.reservation);
+        }
+    }
+    return room;
+}
+
 std::string CellWorker::describeLoss(const CellTask &task, TimePoint now) const
 {
     const auto survived = survivedMs(task);
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -250,6 +250,7 @@
     bool hasListedAllEnds = false; ///< Has sent this owner a report that omits no ended run.
     /// Its latest report lists runs that belong to no task in \a tasks and are being stopped.
     bool hasUntrackedRuns = false;
+    ResourceVector untracked; ///< Reservations of those runs, as far as their tasks are known.
     bool isEvacuated = false; ///< Its zone is evacuated: what runs goes on, nothing new starts.
     std::int64_t incarnationStartUnixMs = 0;
     /// Latest start that the platform has listed and no report had shown.
@@ -266,8 +267,14 @@
     /// When the leases are over that orders meant for an earlier incarnation may have granted to a
     /// later one; zero if there are none.
     TimePoint earlierGrantsEnd{};
-    /// Tasks for which CellTask::openStart names this worker, with its end.
-    std::vector<std::pair<TaskName, TimePoint>> openStarts;
+    /// A task for which CellTask::openStart names this worker.
+    struct OpenStart
+    {
+        TaskName task;
+        TimePoint end{};
+        ResourceVector reservation; ///< Of the task, whose job may be gone before \a end.
+    };
+    std::vector<OpenStart> openStarts;
     bool hasNewStarts = false; ///< Starts were sent since its record was last updated.
     /// A task could have started here but for isAcknowledging().
     mutable bool hasDeferredStart = false;
@@ -347,9 +354,9 @@
     /// or report has confirmed; then it must forget no ended run.
     bool mayCarryOutStarts(TimePoint now) const
     {
-        return unconfirmedStarts() > 0 || std::ranges::any_of(openStarts, [now](const auto &it) {
-                   return now < it.second;
-               });
+        return unconfirmedStarts() > 0
+               || std::ranges::any_of(openStarts,
+                                      [now](const OpenStart &it) { return now < it.end; });
     }
     /// Time that a placed task is known to have run here, in ms; none if its start isn't confirmed.
     std::optional<std::int64_t> survivedMs(const CellTask &task) const
@@ -378,12 +385,9 @@
         return isRegistered && isContacted && isRecorded && refusesEarlierOrders()
                && acceptsTasks();
     }
-    ResourceVector freeRoom() const
-    {
-        ResourceVector room = info.capacity;
-        room.subtract(reserved);
-        return room;
-    }
+    /// Room for new tasks.  Runs that are being stopped keep theirs, and so does each task that an
+    /// unanswered start may yet begin here.
+    ResourceVector freeRoom() const;
 };
 
 } // namespace firefly
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -78,6 +78,7 @@
         worker.extendEarlierGrants(now, m_state.bounds.maxLease);
     }
     worker.hasUntrackedRuns = false;
+    worker.untracked = {};
     for (const RunningTask &row : report.running) {
         applyRunningTask(worker, row, now);
     }
@@ -174,6 +175,7 @@
                                 + " listed_run=" + std::to_string(row.run)
                                 + " incarnation=" + std::to_string(worker.incarnationStartUnixMs));
         worker.hasUntrackedRuns = true;
+        worker.untracked.add(ref->spec().reservation());
         sendStop(worker, row.task, row.run);
         return;
     }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -551,14 +551,14 @@
         task.openStart = {worker.info.id, end};
     }
     const TaskName name = ref.name();
-    std::erase_if(worker.openStarts, [&name](const auto &it) { return it.first == name; });
-    worker.openStarts.emplace_back(name, end);
+    std::erase_if(worker.openStarts, [&name](const auto &it) { return it.task == name; });
+    worker.openStarts.push_back({name, end, ref.spec().reservation()});
 }
 
 void CellScheduler::clearOpenStarts(CellWorker &worker)
 {
-    for (const auto &[name, end] : std::exchange(worker.openStarts, {})) {
-        const auto ref = m_state.findTask(name);
+    for (const auto &it : std::exchange(worker.openStarts, {})) {
+        const auto ref = m_state.findTask(it.task);
         if (ref && ref->task().openStart && ref->task().openStart->worker == worker.info.id) {
             ref->task().openStart.reset();
             m_state.wantsPlacement = true;
@@ -568,7 +568,7 @@
 
 void CellScheduler::dropExpiredOpenStarts(CellWorker &worker, TimePoint now)
 {
-    const auto isOver = [now](const auto &it) { return now >= it.second; };
+    const auto isOver = [now](const auto &it) { return now >= it.end; };
     if (std::erase_if(worker.openStarts, isOver) > 0) {
         m_state.wantsPlacement = true;
     }
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -37,7 +37,7 @@
                                &OrderedStart::task);
     } else {
         std::ranges::transform(worker.openStarts, std::back_inserter(names),
-                               [](const auto &it) { return it.first; });
+                               &CellWorker::OpenStart::task);
         for (const TaskRef &it : worker.tasks) {
             if (worker.startEnd(it.task()) != TimePoint{}) {
                 names.push_back(it.name());
@@ -259,7 +259,7 @@
         return record;
     }
     std::ranges::transform(worker.openStarts, std::back_inserter(record.openStarts),
-                           [](const auto &it) { return it.first; });
+                           &CellWorker::OpenStart::task);
     std::ranges::sort(record.openStarts);
     if (!record.openStarts.empty()) {
         record.startsLeftMs = msUntil(now + CellBounds::OrderLifetime, now);
--- a/test/RestartedWorkerOrders.cpp
+++ b/test/RestartedWorkerOrders.cpp
@@ -70,5 +70,50 @@
     EXPECT_EQ(m_starts.size(), 2U);
 }
 
+// Guards against a worker that is filled beyond its capacity: an unanswered start, whose stop an
+// earlier incarnation may have accepted, begins beside the tasks that took its room.
+TEST_F(RestartedWorkerOrders, TheRoomOfAnUnansweredStartStaysFree)
+{
+    report(100'000);
+    run(100ms);
+    submit("a", makeChain(1, 1));
+    run(100ms);
+    ASSERT_EQ(m_starts.size(), 1U);
+    m_owner.cancel(JobId("a"), m_now, UnixMs, [](CellScheduler::Verdict) {});
+    acceptStopOfUnanswered(m_starts[0]);
+    run(400ms);
+    report(100'600);
+    submit("b", makeChain(1, 8));
+    for (std::int64_t clockMs = 101'600; clockMs < 110'000; clockMs += 1000) {
+        run(1s);
+        report(clockMs);
+        EXPECT_EQ(m_starts.size(), 8U) << "one of a, seven of b";
+    }
+    for (std::int64_t clockMs = 110'600; clockMs < 114'000; clockMs += 1000) {
+        run(1s);
+        report(clockMs);
+    }
+    EXPECT_EQ(m_starts.size(), 9U);
+}
+
+// The same for a run that is listed though another run of its task is placed, until it has ended.
+TEST_F(RestartedWorkerOrders, TheRoomOfAStrayRunStaysFree)
+{
+    report(100'000);
+    run(100ms);
+    submit("a", makeChain(1, 1));
+    run(100ms);
+    ASSERT_EQ(m_starts.size(), 1U);
+    const RunningTask current{m_starts[0].task, m_starts[0].run};
+    const RunningTask stray{m_starts[0].task, m_starts[0].run - 1};
+    report(100'300, {}, 1, {current, stray});
+    submit("b", makeChain(1, 7));
+    run(500ms);
+    EXPECT_EQ(m_starts.size(), 7U);
+    report(100'900, {}, 1, {current});
+    run(500ms);
+    EXPECT_EQ(m_starts.size(), 8U);
+}
+
 } // namespace
 } // namespace firefly
--- a/test/fakes/ReportedWorker.h
+++ b/test/fakes/ReportedWorker.h
@@ -61,12 +61,13 @@
 
     /// Answers the latest renewal, for the given incarnation of the worker.
     void report(std::int64_t clockMs, const std::vector<EndedRun> &ended = {},
-                std::int64_t incarnation = 1)
+                std::int64_t incarnation = 1, const std::vector<RunningTask> &running = {})
     {
         LeaseReport report;
         report.clockMs = clockMs;
         report.incarnationStartUnixMs = incarnation;
         report.ended = ended;
+        report.running = running;
         report.fence = m_renewal.fence;
         m_owner.onLeaseReport(m_worker, OrderOutcome::Accepted, report, m_now, m_now, UnixMs);
     }
@@ -77,6 +78,15 @@
                              {OrderOutcome::Accepted, clockMs, start.fence}, m_now);
     }
 
+    /// Reports that \a start had no answer, and that a stop of its run was accepted.
+    void acceptStopOfUnanswered(const StartTask &start)
+    {
+        m_owner.onStartReply(m_worker, start.task, start.run, {OrderOutcome::Unknown}, m_now);
+        run(100ms);
+        m_owner.onStopOutcome({m_worker, start.task, start.run, m_renewal.fence},
+                              OrderOutcome::Accepted, m_now);
+    }
+
     /// Submits the job \a id.
     void submit(const char *id, const JobSpec &spec)
     {
