Let the lifetime of an open start go on over changes of owner

Cause, two faults of the record of a worker: - It gave each open start 12 s from the time it is read, whenever the record was put, and each owner wrote it anew. With owners that change every 2 to 6 s an open start never ended, and beside one no end is acknowledged. - It named a start as unanswered for up to a second after an answer. If the end of that run was acknowledged meanwhile, the next owner found the run neither among the running nor among the ended ones and took it for an open start.

Change: the record carries the time that the open starts have left, and is put again each second while it decreases; starts that have become open with this owner still get their whole lifetime. A record that names the start of an ended run is put again before the end is made durable, so before it is acknowledged. Of two ends of one open start the later one counts.

Why it works: the time left is an upper bound when it is put and is counted from when it is read, so no owner ends it early; each owner that lasts for over a second brings it nearer. A start whose run has ended was carried out, and its order can't be carried out again.

--- a/src/Cell/CellJob.cpp
+++ b/src/Cell/CellJob.cpp
@@ -83,10 +83,16 @@
         // Before the list has been read no worker is registered yet.
         return !hasLeft && !isReplaced ? earlierStartsEnd : TimePoint{};
     }
-    TimePoint end{};
+    TimePoint end = openStartsEnd();
     for (const TaskRef &it : tasks) {
         end = std::max(end, startEnd(it.task()));
     }
+    return end;
+}
+
+TimePoint CellWorker::openStartsEnd() const
+{
+    TimePoint end{};
     for (const OpenStart &it : openStarts) {
         end = std::max(end, it.end);
     }
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -244,7 +244,9 @@
     TimePoint earlierLeaseEnd{}; ///< When the leases of earlier owners are over.
     /// Starts of earlier owners that the restored record names and no report has shown.
     std::vector<OrderedStart> restoredStarts;
-    TimePoint earlierStartsEnd{};  ///< When they can't take effect any more.
+    TimePoint earlierStartsEnd{}; ///< When they can't take effect any more.
+    /// The same of those among them that were open starts of an earlier owner already.
+    TimePoint earlierOpenStartsEnd{};
     TimePoint listedAt{};          ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;      ///< Has answered a renewal of this owner.
     bool hasListedAllEnds = false; ///< Has sent this owner a report that omits no ended run.
@@ -340,6 +342,8 @@
     TimePoint startEnd(const CellTask &task) const;
     /// The same of all starts, also of those by earlier owners that the restored record names.
     TimePoint startsEnd() const;
+    /// The latest end of \a openStarts; zero if there are none.
+    TimePoint openStartsEnd() const;
     /// Another incarnation than the known one may have got orders of before until \a now.  The
     /// deadlines sent so far grant it the longest lease, since its clock began anew.
     void extendEarlierGrants(TimePoint now, Duration maxLease);
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -99,11 +99,12 @@
         releaseMissingTasks(worker, report, sentAt);
     }
     adjustFillers(worker, now);
+    // Before its ends are acknowledged, its record mustn't name their runs as unanswered starts.
+    m_records.update(worker, now);
     acknowledgeEndedRuns(worker, now);
     if (!worker.refusesEarlierOrders()) {
         worker.nextRenewal = now; // Until it answers, it takes orders to an earlier incarnation.
     }
-    m_records.update(worker, now);
     if (worker.info.isDraining) {
         evacuate(worker);
     }
@@ -385,7 +386,8 @@
             task.failedRuns, [&it](std::uint32_t run) { return run >= it.run; });
         const bool isSuperseded = task.worker && task.worker != &worker && task.run > it.run;
         if (!hasFailed && !isSuperseded) {
-            addOpenStart(*ref, worker, worker.earlierStartsEnd);
+            addOpenStart(*ref, worker,
+                         isOpen ? worker.earlierOpenStartsEnd : worker.earlierStartsEnd);
         }
     }
 }
--- a/src/Cell/WorkerLeases.cpp
+++ b/src/Cell/WorkerLeases.cpp
@@ -547,12 +547,16 @@
         // Two workers may carry out starts of it: it starts nowhere until one of them can't.
         task.notBefore = std::max(task.notBefore, std::min(task.openStart->end, end));
     }
-    if (!task.openStart || task.openStart->worker == worker.info.id || task.openStart->end < end) {
+    if (!task.openStart || task.openStart->end < end) {
         task.openStart = {worker.info.id, end};
     }
     const TaskName name = ref.name();
-    std::erase_if(worker.openStarts, [&name](const auto &it) { return it.task == name; });
-    worker.openStarts.push_back({name, end, ref.spec().reservation()});
+    const auto known = std::ranges::find(worker.openStarts, name, &CellWorker::OpenStart::task);
+    if (known != worker.openStarts.end()) {
+        known->end = std::max(known->end, end);
+    } else {
+        worker.openStarts.push_back({name, end, ref.spec().reservation()});
+    }
 }
 
 void CellScheduler::clearOpenStarts(CellWorker &worker)
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -108,14 +108,26 @@
     return other == *to;
 }
 
-/// True if \a from names each start that \a to does.
+/// True if \a from names each start that \a to does, for as long.
 bool coversStarts(const WorkerRecord &from, const WorkerRecord &to)
 {
     const auto isNamed = [&from](const OrderedStart &it) {
         return std::ranges::find(from.recentStarts, it) != from.recentStarts.end();
     };
     return std::ranges::includes(from.openStarts, to.openStarts)
-           && std::ranges::all_of(to.recentStarts, isNamed);
+           && from.startsLeftMs >= to.startsLeftMs && std::ranges::all_of(to.recentStarts, isNamed);
+}
+
+/// True if the record of \a worker names a start whose run this owner knows to have ended.  Once
+/// the end is acknowledged, the next owner would take it for a start that may yet be carried out.
+bool namesEndedStart(const CellWorker &worker)
+{
+    return worker.restoredStarts.empty()
+           && std::ranges::any_of(worker.record->recentStarts, [&worker](const OrderedStart &it) {
+                  return std::ranges::none_of(worker.tasks, [&it](const TaskRef &placed) {
+                      return placed.name() == it.task && placed.task().run == it.run;
+                  });
+              });
 }
 
 } // namespace
@@ -155,9 +167,9 @@
             const Duration left = std::chrono::milliseconds(*record.leaseLeftMs);
             worker->earlierLeaseEnd = std::min(worker->earlierLeaseEnd, now + left);
         }
-        const Duration startsLeft = std::chrono::milliseconds(record.startsLeftMs);
-        worker->earlierStartsEnd =
-            now + (record.recentStarts.empty() ? startsLeft : CellBounds::OrderLifetime);
+        worker->earlierOpenStartsEnd = now + std::chrono::milliseconds(record.startsLeftMs);
+        worker->earlierStartsEnd = record.recentStarts.empty() ? worker->earlierOpenStartsEnd
+                                                               : now + CellBounds::OrderLifetime;
     }
 }
 
@@ -177,7 +189,7 @@
         return;
     }
     if (differsInStartsOnly(worker.record, required) && coversStarts(*worker.record, *required)
-        && now - worker.recordedAt < StartRecordInterval) {
+        && !namesEndedStart(worker) && now - worker.recordedAt < StartRecordInterval) {
         return;
     }
     put(worker, std::move(required), now);
@@ -262,7 +274,7 @@
                            &CellWorker::OpenStart::task);
     std::ranges::sort(record.openStarts);
     if (!record.openStarts.empty()) {
-        record.startsLeftMs = msUntil(now + CellBounds::OrderLifetime, now);
+        record.startsLeftMs = msUntil(worker.openStartsEnd(), now);
     }
     record.recentStarts = recentStartsOn(worker);
     return record;
--- /dev/null
+++ b/test/OpenStartsOverOwners.cpp
@@ -0,0 +1,41 @@
+#include "fakes/LongRunningTasks.h"
+
+#include <gtest/gtest.h>
+
+namespace firefly {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t SeedCount = 20;
+
+// Guards against ends of runs that no owner acknowledges: each change of owner gave a start that
+// had no answer its whole lifetime anew, and no end is acknowledged beside it.
+TEST(OpenStartsOverOwners, AnOpenStartEndsThoughOwnersChange)
+{
+    for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
+        CellWorld world(seed, 1);
+        FakeCellWorker &worker = *world.workers.at("w0");
+        worker.workTime = 4s;
+        world.submit(JobId("a"), makeChain(1, 1));
+        while (!isRunning(world, {JobId("a"), 0, 0, 0})) {
+            world.step();
+        }
+        world.holdOrders("w0", false);
+        world.submit(JobId("b"), makeChain(1, 1));
+        world.run(200ms);
+        world.loseOwner(300ms);
+        world.run(1s);
+        world.owner->cancel(JobId("b"), world.now, world.unixMs(), [](CellScheduler::Verdict) {});
+        world.run(5s);
+        EXPECT_TRUE(worker.hasEndedRuns()) << "seed " << seed;
+        for (int i = 0; i < 10; ++i) {
+            world.replaceOwner(world.now);
+            world.run(2s);
+        }
+        EXPECT_FALSE(worker.hasEndedRuns()) << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace firefly
--- a/test/RestartedWorkerOrders.cpp
+++ b/test/RestartedWorkerOrders.cpp
@@ -70,6 +70,25 @@
     EXPECT_EQ(m_starts.size(), 2U);
 }
 
+// Guards against a task that waits for a worker which has run it: the next owner takes a run whose
+// end has been acknowledged for a start that its worker may yet carry out.
+TEST_F(RestartedWorkerOrders, TheRecordNamesNoStartWhoseRunIsAcknowledged)
+{
+    report(100'000);
+    run(100ms);
+    JobSpec spec = makeChain(1, 1);
+    spec.steps.front().isLongRunning = true;
+    submit("a", spec);
+    run(100ms);
+    ASSERT_EQ(m_starts.size(), 1U);
+    EXPECT_EQ(storedRecord().recentStarts.size(), 1U);
+    acceptStart(m_starts[0], 100'200);
+    report(100'250, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Failed, {}}});
+    run(100ms);
+    ASSERT_EQ(m_renewal.acknowledgedEndNumber, 1U);
+    EXPECT_TRUE(storedRecord().recentStarts.empty());
+}
+
 // Guards against a worker that is filled beyond its capacity: an unanswered start, whose stop an
 // earlier incarnation may have accepted, begins beside the tasks that took its room.
 TEST_F(RestartedWorkerOrders, TheRoomOfAnUnansweredStartStaysFree)
--- a/test/fakes/ReportedWorker.h
+++ b/test/fakes/ReportedWorker.h
@@ -2,11 +2,15 @@
 
 #include "Cell/CellScheduler.h"
 #include "fakes/CellWorld.h"
+#include "Workload/JobRecords.h"
 
 #include <gtest/gtest.h>
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -49,12 +53,15 @@
                     m_starts.push_back(*start);
                 }
             }
-            while (m_owner.journal().next()) {
+            while (const auto batch = m_owner.journal().next()) {
                 m_owner.journal().onOutcome(m_isStoreDown ? AppendOutcome::Unknown
                                                           : AppendOutcome::Stored);
                 if (m_isStoreDown) {
                     break;
                 }
+                for (const KeyedRecord &it : batch->records) {
+                    m_store[it.key] = it.value;
+                }
             }
         }
     }
@@ -87,6 +94,12 @@
                               OrderOutcome::Accepted, m_now);
     }
 
+    /// The record of the worker that the next owner would read.
+    WorkerRecord storedRecord() const
+    {
+        return JobRecords::decodeWorker(*m_store.at(JobRecords::workerKey(m_worker.value())));
+    }
+
     /// Submits the job \a id.
     void submit(const char *id, const JobSpec &spec)
     {
@@ -114,6 +127,7 @@
     TimePoint m_now{100s};
     TimePoint m_ordersUntil{};
     bool m_isStoreDown = false;
+    std::map<std::string, std::optional<std::string>> m_store;
     RenewLease m_renewal;
     std::vector<StartTask> m_starts;
 };
