Count failures that a worker has listed, also if it loses their ends before an acknowledgement

Cause: the check counted CellAudit::failed, from which discardUnacknowledgedEnds() takes the ends that a worker hasn't had acknowledged when it restarts or its lease lapses. That is the rule of ends "taken note of" (TWICE, BUDGET), by which such an end doesn't forbid another start. A job that is shown as failed needs runs that ended as failed (PROTOCOL: "a task has failed max_attempts times"; LOST: "only ends failed count as attempts"). A lapsed worker goes on listing its earlier ends.

Change: the check counts the numbers of the runs that a worker has listed as failed. That is as strict: an owner can't know of a failure otherwise, so a run counted twice, or under a number that didn't fail, still shows. In one point it is stricter: ends that no report has listed don't count any more. "Start after the last attempt has failed" is unchanged.

--- a/soak/SoakCallers.cpp
+++ b/soak/SoakCallers.cpp
@@ -219,10 +219,7 @@
             }
         }
     }
-    const bool hasFailed = std::ranges::any_of(audit.failed, [&job](const auto &it) {
-        return it.first.job == job.id && it.second.size() >= job.spec.policy.maxAttempts;
-    });
-    if (*job.reportedState == JobState::Failed && !hasFailed) {
+    if (*job.reportedState == JobState::Failed && !audit.hasUsedUpAttempts(job.id)) {
         addViolation("reported as failed although no task used up its attempts", job);
     }
 }
--- a/test/fakes/CellAudit.h
+++ b/test/fakes/CellAudit.h
@@ -48,6 +48,10 @@
     std::map<std::string, ResourceVector> used; ///< By worker.
     std::set<TaskName> everDone;
     std::set<TaskName> everFailed;
+    /// Numbers of the runs that a worker has listed as ended by a failure.  An owner may count
+    /// these from then on, even if their worker restarts, or its lease lapses, before an
+    /// acknowledgement.
+    std::map<TaskName, std::set<std::uint32_t>> listedFailures;
     std::map<TaskName, int> lostRuns; ///< Number of runs that ended with their worker.
     std::map<TaskName, int> crashes;  ///< Workers that the task has crashed.
     /// Starts of the task since it crashed its MaxCrashes-th worker.
@@ -124,6 +128,23 @@
         }
     }
 
+    /// A worker has listed \a end.
+    void recordListed(const EndedRun &end)
+    {
+        if (end.reason == RunEndReason::Failed) {
+            listedFailures[end.task].insert(end.run);
+        }
+    }
+
+    /// True if a task of \a job has used up its attempts by failures that an owner may know.
+    bool hasUsedUpAttempts(const JobId &job) const
+    {
+        const std::uint32_t maxAttempts = specs.at(job.value()).policy.maxAttempts;
+        return std::ranges::any_of(listedFailures, [&](const auto &it) {
+            return it.first.job == job && it.second.size() >= maxAttempts;
+        });
+    }
+
     /// An owner has acknowledged the ended runs of \a worker, of which \a latest is the last one,
     /// up to number \a lastSeen.
     void recordAcknowledgement(const std::string &worker, std::uint64_t lastSeen,
--- a/test/fakes/FakeCellWorker.h
+++ b/test/fakes/FakeCellWorker.h
@@ -139,6 +139,9 @@
         }
         const auto listed = std::min(m_ended.size(), MaxListedEnds);
         report.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+        for (const EndedRun &it : report.ended) {
+            m_audit.recordListed(it);
+        }
         report.mayOmitEnds = listed == MaxListedEnds;
         return OrderOutcome::Accepted;
     }
