Start a failed task again only once no silent worker may list an earlier failure of it

Cause: an owner starts the next attempt while the store doesn't take the failure. Its successor waits for all workers that may list unrecorded ends (TaskLocation), but only with tasks that it finds nowhere. A task that it finds running left that search, so that it started again as soon as that run failed, while the worker of the earlier failure hadn't answered yet. When it did, the owner counted and acknowledged that failure, too: "taken note of then or later", without any false acknowledgement.

Change: a batch task of an earlier owner whose run fails during the search is Unlocated again, and waits as the tasks that were found nowhere: until the workers with unrecorded ends have answered, or their leases are over, after which such ends don't count.

Why failures alone: the earlier owner has started that run, so by its count, stored or not, one attempt at least was left. Only a failure can use it up; runs that are lost or stopped start again at once. Long-running tasks have no such limit.

Not covered: a failure that leaves with its worker, which nobody can acknowledge.

TaskLocation, CellOwnerChange, FailingTasks, EarlierRunDone, UnacknowledgedFailures, SilentWorkersOverOwnerChanges, CellJoinFaults, RestartFaultsOverOwnerChanges and 27 further tests of cells pass.

--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -246,6 +246,11 @@
         if (!isLongRunning && !isFinal(ref->job->state)) {
             recordTaskFailure(*ref, worker, row.run, nowUnixMs);
         }
+        // A worker that hasn't answered yet may list failures that the earlier owner didn't store.
+        const bool mayHaveFailedBefore = m_state.isLocating && ref->job->isFromEarlierOwner;
+        if (isCurrent && !isLongRunning && mayHaveFailedBefore) {
+            TaskLedger::unlocate(*ref);
+        }
         return;
     }
     if (!task.checkpoint.empty() && !isFinal(ref->job->state)) {
--- a/src/Cell/TaskLedger.cpp
+++ b/src/Cell/TaskLedger.cpp
@@ -132,6 +132,12 @@
     }
 }
 
+void unlocate(const TaskRef &ref)
+{
+    FIREFLY_ASSERT(ref.task().state == TaskState::Pending, "only a Pending task can be unlocated");
+    setState(ref, TaskState::Unlocated);
+}
+
 void resolveUnlocated(const TaskRef &ref)
 {
     if (ref.task().state == TaskState::Unlocated) {
--- a/src/Cell/TaskLedger.h
+++ b/src/Cell/TaskLedger.h
@@ -21,6 +21,8 @@
 void release(const TaskRef &ref);
 /// Makes a task Done, and with it all other members of its gang.
 void finish(const TaskRef &ref);
+/// Makes a Pending task Unlocated, so that it waits for all workers that may list runs of it.
+void unlocate(const TaskRef &ref);
 /// Makes an Unlocated task Pending.
 void resolveUnlocated(const TaskRef &ref);
 /// Leaves a Pending or Unlocated task to another cell.
--- a/src/Cell/TaskLocation.h
+++ b/src/Cell/TaskLocation.h
@@ -12,7 +12,8 @@
 ///
 /// Starts are not recorded: each worker with a record is asked what it runs.  A task that no report
 /// lists becomes Pending once no worker that has yet to answer may run it, by the workers' records
-/// and leases.
+/// and leases.  So does a task whose run fails meanwhile: its failures that the earlier owner
+/// couldn't store are known to such workers only.
 class TaskLocation
 {
 public:
