--- a/src/Cell/CapacityReservations.cpp
+++ b/src/Cell/CapacityReservations.cpp
@@ -125,7 +125,7 @@
     ResourceVector available = worker.freeRoom();
     const TaskName name = ref.name();
     const auto openStart = std::ranges::find(worker.openStarts, name, &CellWorker::OpenStart::task);
-    if (openStart != worker.openStarts.end()) {
+    if (openStart != worker.openStarts.end() && ref.task().worker != &worker) {
         available.add(openStart->reservation);
     }
     if (worker.held == ResourceVector{}) {
--- a/src/Cell/CellJob.h
+++ b/src/Cell/CellJob.h
@@ -245,7 +245,7 @@
     /// Starts of earlier owners that the restored record names and no report has shown.
     std::vector<OrderedStart> restoredStarts;
     TimePoint earlierStartsEnd{}; ///< When they can't take effect any more.
-    /// The same of those among them that were open starts of an earlier owner already.
+    /// The same of those that were open starts of an earlier owner already.
     TimePoint earlierOpenStartsEnd{};
     TimePoint listedAt{};          ///< First listed with an address that wasn't recorded; or zero.
     bool isContacted = false;      ///< Has answered a renewal of this owner.
--- a/src/Cell/CellScheduler.cpp
+++ b/src/Cell/CellScheduler.cpp
@@ -600,8 +600,11 @@
         });
     }
     const bool isStoring = m_state.journal.isStoring();
-    sendStarts([now, isStoring](const CellState::UnrecordedStart &it) {
-        return !isStoring || now - it.since >= MaxRecordWait;
+    sendStarts([this, now, isStoring](const CellState::UnrecordedStart &it) {
+        // The stored record ends the open start of its task earlier than this one.
+        const auto ref = m_state.findTask(it.order.task);
+        const bool needsRecord = ref && ref->hasOpenStart(now);
+        return !needsRecord && (!isStoring || now - it.since >= MaxRecordWait);
     });
 }
 
--- a/src/Cell/LeaseReports.cpp
+++ b/src/Cell/LeaseReports.cpp
@@ -78,10 +78,11 @@
         worker.extendEarlierGrants(now, m_state.bounds.maxLease);
     }
     worker.hasUntrackedRuns = false;
-    worker.untracked = {};
+    const ResourceVector earlierUntracked = std::exchange(worker.untracked, {});
     for (const RunningTask &row : report.running) {
         applyRunningTask(worker, row, now);
     }
+    m_state.wantsPlacement = m_state.wantsPlacement || worker.untracked != earlierUntracked;
     for (const EndedRun &row : report.ended) {
         if (row.number > worker.processedEndNumber) {
             worker.processedEndNumber = row.number;
@@ -242,7 +243,7 @@
     if (row.reason == RunEndReason::Failed) {
         task.crashes = {};
         recordFailure(*ref, worker, row.run);
-        task.notBefore = isLongRunning ? now + RestartDelay : now;
+        task.notBefore = std::max(task.notBefore, isLongRunning ? now + RestartDelay : now);
         // The failure of an earlier run counts even if a later run was reported first.
         if (!isLongRunning && !isFinal(ref->job->state)) {
             recordTaskFailure(*ref, worker, row.run, nowUnixMs);
@@ -383,7 +384,7 @@
         // An owner acknowledges no end beside an open start.  So the end of a later run of the task
         // may be the one that this report lists, and has to stay.
         const bool isOpen = it.run == WorkerRecords::AnyRun;
-        if (!isOpen && (ref->task().state == TaskState::Done || isFinal(ref->job->state))) {
+        if (!isOpen && ref->task().state == TaskState::Done) {
             continue;
         }
         const CellTask &task = ref->task();
--- a/src/Cell/Placement.cpp
+++ b/src/Cell/Placement.cpp
@@ -177,6 +177,7 @@
     m_displaced.clear();
     m_waiting.clear();
     startReserved(now);
+    startBound(now);
     std::vector<CellJob *> jobs = pendingJobs();
     findDisplaced(jobs, now, nowUnixMs);
     reserveForEvacuated(now);
@@ -278,6 +279,17 @@
     return best != nullptr;
 }
 
+void Placement::startBound(TimePoint now)
+{
+    for (const auto &[id, worker] : m_state.workers) {
+        for (const CellWorker::OpenStart &it : worker->openStarts) {
+            if (const auto ref = m_state.findTask(it.task)) {
+                restart(*ref, *worker, now);
+            }
+        }
+    }
+}
+
 bool Placement::restart(const TaskRef &ref, CellWorker &worker, TimePoint now)
 {
     CellWorker *const workers[] = {&worker};
--- a/src/Cell/Placement.h
+++ b/src/Cell/Placement.h
@@ -104,6 +104,9 @@
     std::vector<TaskRef> findIdleFillers(std::span<CellJob *const> jobs, TimePoint now,
                                          std::int64_t nowUnixMs);
     void startReserved(TimePoint now);
+    /// Starts tasks with an open start on the only worker that may take them, as its room for them
+    /// is kept.
+    void startBound(TimePoint now);
     /// Starts \a ref on the best of \a workers that can take it.  Returns whether it starts.
     bool startOnOneOf(std::span<CellWorker *const> workers, const TaskRef &ref, TimePoint now);
     /// Reserves free capacity for the long-running tasks that draining workers are about to end;
--- a/src/Cell/WorkerRecords.cpp
+++ b/src/Cell/WorkerRecords.cpp
@@ -69,6 +69,17 @@
                                   std::chrono::ceil<std::chrono::milliseconds>(end - now).count());
 }
 
+/// Lets \a record name the starts that \a worker may still carry out.
+void nameStarts(WorkerRecord &record, const CellWorker &worker, TimePoint now)
+{
+    record.openStarts.clear();
+    std::ranges::transform(worker.openStarts, std::back_inserter(record.openStarts),
+                           &CellWorker::OpenStart::task);
+    std::ranges::sort(record.openStarts);
+    record.startsLeftMs = msUntil(worker.openStartsEnd(), now);
+    record.recentStarts = recentStartsOn(worker);
+}
+
 bool isOpen(const std::optional<WorkerRecord> &record)
 {
     return record && !record->tasks && !record->leaseLeftMs;
@@ -83,7 +94,7 @@
 bool differsInLeaseOnly(const std::optional<WorkerRecord> &from,
                         const std::optional<WorkerRecord> &to)
 {
-    if (!limitsLease(from) || !limitsLease(to)) {
+    if (!limitsLease(from) || !limitsLease(to) || from->startsLeftMs < to->startsLeftMs) {
         return false;
     }
     WorkerRecord other = *from;
@@ -97,7 +108,7 @@
 bool differsInStartsOnly(const std::optional<WorkerRecord> &from,
                          const std::optional<WorkerRecord> &to)
 {
-    if (!isOpen(from) || !isOpen(to)) {
+    if (!from || !to || limitsLease(from) || limitsLease(to)) {
         return false;
     }
     WorkerRecord other = *from;
@@ -108,7 +119,7 @@
     return other == *to;
 }
 
-/// True if \a from names each start that \a to does, for as long.
+/// True if \a from names each start that \a to does, for at least as long.
 bool coversStarts(const WorkerRecord &from, const WorkerRecord &to)
 {
     const auto isNamed = [&from](const OrderedStart &it) {
@@ -118,9 +129,9 @@
            && from.startsLeftMs >= to.startsLeftMs && std::ranges::all_of(to.recentStarts, isNamed);
 }
 
-/// True if the record of \a worker names a start whose run this owner knows to have ended.  Once
-/// the end is acknowledged, the next owner would take it for a start that may yet be carried out.
-bool namesEndedStart(const CellWorker &worker)
+/// True if the record of \a worker names a start that is no longer placed there.  Once the end of
+/// its run is acknowledged, the next owner would take it for a start that may yet be carried out.
+bool namesSettledStart(const CellWorker &worker)
 {
     return worker.restoredStarts.empty()
            && std::ranges::any_of(worker.record->recentStarts, [&worker](const OrderedStart &it) {
@@ -189,7 +200,7 @@
         return;
     }
     if (differsInStartsOnly(worker.record, required) && coversStarts(*worker.record, *required)
-        && !namesEndedStart(worker) && now - worker.recordedAt < StartRecordInterval) {
+        && !namesSettledStart(worker) && now - worker.recordedAt < StartRecordInterval) {
         return;
     }
     put(worker, std::move(required), now);
@@ -257,6 +268,9 @@
         std::optional<WorkerRecord> same = worker.record;
         if (same) {
             same->address = record.address;
+            if (worker.isContacted && worker.restoredStarts.empty()) {
+                nameStarts(*same, worker, now);
+            }
         }
         return same;
     }
@@ -270,13 +284,7 @@
         record.recentStarts = worker.record->recentStarts;
         return record;
     }
-    std::ranges::transform(worker.openStarts, std::back_inserter(record.openStarts),
-                           &CellWorker::OpenStart::task);
-    std::ranges::sort(record.openStarts);
-    if (!record.openStarts.empty()) {
-        record.startsLeftMs = msUntil(worker.openStartsEnd(), now);
-    }
-    record.recentStarts = recentStartsOn(worker);
+    nameStarts(record, worker, now);
     return record;
 }
 
--- a/test/UnacknowledgedFailures.cpp
+++ b/test/UnacknowledgedFailures.cpp
@@ -30,8 +30,8 @@
     ASSERT_EQ(world.owner->stateOf(job), JobState::Failed);
 }
 
-// Guards against an audit that reports a job as failed without cause, as the worker of a counted
-// failure restarts before its acknowledgement.
+// Guards against an audit that blames an owner for a justified failure, as the worker of a counted
+// run restarts before the acknowledgement.
 TEST(UnacknowledgedFailures, CountAfterTheRestartOfTheirWorker)
 {
     for (std::uint32_t seed = 1; seed <= SeedCount; ++seed) {
