Hold signals from the begin of the process on

What callers see: a process that is told to read its settings again while it starts ends by SIGHUP, and with it what it was about to serve.

Cause: the handlers were set after the options and settings had been read and all parts of the node made; until then SIGHUP has its default action.

Change: run() constructs the signal sets first; asio keeps what arrives until serve() waits for it, so that the settings are read again, or the process drains, once it runs. Before main() a signal still ends the process.

--- a/apps/fireflynode.cpp
+++ b/apps/fireflynode.cpp
@@ -49,19 +49,29 @@
     return path;
 }
 
-int serve(const std::string &path, const firefly::NodeSettings &settings)
+/// The signals that the process handles; what arrives before serve() waits for them is kept.
+struct Signals
+{
+    explicit Signals(asio::io_context &context)
+        : stop(context, SIGTERM, SIGINT)
+        , reload(context, SIGHUP)
+    {}
+
+    asio::signal_set stop;
+    asio::signal_set reload;
+};
+
+int serve(asio::io_context &context, Signals &signals, const std::string &path,
+          const firefly::NodeSettings &settings)
 {
-    asio::io_context context(1);
     firefly::NodeRuntime runtime(context, settings);
-    asio::signal_set stopSignals(context, SIGTERM, SIGINT);
-    stopSignals.async_wait([&runtime](const std::error_code &ec, int) {
+    signals.stop.async_wait([&runtime](const std::error_code &ec, int) {
         if (!ec) {
             runtime.drain();
         }
     });
-    asio::signal_set reloadSignals(context, SIGHUP);
     std::function<void()> waitForReload = [&] {
-        reloadSignals.async_wait([&](const std::error_code &ec, int) {
+        signals.reload.async_wait([&](const std::error_code &ec, int) {
             if (ec) {
                 return;
             }
@@ -80,6 +90,8 @@
 
 int run(int argc, char *argv[])
 {
+    asio::io_context context(1);
+    Signals signals(context);
     std::map<std::string, docopt::value> options;
     try {
         options = docopt::docopt_parse(Usage, {argv + 1, argv + argc}, true, false);
@@ -98,7 +110,7 @@
             std::cout << "settings are valid\n";
             return 0;
         }
-        return serve(path, settings);
+        return serve(context, signals, path, settings);
     } catch (const firefly::NodeSettingsError &e) {
         std::cerr << e.what() << '\n';
         return ExitBadSettings;
--- a/test/ProcessExit.cpp
+++ b/test/ProcessExit.cpp
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -50,7 +51,8 @@
     Program(const Program &) = delete;
     Program &operator=(const Program &) = delete;
 
-    void terminate() const { kill(m_pid, SIGTERM); }
+    void terminate() const { signal(SIGTERM); }
+    void signal(int number) const { kill(m_pid, number); }
 
     /// The exit code, unless the program still runs after \a limit or a signal ended it.
     std::optional<int> waitForExit(Duration limit)
@@ -113,5 +115,22 @@
     EXPECT_EQ(node.waitForExit(settings.gracePeriod), 0);
 }
 
+// Guards against a process that the order to read its settings again ends, as it comes while the
+// process starts.
+TEST(ProcessExit, AReloadDuringTheStartEndsNoProcess)
+{
+    constexpr int BadSettings = 2;
+    const auto pipe = std::filesystem::path(testing::TempDir()) / "process-exit.pipe";
+    std::filesystem::remove(pipe);
+    ASSERT_EQ(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR), 0);
+    Program node({NODE_WITH_IDLE_THREADS, "--settings", pipe.string()});
+    std::ofstream settings(pipe); // Opens once the process reads.
+    node.signal(SIGHUP);
+    settings << "none";
+    settings.close();
+    EXPECT_EQ(node.waitForExit(MaxStartTime), BadSettings);
+    std::filesystem::remove(pipe);
+}
+
 } // namespace
 } // namespace firefly
