RestartedWorkerOrders: one set-up of the first job, and a bounded wait

Six cases repeated the first answer of the worker, the submission and the look for its starts, as finishFirstTask() does: ReportedWorker::startFirstJob() serves all. The case of the draining worker waited without bound for an acknowledgement; without one it fails after 1 s now. No assertion is loosened: the count of starts is checked in startFirstJob(), and at 100 ms instead of 200 ms in finishFirstTask().

--- a/test/RestartedWorkerOrders.cpp
+++ b/test/RestartedWorkerOrders.cpp
@@ -27,11 +27,7 @@
 // anything may reach a later incarnation of its worker, and the next owner doesn't know of it.
 TEST_F(RestartedWorkerOrders, NoTaskStartsOnceAnotherOwnerMayHaveBegun)
 {
-    report(100'000);
-    run(100ms);
-    submit("a", makeChain(2, 1));
-    run(100ms);
-    ASSERT_EQ(m_starts.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(startFirstJob(makeChain(2, 1)));
     acceptStart(m_starts[0], 100'200);
     m_isStoreDown = true;
     run(2300ms);
@@ -74,13 +70,9 @@
 // end has been acknowledged for a start that its worker may yet carry out.
 TEST_F(RestartedWorkerOrders, TheRecordNamesNoStartWhoseRunIsAcknowledged)
 {
-    report(100'000);
-    run(100ms);
     JobSpec spec = makeChain(1, 1);
     spec.steps.front().isLongRunning = true;
-    submit("a", spec);
-    run(100ms);
-    ASSERT_EQ(m_starts.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(startFirstJob(spec));
     EXPECT_EQ(storedRecord()->recentStarts.size(), 1U);
     acceptStart(m_starts[0], 100'200);
     report(100'250, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Failed, {}}});
@@ -92,19 +84,15 @@
 // The same on a worker that drains.
 TEST_F(RestartedWorkerOrders, TheRecordOfADrainingWorkerNamesNoStartWhoseRunIsAcknowledged)
 {
-    report(100'000);
-    run(100ms);
-    submit("a", makeChain(1, 1));
-    run(100ms);
-    ASSERT_EQ(m_starts.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(startFirstJob());
     acceptStart(m_starts[0], 100'200);
     run(60ms);
     m_description.isDraining = true;
     m_owner.onWorkerListed(m_description, m_now);
     report(100'250, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Stopped, {}}});
-    while (m_renewal.acknowledgedEndNumber == 0) {
-        const auto stored = storedRecord();
-        ASSERT_TRUE(stored) << "the owner waits for the durable end";
+    for (const TimePoint limit = m_now + 1s; m_renewal.acknowledgedEndNumber == 0;) {
+        ASSERT_LT(m_now, limit) << "the end isn't acknowledged";
+        ASSERT_TRUE(storedRecord()) << "the owner waits for the durable end";
         run(20ms);
     }
     const auto stored = storedRecord();
@@ -115,11 +103,7 @@
 // for which there is no room, counted for both.
 TEST_F(RestartedWorkerOrders, ATaskWithAnOpenStartTakesItsRoom)
 {
-    report(100'000);
-    run(100ms);
-    submit("a", makeChain(1, 1));
-    run(100ms);
-    ASSERT_EQ(m_starts.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(startFirstJob());
     JobSpec urgent = makeChain(1, 20);
     urgent.policy.priority = 0;
     submit("b", urgent);
@@ -137,11 +121,7 @@
 // earlier incarnation may have accepted, begins beside the tasks that took its room.
 TEST_F(RestartedWorkerOrders, TheRoomOfAnUnansweredStartStaysFree)
 {
-    report(100'000);
-    run(100ms);
-    submit("a", makeChain(1, 1));
-    run(100ms);
-    ASSERT_EQ(m_starts.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(startFirstJob());
     m_owner.cancel(JobId("a"), m_now, UnixMs, [](CellScheduler::Verdict) {});
     acceptStopOfUnanswered(m_starts[0]);
     run(400ms);
@@ -162,11 +142,7 @@
 // The same for a run that is listed though another run of its task is placed, until it has ended.
 TEST_F(RestartedWorkerOrders, TheRoomOfAStrayRunStaysFree)
 {
-    report(100'000);
-    run(100ms);
-    submit("a", makeChain(1, 1));
-    run(100ms);
-    ASSERT_EQ(m_starts.size(), 1U);
+    ASSERT_NO_FATAL_FAILURE(startFirstJob());
     const RunningTask current{m_starts[0].task, m_starts[0].run};
     const RunningTask stray{m_starts[0].task, m_starts[0].run - 1};
     report(100'300, {}, 1, {current, stray});
--- a/test/fakes/ReportedWorker.h
+++ b/test/fakes/ReportedWorker.h
@@ -107,14 +107,21 @@
         m_owner.submit(JobId(id), spec, m_now, UnixMs, [](CellScheduler::Verdict) {});
     }
 
+    /// Lets the worker answer for the first time, and submits the job "a", whose first step starts.
+    void startFirstJob(const JobSpec &spec = makeChain(1, 1))
+    {
+        report(100'000);
+        run(100ms);
+        submit("a", spec);
+        run(100ms);
+        ASSERT_EQ(m_starts.size(), spec.steps.front().taskCount);
+    }
+
     /// Submits a job of \a count tasks; the end of the first one is reported and stored.
     void finishFirstTask(std::uint32_t count)
     {
-        report(100'000);
+        ASSERT_NO_FATAL_FAILURE(startFirstJob(makeChain(1, count)));
         run(100ms);
-        submit("a", makeChain(1, count));
-        run(200ms);
-        ASSERT_EQ(m_starts.size(), count);
         acceptStart(m_starts[0], 100'300);
         report(100'400, {{1, m_starts[0].task, m_starts[0].run, RunEndReason::Done, {}}});
         run(1s);
